--- /dev/null
+++ b/Source/Agent/AgentNode.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Agent/AgentOrder.h"
+#include "Agent/AgentSettings.h"
+#include "Core/Time.h"
+
+#include <memory>
+#include <string>
+
+namespace Nutmegrill {
+
+/// Decision logic of an agent: what its backend server is given, and what is kept of the answers.
+class AgentNode
+{
+public:
+    explicit AgentNode(AgentSettings settings);
+    ~AgentNode();
+    AgentNode(const AgentNode &) = delete;
+    AgentNode &operator=(const AgentNode &) = delete;
+
+    void handle(Instant now, const AgentEvent::Any &event, AgentOrder::List &orders);
+    void tick(Instant now, AgentOrder::List &orders);
+
+    /// The configuration in force; null before the first one.
+    ConfigurationPtr configuration() const;
+
+    /// State dump as JSON.
+    std::string dump(Instant now) const;
+
+private:
+    class State;
+    std::unique_ptr<State> state;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/AgentSettings.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Nutmegrill {
+
+/// What an agent's decision logic is told at start.
+struct AgentSettings
+{
+    std::string name;
+    std::string service;
+    std::string failureDomain;
+    std::string deploymentKey;
+    std::uint64_t incarnation = 1;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Config/Configuration.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Config/ClientAccount.h"
+#include "Config/ModelGroup.h"
+#include "Config/Place.h"
+#include "Config/ServiceDeclaration.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// One accepted set of objects. Immutable once published; processes share it by ConfigurationPtr.
+struct Configuration
+{
+    std::uint64_t version = 0;
+    std::string changeId;
+    std::string author;
+    std::vector<Place> places;
+    std::vector<ServiceDeclaration> services;
+    std::vector<ModelGroup> modelGroups;
+    std::vector<ClientAccount> clientAccounts;
+
+    /// Null when there is no such object.
+    const ServiceDeclaration *findService(std::string_view name) const;
+    const ServiceDeclaration *findModel(std::string_view model) const;
+    const ClientAccount *findAccount(std::string_view name) const;
+    const ClientAccount *findAccountByKeyHash(std::string_view keyHash) const;
+    const FailureDomainState *findFailureDomain(std::string_view name) const;
+
+    bool operator==(const Configuration &) const = default;
+};
+
+using ConfigurationPtr = std::shared_ptr<const Configuration>;
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Config/FailureDomainState.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace Nutmegrill {
+
+/// Whether operators have taken a failure domain out of service. The epoch rises with each move, so
+/// that two statements about one failure domain can be ordered without a clock.
+struct FailureDomainState
+{
+    std::string name;
+    bool out = false;
+    std::uint64_t epoch = 0;
+
+    bool operator==(const FailureDomainState &) const = default;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Core/RandomSource.cpp
@@ -0,0 +1,26 @@
+#include "Core/RandomSource.h"
+
+#include <limits>
+
+namespace Nutmegrill {
+
+std::uint64_t RandomSource::below(std::uint64_t bound)
+{
+    if (bound == 0)
+        return 0;
+    // Values past the last full multiple of the bound are drawn again, so that no result is
+    // favored.
+    const std::uint64_t limit = std::numeric_limits<std::uint64_t>::max() / bound * bound;
+    std::uint64_t value = this->engine();
+    while (value >= limit)
+        value = this->engine();
+    return value % bound;
+}
+
+double RandomSource::unit()
+{
+    static constexpr double InverseOf53Bits = 1.0 / 9007199254740992.0;
+    return static_cast<double>(this->engine() >> 11U) * InverseOf53Bits;
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Net/PeerSession.cpp
@@ -0,0 +1,483 @@
+#include "Net/PeerSession.h"
+
+#include "Net/EventLoop.h"
+#include "Net/PeerObserver.h"
+
+#include <algorithm>
+#include <array>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <nghttp2/nghttp2.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::size_t LengthPrefixBytes = 4;
+// One paused stream must not stop the others, so the connection window is far above a stream's.
+constexpr std::int32_t ConnectionWindowBytes = 256 << 20;
+constexpr std::uint32_t MaxStreams = 4096;
+// Bytes kept in the socket buffer before streams have to wait; small, so that pendingBytes() is
+// true.
+constexpr std::size_t OutputHighWater = 256U << 10U;
+
+void appendLength(std::string &output, std::uint32_t length)
+{
+    const std::uint32_t bytes = htonl(length);
+    output.append(reinterpret_cast<const char *>(&bytes), sizeof bytes);
+}
+
+std::uint32_t readLength(const std::string &input, std::size_t offset)
+{
+    std::uint32_t bytes = 0;
+    std::memcpy(&bytes, input.data() + offset, sizeof bytes);
+    return ntohl(bytes);
+}
+
+nghttp2_nv makeHeader(std::string_view name, std::string_view value)
+{
+    return {reinterpret_cast<std::uint8_t *>(const_cast<char *>(name.data())),
+            reinterpret_cast<std::uint8_t *>(const_cast<char *>(value.data())), name.size(),
+            value.size(), NGHTTP2_NV_FLAG_NONE};
+}
+
+} // namespace
+
+// nghttp2 and libevent call plain functions; these turn them into member calls.
+struct PeerSession::Callbacks
+{
+    static PeerSession *self(void *userData) { return static_cast<PeerSession *>(userData); }
+
+    static ssize_t send(nghttp2_session *, const std::uint8_t *data, std::size_t length, int,
+                        void *userData)
+    {
+        PeerSession *session = self(userData);
+        evbuffer *output = bufferevent_get_output(session->connection);
+        if (evbuffer_get_length(output) >= OutputHighWater)
+            return NGHTTP2_ERR_WOULDBLOCK;
+        evbuffer_add(output, data, length);
+        session->sentBytes += length;
+        return static_cast<ssize_t>(length);
+    }
+
+    static ssize_t readData(nghttp2_session *, std::int32_t id, std::uint8_t *buffer,
+                            std::size_t length, std::uint32_t *flags, nghttp2_data_source *,
+                            void *userData)
+    {
+        Stream *stream = self(userData)->find(id);
+        if (stream == nullptr) {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+            return 0;
+        }
+        const std::size_t count = std::min(length, stream->output.size() - stream->outputOffset);
+        std::memcpy(buffer, stream->output.data() + stream->outputOffset, count);
+        stream->outputOffset += count;
+        if (stream->outputOffset == stream->output.size()) {
+            stream->output.clear();
+            stream->outputOffset = 0;
+        }
+        if (!stream->output.empty() || count > 0) {
+            if (stream->finishing && stream->output.empty())
+                *flags |= NGHTTP2_DATA_FLAG_EOF;
+            return static_cast<ssize_t>(count);
+        }
+        if (stream->finishing) {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+            return 0;
+        }
+        stream->deferred = true;
+        return NGHTTP2_ERR_DEFERRED;
+    }
+
+    static int beginHeaders(nghttp2_session *, const nghttp2_frame *frame, void *userData)
+    {
+        if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST)
+            self(userData)->streams.try_emplace(frame->hd.stream_id);
+        return 0;
+    }
+
+    static int header(nghttp2_session *, const nghttp2_frame *frame, const std::uint8_t *name,
+                      std::size_t nameLength, const std::uint8_t *value, std::size_t valueLength,
+                      std::uint8_t, void *userData)
+    {
+        const std::string_view key(reinterpret_cast<const char *>(name), nameLength);
+        if (Stream *stream = self(userData)->find(frame->hd.stream_id);
+            stream != nullptr && key == ":path")
+            stream->path.assign(reinterpret_cast<const char *>(value), valueLength);
+        return 0;
+    }
+
+    static int frameReceived(nghttp2_session *, const nghttp2_frame *frame, void *userData)
+    {
+        PeerSession *session = self(userData);
+        const std::int32_t id = frame->hd.stream_id;
+        Stream *stream = session->find(id);
+        if (stream == nullptr)
+            return 0;
+        if (frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST) {
+            session->respond(id);
+            stream->announced = true;
+            session->observer.peerStreamOpened(*session, id, stream->path);
+        }
+        const bool carriesEnd = frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
+        if (stream = session->find(id);
+            stream != nullptr && carriesEnd && (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
+            stream->peerFinished = true;
+        return 0;
+    }
+
+    static int dataReceived(nghttp2_session *, std::uint8_t, std::int32_t id,
+                            const std::uint8_t *data, std::size_t length, void *userData)
+    {
+        PeerSession *session = self(userData);
+        // The connection window is refilled at once; only the stream's own window holds back a
+        // sender.
+        nghttp2_session_consume_connection(session->session, length);
+        if (Stream *stream = session->find(id)) {
+            stream->input.append(reinterpret_cast<const char *>(data), length);
+            stream->unconsumed += length;
+            session->deliver(id);
+        }
+        return 0;
+    }
+
+    static int streamClosed(nghttp2_session *, std::int32_t id, std::uint32_t errorCode,
+                            void *userData)
+    {
+        self(userData)->closeStream(id, errorCode);
+        return 0;
+    }
+
+    static void readable(bufferevent *, void *userData) { self(userData)->receive(); }
+
+    static void writable(bufferevent *, void *userData) { self(userData)->flush(); }
+
+    static void event(bufferevent *, short what, void *userData)
+    {
+        PeerSession *session = self(userData);
+        if ((what & BEV_EVENT_CONNECTED) != 0) {
+            session->connected = true;
+            session->lastReceived = session->loop.now();
+            session->observer.peerConnected(*session);
+            session->flush();
+            return;
+        }
+        session->fail();
+    }
+};
+
+PeerSession::PeerSession(EventLoop &loop, PeerObserver &observer, bool server)
+    : loop(loop), observer(observer), server(server), alive(std::make_shared<bool>(true)),
+      lastReceived(loop.now()), nextPing(loop.now())
+{}
+
+std::unique_ptr<PeerSession> PeerSession::connect(EventLoop &loop, const std::string &address,
+                                                  PeerObserver &observer)
+{
+    std::unique_ptr<PeerSession> session(new PeerSession(loop, observer, false));
+    session->start(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE));
+    sockaddr_storage storage{};
+    int length = sizeof storage;
+    if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr *>(&storage), &length)
+                != 0
+        || bufferevent_socket_connect(session->connection, reinterpret_cast<sockaddr *>(&storage),
+                                      length)
+                   != 0) {
+        // Reported from the loop, so that the caller holds the session by then.
+        PeerSession *raw = session.get();
+        loop.after(std::chrono::milliseconds(0),
+                   [raw, watch = std::weak_ptr<bool>(session->alive)] {
+                       if (!watch.expired())
+                           raw->fail();
+                   });
+    }
+    return session;
+}
+
+std::unique_ptr<PeerSession> PeerSession::accept(EventLoop &loop, int fd, PeerObserver &observer)
+{
+    std::unique_ptr<PeerSession> session(new PeerSession(loop, observer, true));
+    session->connected = true;
+    session->start(bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE));
+    session->flush();
+    return session;
+}
+
+PeerSession::~PeerSession()
+{
+    if (this->session != nullptr)
+        nghttp2_session_del(this->session);
+    if (this->connection != nullptr)
+        bufferevent_free(this->connection);
+}
+
+void PeerSession::start(bufferevent *connection)
+{
+    this->connection = connection;
+    this->open = true;
+    bufferevent_setcb(connection, &Callbacks::readable, &Callbacks::writable, &Callbacks::event,
+                      this);
+    bufferevent_enable(connection, EV_READ | EV_WRITE);
+
+    nghttp2_session_callbacks *callbacks = nullptr;
+    nghttp2_session_callbacks_new(&callbacks);
+    nghttp2_session_callbacks_set_send_callback(callbacks, &Callbacks::send);
+    nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, &Callbacks::beginHeaders);
+    nghttp2_session_callbacks_set_on_header_callback(callbacks, &Callbacks::header);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, &Callbacks::frameReceived);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, &Callbacks::dataReceived);
+    nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, &Callbacks::streamClosed);
+    nghttp2_option *options = nullptr;
+    nghttp2_option_new(&options);
+    nghttp2_option_set_no_auto_window_update(options, 1);
+    if (this->server)
+        nghttp2_session_server_new2(&this->session, callbacks, this, options);
+    else
+        nghttp2_session_client_new2(&this->session, callbacks, this, options);
+    nghttp2_option_del(options);
+    nghttp2_session_callbacks_del(callbacks);
+
+    const std::array<nghttp2_settings_entry, 2> settings = {
+            {{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, StreamWindowBytes},
+             {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, MaxStreams}}};
+    nghttp2_submit_settings(this->session, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
+    nghttp2_session_set_local_window_size(this->session, NGHTTP2_FLAG_NONE, 0,
+                                          ConnectionWindowBytes);
+}
+
+PeerSession::Stream *PeerSession::find(std::int32_t stream)
+{
+    const auto found = this->streams.find(stream);
+    return found == this->streams.end() ? nullptr : &found->second;
+}
+
+std::int32_t PeerSession::openStream(const std::string &path)
+{
+    if (!this->open)
+        return 0;
+    const std::array<nghttp2_nv, 4> headers = {
+            makeHeader(":method", "POST"), makeHeader(":scheme", "http"), makeHeader(":path", path),
+            makeHeader(":authority", "nutmegrill")};
+    nghttp2_data_provider provider{};
+    provider.read_callback = &Callbacks::readData;
+    const std::int32_t id = nghttp2_submit_request(this->session, nullptr, headers.data(),
+                                                   headers.size(), &provider, nullptr);
+    if (id <= 0)
+        return 0;
+    Stream &stream = this->streams[id];
+    stream.path = path;
+    stream.announced = true;
+    stream.responded = true;
+    this->flush();
+    return id;
+}
+
+void PeerSession::respond(std::int32_t stream)
+{
+    const std::array<nghttp2_nv, 1> headers = {makeHeader(":status", "200")};
+    nghttp2_data_provider provider{};
+    provider.read_callback = &Callbacks::readData;
+    nghttp2_submit_response(this->session, stream, headers.data(), headers.size(), &provider);
+    if (Stream *row = this->find(stream))
+        row->responded = true;
+}
+
+void PeerSession::send(std::int32_t stream, std::string_view message)
+{
+    Stream *row = this->find(stream);
+    if (row == nullptr || !this->open || row->finishing)
+        return;
+    appendLength(row->output, static_cast<std::uint32_t>(message.size()));
+    row->output.append(message);
+    if (row->deferred) {
+        row->deferred = false;
+        nghttp2_session_resume_data(this->session, stream);
+    }
+    this->flush();
+}
+
+void PeerSession::finish(std::int32_t stream)
+{
+    Stream *row = this->find(stream);
+    if (row == nullptr || !this->open)
+        return;
+    row->finishing = true;
+    if (row->deferred) {
+        row->deferred = false;
+        nghttp2_session_resume_data(this->session, stream);
+    }
+    this->flush();
+}
+
+void PeerSession::reset(std::int32_t stream, bool notProcessed)
+{
+    if (this->find(stream) == nullptr || !this->open)
+        return;
+    nghttp2_submit_rst_stream(this->session, NGHTTP2_FLAG_NONE, stream,
+                              notProcessed ? NGHTTP2_REFUSED_STREAM : NGHTTP2_CANCEL);
+    this->flush();
+}
+
+void PeerSession::pause(std::int32_t stream, bool paused)
+{
+    Stream *row = this->find(stream);
+    if (row == nullptr || row->paused == paused)
+        return;
+    row->paused = paused;
+    if (!paused) {
+        // From the loop: the caller may be inside a callback of this stream.
+        this->loop.after(std::chrono::milliseconds(0),
+                         [this, stream, watch = std::weak_ptr<bool>(this->alive)] {
+                             if (watch.expired())
+                                 return;
+                             this->deliver(stream);
+                             this->flush();
+                         });
+    }
+}
+
+std::size_t PeerSession::pendingBytes(std::int32_t stream) const
+{
+    const auto found = this->streams.find(stream);
+    return found == this->streams.end() ? 0
+                                        : found->second.output.size() - found->second.outputOffset;
+}
+
+void PeerSession::announceShutdown()
+{
+    if (!this->open)
+        return;
+    nghttp2_submit_goaway(this->session, NGHTTP2_FLAG_NONE,
+                          nghttp2_session_get_last_proc_stream_id(this->session), NGHTTP2_NO_ERROR,
+                          nullptr, 0);
+    this->flush();
+}
+
+void PeerSession::checkLiveness(Instant now, std::chrono::milliseconds silenceLimit)
+{
+    if (!this->open)
+        return;
+    if (now - this->lastReceived >= silenceLimit) {
+        this->fail();
+        return;
+    }
+    const auto idleLimit = silenceLimit / 3;
+    if (this->connected && now - this->lastReceived >= idleLimit && now >= this->nextPing) {
+        this->nextPing = now + idleLimit;
+        nghttp2_submit_ping(this->session, NGHTTP2_FLAG_NONE, nullptr);
+        this->flush();
+    }
+}
+
+void PeerSession::receive()
+{
+    if (!this->open)
+        return;
+    this->lastReceived = this->loop.now();
+    evbuffer *input = bufferevent_get_input(this->connection);
+    std::vector<std::uint8_t> bytes(evbuffer_get_length(input));
+    evbuffer_remove(input, bytes.data(), bytes.size());
+    this->receivedBytes += bytes.size();
+    if (nghttp2_session_mem_recv(this->session, bytes.data(), bytes.size()) < 0) {
+        this->fail();
+        return;
+    }
+    this->flush();
+}
+
+void PeerSession::flush()
+{
+    if (!this->open || !this->connected)
+        return;
+    std::vector<std::pair<std::int32_t, std::size_t>> waiting;
+    for (const auto &[id, stream] : this->streams) {
+        if (!stream.output.empty())
+            waiting.emplace_back(id, stream.output.size() - stream.outputOffset);
+    }
+    if (nghttp2_session_send(this->session) != 0) {
+        this->fail();
+        return;
+    }
+    for (const auto &[id, before] : waiting) {
+        if (this->find(id) != nullptr && this->pendingBytes(id) < before)
+            this->observer.peerStreamDrained(*this, id);
+    }
+    if (this->open && nghttp2_session_want_read(this->session) == 0
+        && nghttp2_session_want_write(this->session) == 0)
+        this->fail();
+}
+
+void PeerSession::deliver(std::int32_t stream)
+{
+    for (Stream *row = this->find(stream); row != nullptr && !row->paused;
+         row = this->find(stream)) {
+        if (row->unconsumed > 0) {
+            nghttp2_session_consume_stream(this->session, stream, row->unconsumed);
+            row->unconsumed = 0;
+        }
+        if (row->input.size() < LengthPrefixBytes)
+            return;
+        const std::size_t length = readLength(row->input, 0);
+        if (length > MaxMessageBytes) {
+            this->fail();
+            return;
+        }
+        if (row->input.size() < LengthPrefixBytes + length)
+            return;
+        std::string message = row->input.substr(LengthPrefixBytes, length);
+        row->input.erase(0, LengthPrefixBytes + length);
+        this->observer.peerMessage(*this, stream, std::move(message));
+    }
+}
+
+void PeerSession::closeStream(std::int32_t stream, std::uint32_t errorCode)
+{
+    const auto found = this->streams.find(stream);
+    if (found == this->streams.end())
+        return;
+    // Messages that a pause held back still belong to the answer.
+    if (found->second.paused) {
+        found->second.paused = false;
+        this->deliver(stream);
+    }
+    const bool announced = found->second.announced;
+    this->streams.erase(stream);
+    if (!announced)
+        return;
+    PeerObserver::StreamEnd end = PeerObserver::StreamEnd::Broken;
+    if (errorCode == NGHTTP2_NO_ERROR)
+        end = PeerObserver::StreamEnd::Finished;
+    else if (errorCode == NGHTTP2_REFUSED_STREAM)
+        end = PeerObserver::StreamEnd::NotProcessed;
+    this->observer.peerStreamClosed(*this, stream, end);
+}
+
+void PeerSession::fail()
+{
+    if (!this->open || this->failureScheduled)
+        return;
+    // From the loop: nghttp2 must not be inside a callback when its streams are dropped.
+    this->failureScheduled = true;
+    bufferevent_disable(this->connection, EV_READ | EV_WRITE);
+    this->loop.after(
+            std::chrono::milliseconds(0), [this, watch = std::weak_ptr<bool>(this->alive)] {
+                if (watch.expired())
+                    return;
+                this->open = false;
+                while (!this->streams.empty() && !watch.expired())
+                    this->closeStream(this->streams.begin()->first, NGHTTP2_INTERNAL_ERROR);
+                if (!watch.expired())
+                    this->observer.peerDisconnected(*this);
+            });
+}
+
+} // namespace Nutmegrill
