Add the HTTP server and client on evhttp

Both stream and hold back the other side: the server reports what a caller has not taken, the client stops reading while a call is paused. A call that wrote no byte is told apart from one that broke later.

--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -48,7 +48,7 @@
         std::function<void(Failure failure)> onFailure;
     };
 
-    explicit HttpClient(EventLoop &loop) : loop(loop) {}
+    explicit HttpClient(EventLoop &loop);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
--- /dev/null
+++ b/Tests/Net/HttpTest.cpp
@@ -0,0 +1,208 @@
+#include "Net/EventLoop.h"
+#include "Net/HttpClient.h"
+#include "Net/HttpServer.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char *Address = "127.0.0.1:39160";
+
+} // namespace
+
+class HttpTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HttpTest);
+    CPPUNIT_TEST(wholeAnswerArrives);
+    CPPUNIT_TEST(streamedAnswerArrivesInParts);
+    CPPUNIT_TEST(abortedAnswerIsNotTakenForAWholeOne);
+    CPPUNIT_TEST(refusedConnectionIsReportedAsNotConnected);
+    CPPUNIT_TEST(callerThatClosesIsReported);
+    CPPUNIT_TEST(pausedCallHoldsBackTheServer);
+    CPPUNIT_TEST(tooLargeBodyIsRejected);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->loop = std::make_unique<EventLoop>();
+        HttpServer::Limits limits;
+        limits.bodyBytes = 1U << 20U;
+        this->server = std::make_unique<HttpServer>(
+                *this->loop, Address, limits,
+                [this](const HttpServer::Request &request) { this->requests.push_back(request); });
+        CPPUNIT_ASSERT(this->server->isListening());
+        this->client = std::make_unique<HttpClient>(*this->loop);
+    }
+
+    void tearDown() override
+    {
+        this->client.reset();
+        this->server.reset();
+        this->loop->runUntil([] { return false; }, 20ms);
+        this->loop.reset();
+        this->requests.clear();
+    }
+
+    // Guards against headers, bodies or paths that are lost on the way.
+    void wholeAnswerArrives()
+    {
+        HttpClient::Request request;
+        request.method = "POST";
+        request.path = "/a%20b?c=d";
+        request.headers = {{"X-Request-Id", "r1"}};
+        request.body = "question";
+        int status = 0;
+        std::string body;
+        this->client->fetch(Address, request, [&](int code, std::string text) {
+            status = code;
+            body = std::move(text);
+        });
+        this->waitFor([&] { return !this->requests.empty(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("/a b"), this->requests[0].path);
+        CPPUNIT_ASSERT_EQUAL(std::string("c=d"), this->requests[0].query);
+        CPPUNIT_ASSERT_EQUAL(std::string("question"), this->requests[0].body);
+        CPPUNIT_ASSERT(this->requests[0].header("x-request-id") == "r1");
+        this->server->reply(this->requests[0].id, 201, {}, "answer");
+        this->waitFor([&] { return status != 0; });
+        CPPUNIT_ASSERT_EQUAL(201, status);
+        CPPUNIT_ASSERT_EQUAL(std::string("answer"), body);
+    }
+
+    // Guards against a streamed answer that is held back until its end.
+    void streamedAnswerArrivesInParts()
+    {
+        std::string body;
+        bool ended = false;
+        this->client->call(Address, {}, this->handlers(body, ended));
+        this->waitFor([&] { return !this->requests.empty(); });
+        this->server->startReply(this->requests[0].id, 200, {});
+        this->server->sendChunk(this->requests[0].id, "one ");
+        this->waitFor([&] { return body == "one "; });
+        CPPUNIT_ASSERT(!ended);
+        this->server->sendChunk(this->requests[0].id, "two");
+        this->server->endReply(this->requests[0].id);
+        this->waitFor([&] { return ended; });
+        CPPUNIT_ASSERT_EQUAL(std::string("one two"), body);
+    }
+
+    // Guards against a cut stream that counts as a whole answer.
+    void abortedAnswerIsNotTakenForAWholeOne()
+    {
+        std::string body;
+        bool ended = false;
+        this->client->call(Address, {}, this->handlers(body, ended));
+        this->waitFor([&] { return !this->requests.empty(); });
+        this->server->startReply(this->requests[0].id, 200, {});
+        this->server->sendChunk(this->requests[0].id, "one ");
+        this->waitFor([&] { return body == "one "; });
+        this->server->abort(this->requests[0].id);
+        this->waitFor([&] { return !this->failures.empty(); });
+        CPPUNIT_ASSERT(!ended);
+        CPPUNIT_ASSERT(this->failures[0] == HttpClient::Failure::Broken);
+    }
+
+    // Guards against a call that counts as handed over although no byte was written.
+    void refusedConnectionIsReportedAsNotConnected()
+    {
+        std::string body;
+        bool ended = false;
+        this->client->call("127.0.0.1:9", {}, this->handlers(body, ended));
+        this->client->call("malformed", {}, this->handlers(body, ended));
+        this->waitFor([&] { return this->failures.size() == 2; });
+        CPPUNIT_ASSERT(this->failures[0] == HttpClient::Failure::NotConnected);
+        CPPUNIT_ASSERT(this->failures[1] == HttpClient::Failure::NotConnected);
+    }
+
+    // Guards against work that goes on for a caller that has left.
+    void callerThatClosesIsReported()
+    {
+        std::vector<HttpServer::RequestId> gone;
+        this->server->onGone([&](HttpServer::RequestId id) { gone.push_back(id); });
+        std::string body;
+        bool ended = false;
+        const auto call = this->client->call(Address, {}, this->handlers(body, ended));
+        this->waitFor([&] { return !this->requests.empty(); });
+        this->server->startReply(this->requests[0].id, 200, {});
+        this->server->sendChunk(this->requests[0].id, "one ");
+        this->waitFor([&] { return body == "one "; });
+        this->client->cancel(call);
+        this->waitFor([&] { return !gone.empty(); });
+        CPPUNIT_ASSERT_EQUAL(this->requests[0].id, gone[0]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->server->openRequests());
+    }
+
+    // Guards against an answer that is read without bound for a slow reader.
+    void pausedCallHoldsBackTheServer()
+    {
+        std::string body;
+        bool ended = false;
+        const auto call = this->client->call(Address, {}, this->handlers(body, ended));
+        this->waitFor([&] { return !this->requests.empty(); });
+        const auto id = this->requests[0].id;
+        this->server->startReply(id, 200, {});
+        this->server->sendChunk(id, "one ");
+        this->waitFor([&] { return body == "one "; });
+        this->client->pause(call, true);
+        this->loop->runUntil([] { return false; }, 20ms);
+        const std::size_t total = 32U << 20U;
+        this->server->sendChunk(id, std::string(total, 'x'));
+        this->loop->runUntil([] { return false; }, 200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), body.size());
+        CPPUNIT_ASSERT(this->server->pendingBytes(id) > total / 4);
+        this->client->pause(call, false);
+        this->server->endReply(id);
+        this->waitFor([&] { return ended; });
+        CPPUNIT_ASSERT_EQUAL(total + 4, body.size());
+    }
+
+    // Guards against a request body that fills memory.
+    void tooLargeBodyIsRejected()
+    {
+        HttpClient::Request request;
+        request.method = "POST";
+        request.body = std::string(2U << 20U, 'x');
+        int status = -1;
+        this->client->fetch(Address, request,
+                            [&](int code, const std::string &) { status = code; });
+        this->waitFor([&] { return status != -1; });
+        CPPUNIT_ASSERT(this->requests.empty());
+        CPPUNIT_ASSERT(status == 413 || status == 0);
+    }
+
+private:
+    HttpClient::Handlers handlers(std::string &body, bool &ended)
+    {
+        HttpClient::Handlers handlers;
+        handlers.onData = [&body](std::string_view data) { body.append(data); };
+        handlers.onEnd = [&ended] { ended = true; };
+        handlers.onFailure = [this](HttpClient::Failure failure) {
+            this->failures.push_back(failure);
+        };
+        return handlers;
+    }
+
+    void waitFor(const std::function<bool()> &done)
+    {
+        CPPUNIT_ASSERT(this->loop->runUntil(done, 5s));
+    }
+
+    std::unique_ptr<EventLoop> loop;
+    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<HttpClient> client;
+    std::vector<HttpServer::Request> requests;
+    std::vector<HttpClient::Failure> failures;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
+
+} // namespace Nutmegrill
