--- /dev/null
+++ b/Source/Net/StoreClient.cpp
@@ -0,0 +1,302 @@
+#include "Net/StoreClient.h"
+
+#include "Net/Base64.h"
+#include "Net/EventLoop.h"
+#include "Net/HttpClient.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// A watch is silent as long as its key does not change.
+constexpr std::chrono::hours WatchSilenceLimit(24);
+
+Json encodeTransaction(const StoreTransaction &transaction);
+
+Json encodeOperation(const StoreTransaction::Operation &operation)
+{
+    using Kind = StoreTransaction::Operation::Kind;
+    switch (operation.kind) {
+    case Kind::Put:
+        return {{"request_put",
+                 {{"key", encodeBase64(operation.key)},
+                  {"value", encodeBase64(operation.value)},
+                  {"lease", std::to_string(operation.lease)}}}};
+    case Kind::Delete:
+        return {{"request_delete_range", {{"key", encodeBase64(operation.key)}}}};
+    case Kind::Nested:
+        return {{"request_txn", encodeTransaction(operation.nested.front())}};
+    case Kind::Get:
+        break;
+    }
+    return {{"request_range", {{"key", encodeBase64(operation.key)}}}};
+}
+
+Json encodeCompare(const StoreTransaction::Compare &compare)
+{
+    Json document = {{"key", encodeBase64(compare.key)}, {"result", "EQUAL"}};
+    if (compare.modRevision.has_value()) {
+        document["target"] = "MOD";
+        document["mod_revision"] = std::to_string(*compare.modRevision);
+    } else if (compare.value.has_value()) {
+        document["target"] = "VALUE";
+        document["value"] = encodeBase64(*compare.value);
+    } else {
+        document["target"] = "CREATE";
+        document["create_revision"] = "0";
+    }
+    return document;
+}
+
+Json encodeTransaction(const StoreTransaction &transaction)
+{
+    Json document = {
+            {"compare", Json::array()}, {"success", Json::array()}, {"failure", Json::array()}};
+    for (const auto &compare : transaction.compares)
+        document["compare"].push_back(encodeCompare(compare));
+    for (const auto &operation : transaction.onSuccess)
+        document["success"].push_back(encodeOperation(operation));
+    for (const auto &operation : transaction.onFailure)
+        document["failure"].push_back(encodeOperation(operation));
+    return document;
+}
+
+// The gateway writes 64-bit numbers as strings and leaves out zeros.
+std::int64_t readNumber(const Json &document, const char *name)
+{
+    const auto found = document.find(name);
+    if (found == document.end())
+        return 0;
+    return found->is_string() ? std::stoll(found->get<std::string>()) : found->get<std::int64_t>();
+}
+
+StoreResult::KeyValue readKeyValue(const Json &document)
+{
+    StoreResult::KeyValue row;
+    row.key = decodeBase64(document.value("key", "")).value_or("");
+    row.value = decodeBase64(document.value("value", "")).value_or("");
+    row.modRevision = readNumber(document, "mod_revision");
+    row.createRevision = readNumber(document, "create_revision");
+    return row;
+}
+
+StoreResult readResult(const Json &document)
+{
+    StoreResult result;
+    if (document.contains("header"))
+        result.revision = readNumber(document["header"], "revision");
+    result.succeeded = document.value("succeeded", false);
+    result.lease = readNumber(document, "TTL") > 0 ? readNumber(document, "ID") : 0;
+    for (const Json &row : document.value("kvs", Json::array()))
+        result.found.push_back(readKeyValue(row));
+    for (const Json &part : document.value("responses", Json::array())) {
+        for (const auto &[name, body] : part.items())
+            result.parts.push_back(readResult(body));
+    }
+    return result;
+}
+
+StoreResult parseResult(StoreError error, const std::string &body)
+{
+    StoreResult result;
+    result.error = error;
+    if (error != StoreError::None)
+        return result;
+    try {
+        return readResult(Json::parse(body));
+    } catch (const std::exception &) {
+        // Covers JSON errors and numbers out of range: the answer is not the gateway's.
+        result.error = StoreError::Malformed;
+        return result;
+    }
+}
+
+} // namespace
+
+std::string_view describe(StoreError error)
+{
+    switch (error) {
+    case StoreError::None:
+        return "no error";
+    case StoreError::Unreachable:
+        return "the store cannot be reached";
+    case StoreError::AnswerLost:
+        return "the store did not answer";
+    case StoreError::Rejected:
+        return "the store rejected the call";
+    case StoreError::Malformed:
+        return "the store's answer could not be read";
+    }
+    return "unknown store error";
+}
+
+/// A running watch: splits the stream into lines and hands on its events.
+struct StoreClient::Watch
+{
+    Done onChange;
+    std::function<void()> onBroken;
+    std::string buffer;
+
+    void receive(std::string_view data)
+    {
+        this->buffer.append(data);
+        for (std::size_t end = this->buffer.find('\n'); end != std::string::npos;
+             end = this->buffer.find('\n')) {
+            const std::string line = this->buffer.substr(0, end);
+            this->buffer.erase(0, end + 1);
+            this->readLine(line);
+        }
+    }
+
+    void readLine(const std::string &line)
+    {
+        const Json document = Json::parse(line, nullptr, false);
+        if (!document.is_object() || !document.contains("result"))
+            return;
+        for (const Json &event : document["result"].value("events", Json::array())) {
+            StoreResult result;
+            try {
+                if (event.value("type", "PUT") != "DELETE")
+                    result.found.push_back(readKeyValue(event.value("kv", Json::object())));
+                result.revision = readNumber(event.value("kv", Json::object()), "mod_revision");
+            } catch (const std::exception &) {
+                result.error = StoreError::Malformed;
+            }
+            this->onChange(result);
+        }
+    }
+};
+
+StoreClient::StoreClient(EventLoop &loop, std::string address,
+                         std::chrono::milliseconds answerLimit)
+    : loop(loop), address(std::move(address)), answerLimit(answerLimit),
+      http(std::make_unique<HttpClient>(loop))
+{}
+
+StoreClient::~StoreClient() = default;
+
+void StoreClient::post(const std::string &path, const std::string &body,
+                       std::function<void(StoreError error, const std::string &body)> done)
+{
+    struct Pending
+    {
+        std::function<void(StoreError error, const std::string &body)> done;
+        int status = 0;
+        std::string body;
+        bool ended = false;
+
+        void finish(StoreError error)
+        {
+            if (std::exchange(this->ended, true))
+                return;
+            this->done(error, this->body);
+        }
+    };
+    ++this->calls;
+    auto pending = std::make_shared<Pending>();
+    pending->done = std::move(done);
+
+    HttpClient::Request request;
+    request.method = "POST";
+    request.path = path;
+    request.body = body;
+    request.headers = {{"Content-Type", "application/json"}};
+    HttpClient::Handlers handlers;
+    handlers.onHead = [pending](int status, const HttpClient::Headers &) {
+        pending->status = status;
+    };
+    handlers.onData = [pending](std::string_view data) { pending->body.append(data); };
+    handlers.onEnd = [pending] {
+        pending->finish(pending->status == 200 ? StoreError::None : StoreError::Rejected);
+    };
+    handlers.onFailure = [pending](HttpClient::Failure failure) {
+        pending->finish(failure == HttpClient::Failure::NotConnected ? StoreError::Unreachable
+                                                                     : StoreError::AnswerLost);
+    };
+    const auto call = this->http->call(this->address, request, std::move(handlers));
+    this->loop.after(this->answerLimit, [this, call, pending] {
+        if (pending->ended)
+            return;
+        this->http->cancel(call);
+        pending->finish(StoreError::AnswerLost);
+    });
+}
+
+void StoreClient::read(const std::string &key, Done done)
+{
+    const Json body = {{"key", encodeBase64(key)}};
+    this->post("/v3/kv/range", body.dump(), [done](StoreError error, const std::string &text) {
+        done(parseResult(error, text));
+    });
+}
+
+void StoreClient::transact(const StoreTransaction &transaction, Done done)
+{
+    this->post(
+            "/v3/kv/txn", encodeTransaction(transaction).dump(),
+            [done](StoreError error, const std::string &text) { done(parseResult(error, text)); });
+}
+
+void StoreClient::grantLease(std::chrono::seconds lifetime, Done done)
+{
+    const Json body = {{"TTL", std::to_string(lifetime.count())}};
+    this->post("/v3/lease/grant", body.dump(), [done](StoreError error, const std::string &text) {
+        done(parseResult(error, text));
+    });
+}
+
+void StoreClient::keepLeaseAlive(std::int64_t lease, Done done)
+{
+    const Json body = {{"ID", std::to_string(lease)}};
+    this->post("/v3/lease/keepalive", body.dump(),
+               [done](StoreError error, const std::string &text) {
+                   StoreResult result;
+                   const Json document = Json::parse(text, nullptr, false);
+                   // The gateway wraps the streamed answer of a keepalive.
+                   if (error == StoreError::None && document.is_object()
+                       && document.contains("result"))
+                       result = parseResult(error, document["result"].dump());
+                   else
+                       result = parseResult(error, text);
+                   done(result);
+               });
+}
+
+void StoreClient::revokeLease(std::int64_t lease, Done done)
+{
+    const Json body = {{"ID", std::to_string(lease)}};
+    this->post("/v3/lease/revoke", body.dump(), [done](StoreError error, const std::string &text) {
+        done(parseResult(error, text));
+    });
+}
+
+void StoreClient::watch(const std::string &key, std::int64_t afterRevision, Done onChange,
+                        std::function<void()> onBroken)
+{
+    ++this->calls;
+    auto watch = std::make_shared<Watch>();
+    watch->onChange = std::move(onChange);
+    watch->onBroken = std::move(onBroken);
+    const Json body = {
+            {"create_request",
+             {{"key", encodeBase64(key)}, {"start_revision", std::to_string(afterRevision + 1)}}}};
+    HttpClient::Request request;
+    request.method = "POST";
+    request.path = "/v3/watch";
+    request.body = body.dump();
+    request.headers = {{"Content-Type", "application/json"}};
+    request.silenceLimit = WatchSilenceLimit;
+    HttpClient::Handlers handlers;
+    handlers.onData = [watch](std::string_view data) { watch->receive(data); };
+    handlers.onEnd = [watch] { watch->onBroken(); };
+    handlers.onFailure = [watch](HttpClient::Failure) { watch->onBroken(); };
+    this->http->call(this->address, request, std::move(handlers));
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Net/StoreClient.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Net/StoreResult.h"
+#include "Net/StoreTransaction.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Nutmegrill {
+
+class EventLoop;
+class HttpClient;
+
+/// Client of the platform's key-value service through the etcd v3 JSON gateway. Callbacks come from
+/// the loop, once each.
+class StoreClient
+{
+public:
+    using Done = std::function<void(const StoreResult &result)>;
+
+    /// Calls that get no answer within \a answerLimit fail with StoreError::AnswerLost.
+    StoreClient(EventLoop &loop, std::string address, std::chrono::milliseconds answerLimit);
+    ~StoreClient();
+    StoreClient(const StoreClient &) = delete;
+    StoreClient &operator=(const StoreClient &) = delete;
+
+    /// Linearizable read of one key.
+    void read(const std::string &key, Done done);
+
+    void transact(const StoreTransaction &transaction, Done done);
+
+    void grantLease(std::chrono::seconds lifetime, Done done);
+    void keepLeaseAlive(std::int64_t lease, Done done);
+    void revokeLease(std::int64_t lease, Done done);
+
+    /// Calls \a onChange with the new value (nothing found: deleted) on each change of the key
+    /// after \a afterRevision, and \a onBroken once when the watch has ended.
+    void watch(const std::string &key, std::int64_t afterRevision, Done onChange,
+               std::function<void()> onBroken);
+
+    /// Calls made so far; a watch counts as one.
+    std::uint64_t callCount() const { return this->calls; }
+
+private:
+    struct Watch;
+
+    void post(const std::string &path, const std::string &body,
+              std::function<void(StoreError error, const std::string &body)> done);
+
+    EventLoop &loop;
+    std::string address;
+    std::chrono::milliseconds answerLimit;
+    std::unique_ptr<HttpClient> http;
+    std::uint64_t calls = 0;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Net/StoreResult.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Net/StoreError.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// Outcome of a call to the store.
+struct StoreResult
+{
+    struct KeyValue
+    {
+        std::string key;
+        std::string value;
+        std::int64_t modRevision = 0;
+        std::int64_t createRevision = 0;
+    };
+
+    StoreError error = StoreError::None;
+    /// Revision of the store when it answered.
+    std::int64_t revision = 0;
+    /// Whether the comparisons of a transaction held.
+    bool succeeded = false;
+    /// Keys found by a read.
+    std::vector<KeyValue> found;
+    /// Results of the operations of a transaction, in order.
+    std::vector<StoreResult> parts;
+    /// Lease granted or kept alive; 0 when it has expired.
+    std::int64_t lease = 0;
+
+    bool isOk() const { return this->error == StoreError::None; }
+};
+
+} // namespace Nutmegrill
