--- a/Source/Net/PeerSession.cpp
+++ b/Source/Net/PeerSession.cpp
@@ -387,7 +387,10 @@
     std::vector<std::uint8_t> bytes(evbuffer_get_length(input));
     evbuffer_remove(input, bytes.data(), bytes.size());
     this->receivedBytes += bytes.size();
-    if (nghttp2_session_mem_recv(this->session, bytes.data(), bytes.size()) < 0) {
+    this->insideLibrary = true;
+    const ssize_t result = nghttp2_session_mem_recv(this->session, bytes.data(), bytes.size());
+    this->insideLibrary = false;
+    if (result < 0) {
         this->fail();
         return;
     }
@@ -398,15 +401,26 @@
 {
     if (!this->open || !this->connected)
         return;
+    // nghttp2 must not be entered again from its own callbacks; the outer call flushes.
+    if (this->insideLibrary) {
+        this->flushAgain = true;
+        return;
+    }
     std::vector<std::pair<std::int32_t, std::size_t>> waiting;
     for (const auto &[id, stream] : this->streams) {
         if (!stream.output.empty())
             waiting.emplace_back(id, stream.output.size() - stream.outputOffset);
     }
-    if (nghttp2_session_send(this->session) != 0) {
-        this->fail();
-        return;
-    }
+    do {
+        this->flushAgain = false;
+        this->insideLibrary = true;
+        const int result = nghttp2_session_send(this->session);
+        this->insideLibrary = false;
+        if (result != 0) {
+            this->fail();
+            return;
+        }
+    } while (this->flushAgain);
     for (const auto &[id, before] : waiting) {
         if (this->find(id) != nullptr && this->pendingBytes(id) < before)
             this->observer.peerStreamDrained(*this, id);
--- a/Source/Net/PeerSession.h
+++ b/Source/Net/PeerSession.h
@@ -109,6 +109,8 @@
     bool open = false;
     bool connected = false;
     bool failureScheduled = false;
+    bool insideLibrary = false;
+    bool flushAgain = false;
     std::shared_ptr<bool> alive;
     bufferevent *connection = nullptr;
     nghttp2_session *session = nullptr;
--- /dev/null
+++ b/Source/Programs/AgentShell.cpp
@@ -0,0 +1,256 @@
+#include "Programs/AgentShell.h"
+
+#include "Messages/MessageCodec.h"
+#include "Net/EventLog.h"
+#include "Net/PeerSession.h"
+#include "Programs/InstanceListReader.h"
+
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <utility>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod(50);
+constexpr std::chrono::milliseconds LinkWatchPeriod(250);
+constexpr std::chrono::milliseconds ProbePeriod(200);
+constexpr std::chrono::milliseconds LinkSilenceLimit(3000);
+constexpr std::chrono::milliseconds StoreAnswerLimit(1000);
+// Time for the last messages to leave before the process exits.
+constexpr std::chrono::milliseconds ExitDelay(100);
+
+constexpr std::string_view ControlPath = "/control";
+constexpr std::string_view WorkPath = "/work";
+
+} // namespace
+
+AgentShell::AgentShell(EventLoop &loop, const Options &options)
+    : loop(loop), options(options), node(options.node), peers(loop, options.listenAddress, *this),
+      control(loop, options.controlAddress, options.node.deploymentKey, this->metrics),
+      store(loop, options.storeAddress, StoreAnswerLimit),
+      claims(loop, this->store,
+             [this](const AgentEvent::ClaimsAnswered &answer) { this->handle(answer); }),
+      backend(loop, options.backendAddress,
+              [this](const AgentEvent::Any &event) { this->handle(event); })
+{
+    if (!options.instancesAddress.empty()) {
+        this->instances = std::make_unique<InstanceListReader>(
+                loop, options.instancesAddress, [this](const std::vector<InstanceRecord> &rows) {
+                    for (const InstanceRecord &row : rows) {
+                        if (row.name == this->options.node.name && row.leaving
+                            && !std::exchange(this->reportedLeaving, true))
+                            this->handle(AgentEvent::BackendLeaving{});
+                    }
+                });
+    }
+    this->control.add("GET /dump", [this](const HttpServer::Request &) {
+        return ControlServer::Answer{200, "application/json", this->node.dump(this->loop.now())};
+    });
+    this->control.add("GET /health", [this](const HttpServer::Request &) {
+        const bool ready = this->node.configuration() != nullptr;
+        return ControlServer::Answer{ready ? 200 : 503, "application/json",
+                                     ready ? R"({"ready":true})" : R"({"ready":false})"};
+    });
+    this->timers.push_back(loop.every(TickPeriod, [this] { this->tick(); }));
+    this->timers.push_back(loop.every(LinkWatchPeriod, [this] { this->watchLinks(); }));
+    this->timers.push_back(loop.every(ProbePeriod, [this] { this->backend.probe(); }));
+    this->timers.push_back(
+            loop.onSignal(SIGTERM, [this] { this->handle(AgentEvent::StopRequested{}); }));
+    this->timers.push_back(loop.onSignal(
+            SIGUSR1, [this] { std::cout << this->node.dump(this->loop.now()) << std::endl; }));
+}
+
+AgentShell::~AgentShell() = default;
+
+std::string AgentShell::startError() const
+{
+    if (!this->peers.isListening())
+        return "cannot listen on " + this->options.listenAddress;
+    if (!this->control.isListening())
+        return "cannot listen on " + this->options.controlAddress;
+    return {};
+}
+
+void AgentShell::run()
+{
+    this->backend.probe();
+    this->loop.run();
+}
+
+void AgentShell::handle(const AgentEvent::Any &event)
+{
+    AgentOrder::List orders;
+    this->node.handle(this->loop.now(), event, orders);
+    this->execute(orders);
+    this->scheduleTick();
+}
+
+void AgentShell::scheduleTick()
+{
+    if (std::exchange(this->tickScheduled, true))
+        return;
+    this->loop.after(std::chrono::milliseconds(0), [this] {
+        this->tickScheduled = false;
+        this->tick();
+    });
+}
+
+void AgentShell::tick()
+{
+    AgentOrder::List orders;
+    this->node.tick(this->loop.now(), orders);
+    this->execute(orders);
+}
+
+void AgentShell::watchLinks()
+{
+    this->peers.removeClosed();
+    for (const auto &session : this->peers.sessions())
+        session->checkLiveness(this->loop.now(), LinkSilenceLimit);
+}
+
+void AgentShell::execute(const AgentOrder::List &orders)
+{
+    for (const AgentOrder::Any &order : orders)
+        std::visit([this](const auto &body) { this->execute(body); }, order);
+}
+
+void AgentShell::execute(const AgentOrder::SendPeer &order)
+{
+    if (const auto link = this->links.find(order.link); link != this->links.end())
+        link->second.session->send(link->second.control, encodeMessage(order.message));
+}
+
+void AgentShell::execute(const AgentOrder::SendWork &order)
+{
+    const auto work = this->works.find(order.work);
+    if (work == this->works.end())
+        return;
+    const auto [session, stream] = work->second.stream;
+    const bool isFailure = std::holds_alternative<WorkMessage::Failure>(order.message);
+    const bool isLast = isFailure || std::holds_alternative<WorkMessage::End>(order.message);
+    if (isFailure)
+        this->metrics.add("nutmegrill_agent_failures_total",
+                          {{"code", std::get<WorkMessage::Failure>(order.message).code}});
+    work->second.ended = isLast;
+    session->send(stream, encodeMessage(order.message));
+    if (isLast)
+        session->finish(stream);
+}
+
+void AgentShell::execute(const AgentOrder::CallBackend &order)
+{
+    this->metrics.add("nutmegrill_agent_backend_calls_total", {});
+    this->backend.call(order.request);
+}
+
+void AgentShell::execute(const AgentOrder::CancelBackend &order)
+{
+    this->backend.cancel(order.requestId);
+}
+
+void AgentShell::execute(const AgentOrder::PauseBackend &order)
+{
+    this->backend.pause(order.requestId, order.paused);
+}
+
+void AgentShell::execute(const AgentOrder::WriteClaims &order)
+{
+    this->metrics.add("nutmegrill_agent_claim_batches_total", {});
+    this->claims.write(order);
+}
+
+void AgentShell::execute(const AgentOrder::Stop &)
+{
+    for (const auto &session : this->peers.sessions())
+        session->announceShutdown();
+    this->loop.after(ExitDelay, [this] { this->loop.stop(); });
+}
+
+void AgentShell::execute(const LogRecord &record)
+{
+    EventLog::write(record);
+}
+
+AgentEvent::LinkId AgentShell::linkOf(const PeerSession *session) const
+{
+    for (const auto &[id, link] : this->links) {
+        if (link.session == session)
+            return id;
+    }
+    return 0;
+}
+
+void AgentShell::peerStreamOpened(PeerSession &session, std::int32_t stream, std::string_view path)
+{
+    if (path == ControlPath) {
+        const AgentEvent::LinkId id = this->nextLink++;
+        this->links[id] = Link{&session, stream};
+        this->handle(AgentEvent::LinkOpened{id});
+    } else if (path != WorkPath) {
+        session.reset(stream, true);
+    }
+}
+
+void AgentShell::peerMessage(PeerSession &session, std::int32_t stream, std::string message)
+{
+    const AgentEvent::LinkId linkId = this->linkOf(&session);
+    if (const auto link = this->links.find(linkId);
+        link != this->links.end() && link->second.control == stream) {
+        if (auto decoded = decodePeerMessage(message))
+            this->handle(AgentEvent::PeerReceived{linkId, std::move(*decoded)});
+        return;
+    }
+    const StreamKey key(&session, stream);
+    if (this->workOfStream.count(key) != 0)
+        return;
+    auto decoded = decodeWorkMessage(message);
+    auto *request = decoded.has_value() ? std::get_if<WorkMessage::Request>(&*decoded) : nullptr;
+    // Work without a control stream comes from a process that has not said its deployment key.
+    if (request == nullptr || linkId == 0) {
+        session.reset(stream, true);
+        return;
+    }
+    const AgentEvent::WorkId id = this->nextWork++;
+    this->works[id] = Work{key, false};
+    this->workOfStream[key] = id;
+    this->handle(AgentEvent::WorkArrived{id, linkId, std::move(*request)});
+}
+
+void AgentShell::peerStreamClosed(PeerSession &session, std::int32_t stream, StreamEnd)
+{
+    const AgentEvent::LinkId linkId = this->linkOf(&session);
+    if (const auto link = this->links.find(linkId);
+        link != this->links.end() && link->second.control == stream) {
+        this->links.erase(link);
+        this->handle(AgentEvent::LinkClosed{linkId});
+        return;
+    }
+    const auto found = this->workOfStream.find({&session, stream});
+    if (found == this->workOfStream.end())
+        return;
+    const AgentEvent::WorkId id = found->second;
+    const bool ended = this->works[id].ended;
+    this->workOfStream.erase(found);
+    this->works.erase(id);
+    if (ended && session.isOpen())
+        return;
+    if (session.isOpen())
+        this->handle(AgentEvent::WorkCancelled{id});
+    else
+        this->handle(AgentEvent::WorkDetached{id});
+}
+
+void AgentShell::peerStreamDrained(PeerSession &session, std::int32_t stream)
+{
+    if (const auto found = this->workOfStream.find({&session, stream});
+        found != this->workOfStream.end())
+        this->handle(AgentEvent::WorkBuffered{found->second, session.pendingBytes(stream)});
+}
+
+void AgentShell::peerDisconnected(PeerSession &) {}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/AgentShell.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include "Agent/AgentNode.h"
+#include "Net/EventLoop.h"
+#include "Net/Metrics.h"
+#include "Net/PeerObserver.h"
+#include "Net/PeerServer.h"
+#include "Net/StoreClient.h"
+#include "Programs/BackendCaller.h"
+#include "Programs/ClaimWriter.h"
+#include "Programs/ControlServer.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Nutmegrill {
+
+class InstanceListReader;
+
+/// Process around an AgentNode: peer links in, backend server and store out.
+class AgentShell : public PeerObserver
+{
+public:
+    struct Options
+    {
+        AgentSettings node;
+        std::string listenAddress;
+        std::string controlAddress;
+        std::string backendAddress;
+        std::string storeAddress;
+        /// Empty: the instance list is not read.
+        std::string instancesAddress;
+    };
+
+    AgentShell(EventLoop &loop, const Options &options);
+    ~AgentShell() override;
+
+    /// Empty when the process can serve, otherwise the reason why not.
+    std::string startError() const;
+
+    /// Runs until the node has stopped.
+    void run();
+
+    void peerStreamOpened(PeerSession &session, std::int32_t stream,
+                          std::string_view path) override;
+    void peerMessage(PeerSession &session, std::int32_t stream, std::string message) override;
+    void peerStreamClosed(PeerSession &session, std::int32_t stream, StreamEnd end) override;
+    void peerStreamDrained(PeerSession &session, std::int32_t stream) override;
+    void peerDisconnected(PeerSession &session) override;
+
+private:
+    using StreamKey = std::pair<PeerSession *, std::int32_t>;
+    struct Link
+    {
+        PeerSession *session = nullptr;
+        std::int32_t control = 0;
+    };
+    struct Work
+    {
+        StreamKey stream;
+        bool ended = false;
+    };
+
+    void handle(const AgentEvent::Any &event);
+    void scheduleTick();
+    void tick();
+    void watchLinks();
+    void execute(const AgentOrder::List &orders);
+    void execute(const AgentOrder::SendPeer &order);
+    void execute(const AgentOrder::SendWork &order);
+    void execute(const AgentOrder::CallBackend &order);
+    void execute(const AgentOrder::CancelBackend &order);
+    void execute(const AgentOrder::PauseBackend &order);
+    void execute(const AgentOrder::WriteClaims &order);
+    void execute(const AgentOrder::Stop &order);
+    void execute(const LogRecord &record);
+    AgentEvent::LinkId linkOf(const PeerSession *session) const;
+
+    EventLoop &loop;
+    Options options;
+    AgentNode node;
+    Metrics metrics;
+    PeerServer peers;
+    ControlServer control;
+    StoreClient store;
+    ClaimWriter claims;
+    BackendCaller backend;
+    std::unique_ptr<InstanceListReader> instances;
+    std::map<AgentEvent::LinkId, Link> links;
+    std::map<AgentEvent::WorkId, Work> works;
+    std::map<StreamKey, AgentEvent::WorkId> workOfStream;
+    AgentEvent::LinkId nextLink = 1;
+    AgentEvent::WorkId nextWork = 1;
+    bool tickScheduled = false;
+    bool reportedLeaving = false;
+    std::vector<std::unique_ptr<EventLoop::Timer>> timers;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/BackendCaller.cpp
@@ -0,0 +1,149 @@
+#include "Programs/BackendCaller.h"
+
+#include "Net/EventLoop.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::chrono::seconds CallSilenceLimit(120);
+constexpr std::chrono::seconds ProbeSilenceLimit(2);
+constexpr std::string_view EventEnd = "\n\n";
+constexpr std::string_view EventStreamType = "text/event-stream";
+
+AgentEvent::BackendReport readReport(int status, const std::string &body)
+{
+    AgentEvent::BackendReport report;
+    report.reachable = status != 0;
+    // A plain service may have no load report; it is reachable all the same.
+    const auto document = nlohmann::json::parse(body, nullptr, false);
+    if (!document.is_object())
+        return report;
+    try {
+        report.incarnation = document.value("incarnation", "");
+        report.running = document.value("running", 0U);
+        report.kvBytesUsed = document.value("kv_bytes_used", std::uint64_t(0));
+    } catch (const nlohmann::json::exception &) {
+        // A report with fields of other types says only that the backend server answers.
+        report = {};
+        report.reachable = true;
+    }
+    return report;
+}
+
+} // namespace
+
+BackendCaller::BackendCaller(EventLoop &loop, std::string address, Report report)
+    : address(std::move(address)), report(std::move(report)), http(loop)
+{}
+
+void BackendCaller::call(const WorkMessage::Request &request)
+{
+    const std::string id = request.requestId;
+    HttpClient::Request call;
+    call.method = request.method;
+    call.path = request.path;
+    call.body = request.body;
+    call.silenceLimit = CallSilenceLimit;
+    if (!request.contentType.empty())
+        call.headers.emplace_back("Content-Type", request.contentType);
+    call.headers.emplace_back("X-Request-Id", id);
+    if (!request.idempotencyKey.empty())
+        call.headers.emplace_back("Idempotency-Key", request.idempotencyKey);
+    if (request.priority != 0)
+        call.headers.emplace_back("X-Priority", std::to_string(request.priority));
+
+    HttpClient::Handlers handlers;
+    handlers.onHead = [this, id](int status, const HttpClient::Headers &headers) {
+        WorkMessage::Head head;
+        head.status = status;
+        for (const auto &[name, value] : headers) {
+            if (name != "content-type")
+                continue;
+            head.headers.emplace_back("Content-Type", value);
+            this->calls[id].isEventStream = value.find(EventStreamType) != std::string::npos;
+        }
+        this->report(AgentEvent::BackendHead{id, head});
+    };
+    handlers.onData = [this, id](std::string_view data) { this->receive(id, data); };
+    handlers.onEnd = [this, id] {
+        if (const auto row = this->calls.find(id);
+            row != this->calls.end() && !row->second.buffer.empty())
+            this->report(AgentEvent::BackendData{id, std::exchange(row->second.buffer, {}), 0});
+        this->finish(id, AgentEvent::BackendEnd{id});
+    };
+    handlers.onFailure = [this, id](HttpClient::Failure failure) {
+        const auto kind = failure == HttpClient::Failure::NotConnected
+                                  ? AgentEvent::BackendFailed::Kind::NotSent
+                                  : AgentEvent::BackendFailed::Kind::Broken;
+        this->finish(id, AgentEvent::BackendFailed{id, kind});
+    };
+    this->calls[id] = Call{};
+    this->calls[id].id = this->http.call(this->address, call, std::move(handlers));
+}
+
+void BackendCaller::receive(const std::string &requestId, std::string_view data)
+{
+    const auto row = this->calls.find(requestId);
+    if (row == this->calls.end())
+        return;
+    if (!row->second.isEventStream) {
+        this->report(AgentEvent::BackendData{requestId, std::string(data), 0});
+        return;
+    }
+    row->second.buffer.append(data);
+    for (;;) {
+        // The report may cancel the call.
+        const auto current = this->calls.find(requestId);
+        if (current == this->calls.end())
+            return;
+        std::string &buffer = current->second.buffer;
+        const std::size_t end = buffer.find(EventEnd);
+        if (end == std::string::npos)
+            return;
+        std::string event = buffer.substr(0, end + EventEnd.size());
+        buffer.erase(0, event.size());
+        this->report(AgentEvent::BackendData{requestId, std::move(event), 1});
+    }
+}
+
+void BackendCaller::finish(const std::string &requestId, const AgentEvent::Any &event)
+{
+    if (this->calls.erase(requestId) > 0)
+        this->report(event);
+}
+
+void BackendCaller::cancel(const std::string &requestId)
+{
+    const auto row = this->calls.find(requestId);
+    if (row == this->calls.end())
+        return;
+    this->http.cancel(row->second.id);
+    this->calls.erase(row);
+}
+
+void BackendCaller::pause(const std::string &requestId, bool paused)
+{
+    if (const auto row = this->calls.find(requestId); row != this->calls.end())
+        this->http.pause(row->second.id, paused);
+}
+
+void BackendCaller::probe()
+{
+    if (this->probing)
+        return;
+    this->probing = true;
+    HttpClient::Request request;
+    request.path = "/load";
+    request.silenceLimit = ProbeSilenceLimit;
+    this->http.fetch(this->address, request, [this](int status, const std::string &body) {
+        this->probing = false;
+        this->report(readReport(status, body));
+    });
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/BackendCaller.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Agent/AgentEvent.h"
+#include "Messages/WorkMessage.h"
+#include "Net/HttpClient.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Nutmegrill {
+
+class EventLoop;
+
+/// Calls the backend server beside an agent and turns its answers into agent events: one event a
+/// server-sent event of an engine, or one a part of a plain body.
+class BackendCaller
+{
+public:
+    using Report = std::function<void(const AgentEvent::Any &event)>;
+
+    BackendCaller(EventLoop &loop, std::string address, Report report);
+
+    void call(const WorkMessage::Request &request);
+    void cancel(const std::string &requestId);
+    void pause(const std::string &requestId, bool paused);
+
+    /// Asks the backend server for its load; the answer is a BackendReport.
+    void probe();
+
+private:
+    struct Call
+    {
+        HttpClient::CallId id = 0;
+        bool isEventStream = false;
+        std::string buffer;
+    };
+
+    void receive(const std::string &requestId, std::string_view data);
+    void finish(const std::string &requestId, const AgentEvent::Any &event);
+
+    std::string address;
+    Report report;
+    HttpClient http;
+    std::map<std::string, Call> calls;
+    bool probing = false;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/ClaimWriter.cpp
@@ -0,0 +1,111 @@
+#include "Programs/ClaimWriter.h"
+
+#include "Net/EventLoop.h"
+#include "Net/StoreClient.h"
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace Nutmegrill {
+
+namespace {
+
+// A claim must outlast every repeat of its call; callers repeat within a day at most.
+constexpr std::chrono::hours ClaimLifetime(25);
+constexpr std::chrono::hours LeaseReplacePeriod(1);
+
+StoreTransaction::Operation claimTransaction(const AgentOrder::ClaimWrite &write,
+                                             std::int64_t lease)
+{
+    using Operation = StoreTransaction::Operation;
+    StoreTransaction transaction;
+    const auto expected = write.expected.empty() ? std::optional<std::string>()
+                                                 : std::optional<std::string>(write.expected);
+    transaction.compares.push_back({write.key, expected, std::nullopt});
+
+    Operation change;
+    change.kind = write.record.empty() ? Operation::Kind::Delete : Operation::Kind::Put;
+    change.key = write.key;
+    change.value = write.record;
+    change.lease = write.record.empty() ? 0 : lease;
+    transaction.onSuccess.push_back(change);
+
+    Operation read;
+    read.kind = Operation::Kind::Get;
+    read.key = write.key;
+    transaction.onFailure.push_back(read);
+
+    Operation nested;
+    nested.kind = Operation::Kind::Nested;
+    nested.nested.push_back(transaction);
+    return nested;
+}
+
+AgentEvent::ClaimResult readClaim(const AgentOrder::ClaimWrite &write, const StoreResult &part)
+{
+    AgentEvent::ClaimResult result;
+    result.key = write.key;
+    if (part.succeeded) {
+        result.kind = AgentEvent::ClaimResult::Kind::Mine;
+        result.record = write.record;
+    } else if (!part.parts.empty() && !part.parts.front().found.empty()) {
+        result.record = part.parts.front().found.front().value;
+    }
+    return result;
+}
+
+} // namespace
+
+ClaimWriter::ClaimWriter(EventLoop &loop, StoreClient &store, Done done)
+    : loop(loop), store(store), done(std::move(done))
+{}
+
+void ClaimWriter::write(const AgentOrder::WriteClaims &batch)
+{
+    if (this->lease != 0 && this->loop.now() < this->leaseReplaceDeadline) {
+        this->writeUnderLease(batch);
+        return;
+    }
+    this->store.grantLease(ClaimLifetime, [this, batch](const StoreResult &result) {
+        if (!result.isOk() || result.lease == 0) {
+            this->fail(batch.batch);
+            return;
+        }
+        this->lease = result.lease;
+        this->leaseReplaceDeadline = this->loop.now() + LeaseReplacePeriod;
+        this->writeUnderLease(batch);
+    });
+}
+
+void ClaimWriter::writeUnderLease(const AgentOrder::WriteClaims &batch)
+{
+    StoreTransaction transaction;
+    for (const AgentOrder::ClaimWrite &write : batch.writes)
+        transaction.onSuccess.push_back(claimTransaction(write, this->lease));
+    this->store.transact(transaction, [this, batch](const StoreResult &result) {
+        if (!result.isOk() || result.parts.size() != batch.writes.size()) {
+            // The lease may be unknown to a store that was restarted empty.
+            this->lease = 0;
+            this->fail(batch.batch);
+            return;
+        }
+        AgentEvent::ClaimsAnswered answer;
+        answer.batch = batch.batch;
+        answer.reached = true;
+        for (std::size_t index = 0; index < batch.writes.size(); ++index)
+            answer.results.push_back(readClaim(batch.writes[index], result.parts[index]));
+        this->done(answer);
+    });
+}
+
+void ClaimWriter::fail(std::uint64_t batch)
+{
+    AgentEvent::ClaimsAnswered answer;
+    answer.batch = batch;
+    answer.reached = false;
+    this->done(answer);
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/ConfigurationReader.cpp
@@ -0,0 +1,83 @@
+#include "Programs/ConfigurationReader.h"
+
+#include "Config/ConfigurationHead.h"
+#include "Net/StoreClient.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace Nutmegrill {
+
+void ConfigurationReader::read(const Done &done)
+{
+    this->store.read(std::string(ConfigurationHead::Key), [this, done](const StoreResult &result) {
+        if (!result.isOk() || result.found.empty())
+            done(nullptr);
+        else
+            this->readChunks(result.found.front().value, done);
+    });
+}
+
+void ConfigurationReader::watch(const Done &done)
+{
+    if (std::exchange(this->watching, true))
+        return;
+    this->store.read(std::string(ConfigurationHead::Key), [this, done](const StoreResult &result) {
+        if (!result.isOk()) {
+            this->watching = false;
+            done(nullptr);
+            return;
+        }
+        if (!result.found.empty())
+            this->readChunks(result.found.front().value, done);
+        this->store.watch(
+                std::string(ConfigurationHead::Key), result.revision,
+                [this, done](const StoreResult &change) {
+                    if (change.isOk() && !change.found.empty())
+                        this->readChunks(change.found.front().value, done);
+                },
+                [this, done] {
+                    this->watching = false;
+                    done(nullptr);
+                });
+    });
+}
+
+void ConfigurationReader::readChunks(const std::string &head, const Done &done)
+{
+    struct Progress
+    {
+        ConfigurationHead head;
+        std::map<std::string, std::string> chunks;
+        std::size_t missing = 0;
+        bool failed = false;
+    };
+    auto decoded = decodeHead(head);
+    if (!decoded.has_value()) {
+        done(nullptr);
+        return;
+    }
+    auto progress = std::make_shared<Progress>();
+    progress->head = std::move(*decoded);
+    progress->missing = progress->head.chunks.size();
+    for (const std::string &hash : progress->head.chunks) {
+        this->store.read(chunkKey(hash), [progress, hash, done](const StoreResult &result) {
+            if (result.isOk() && !result.found.empty())
+                progress->chunks[hash] = result.found.front().value;
+            else
+                progress->failed = true;
+            if (--progress->missing > 0)
+                return;
+            std::optional<Configuration> joined;
+            if (!progress->failed)
+                joined = joinChunks(progress->head, progress->chunks);
+            done(joined.has_value() ? std::make_shared<Configuration>(std::move(*joined))
+                                    : nullptr);
+        });
+    }
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/ControlServer.cpp
@@ -0,0 +1,48 @@
+#include "Programs/ControlServer.h"
+
+#include "Net/Metrics.h"
+
+#include <utility>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr const char *HealthPath = "GET /health";
+
+} // namespace
+
+ControlServer::ControlServer(EventLoop &loop, const std::string &address, std::string deploymentKey,
+                             const Metrics &metrics)
+    : deploymentKey(std::move(deploymentKey)),
+      server(loop, address, {},
+             [this](const HttpServer::Request &request) { this->serve(request); })
+{
+    this->add("GET /metrics", [&metrics](const HttpServer::Request &) {
+        return Answer{200, "text/plain; version=0.0.4", metrics.text()};
+    });
+}
+
+void ControlServer::add(const std::string &methodAndPath, Handler handler)
+{
+    this->handlers[methodAndPath] = std::move(handler);
+}
+
+void ControlServer::serve(const HttpServer::Request &request)
+{
+    const std::string key = request.method + " " + request.path;
+    const auto found = this->handlers.find(key);
+    Answer answer;
+    if (key != HealthPath && request.header("authorization") != "Bearer " + this->deploymentKey)
+        answer = {401, "application/json",
+                  R"({"error":{"code":"unauthorized","message":"deployment key required"}})"};
+    else if (found == this->handlers.end())
+        answer = {404, "application/json",
+                  R"({"error":{"code":"not_found","message":"no such control path"}})"};
+    else
+        answer = found->second(request);
+    this->server.reply(request.id, answer.status, {{"Content-Type", answer.contentType}},
+                       answer.body);
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/EntryShell.cpp
@@ -0,0 +1,498 @@
+#include "Programs/EntryShell.h"
+
+#include "Messages/MessageCodec.h"
+#include "Net/EventLog.h"
+#include "Net/PeerSession.h"
+#include "Programs/TakeOutWriter.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds TickPeriod(50);
+constexpr milliseconds LinkWatchPeriod(250);
+constexpr milliseconds LinkSilenceLimit(3000);
+constexpr milliseconds StoreAnswerLimit(1000);
+// Time for the last answers to leave before the process exits.
+constexpr milliseconds ExitDelay(200);
+constexpr std::size_t MaxHeaderBytes = 16U << 10U;
+constexpr std::size_t MaxBodyBytes = 4U << 20U;
+
+HttpServer::Limits callerLimits()
+{
+    HttpServer::Limits limits;
+    limits.headerBytes = MaxHeaderBytes;
+    limits.bodyBytes = MaxBodyBytes;
+    return limits;
+}
+
+double toSeconds(Instant::duration span)
+{
+    return std::chrono::duration<double>(span).count();
+}
+
+std::string eventId(const std::string &agent, std::uint64_t index)
+{
+    return "id: " + agent + ":" + std::to_string(index) + "\n";
+}
+
+} // namespace
+
+EntryShell::EntryShell(EventLoop &loop, const Options &options)
+    : loop(loop),
+      options(options),
+      node(options.node),
+      callerServer(loop, options.listenAddress, callerLimits(),
+                   [this](const HttpServer::Request &request) { this->serve(request); }),
+      control(loop, options.controlAddress, options.node.deploymentKey, this->metrics),
+      store(loop, options.storeAddress, StoreAnswerLimit),
+      configurations(loop, this->store),
+      gateway(options.node.name, options.node.seed),
+      instances(loop, options.instancesAddress,
+                [this](const std::vector<InstanceRecord> &rows) {
+                    this->handle(EntryEvent::InstancesRead{rows});
+                }),
+      takeOuts(std::make_unique<TakeOutWriter>(loop, this->store))
+{
+    this->callerServer.onGone([this](HttpServer::RequestId id) {
+        if (this->callers.erase(id) > 0)
+            this->handle(EntryEvent::CallerGone{id});
+    });
+    this->callerServer.onDrained([this](HttpServer::RequestId id, std::size_t pending) {
+        if (const auto caller = this->callers.find(id); caller != this->callers.end()) {
+            caller->second.buffered = pending;
+            this->handle(EntryEvent::CallerBuffered{id, pending});
+        }
+    });
+    this->addControlPaths();
+    this->timers.push_back(loop.every(TickPeriod, [this] { this->tick(); }));
+    this->timers.push_back(loop.every(LinkWatchPeriod, [this] { this->watchLinks(); }));
+    this->timers.push_back(
+            loop.onSignal(SIGTERM, [this] { this->handle(EntryEvent::StopRequested{}); }));
+    this->timers.push_back(loop.onSignal(
+            SIGUSR1, [this] { std::cout << this->node.dump(this->loop.now()) << std::endl; }));
+}
+
+EntryShell::~EntryShell() = default;
+
+void EntryShell::addControlPaths()
+{
+    this->control.add("GET /dump", [this](const HttpServer::Request &) {
+        return ControlServer::Answer{200, "application/json", this->node.dump(this->loop.now())};
+    });
+    this->control.add("GET /health", [this](const HttpServer::Request &) {
+        const bool ready = this->node.isReady();
+        return ControlServer::Answer{ready ? 200 : 503, "application/json",
+                                     ready ? R"({"ready":true})" : R"({"ready":false})"};
+    });
+    this->control.add("POST /take-out", [this](const HttpServer::Request &request) {
+        return this->acceptTakeOut(request);
+    });
+}
+
+ControlServer::Answer EntryShell::acceptTakeOut(const HttpServer::Request &request)
+{
+    const auto document = nlohmann::json::parse(request.body, nullptr, false);
+    PeerMessage::PendingTakeOut takeOut;
+    if (document.is_object()) {
+        takeOut.failureDomain = document.value("failureDomain", "");
+        takeOut.changeId = document.value("changeId", "");
+    }
+    const ConfigurationPtr configuration = this->node.configuration();
+    const FailureDomainState *domain = configuration == nullptr
+            ? nullptr
+            : configuration->findFailureDomain(takeOut.failureDomain);
+    if (domain == nullptr || takeOut.changeId.empty())
+        return {400, "application/json",
+                R"({"error":{"code":"unknown_failure_domain","message":"no such failure domain"}})"};
+    takeOut.epoch = domain->epoch + 1;
+    this->handle(EntryEvent::TakeOutRequested{takeOut});
+    return {200, "application/json", R"({"pending":true})"};
+}
+
+std::string EntryShell::startError() const
+{
+    if (!this->callerServer.isListening())
+        return "cannot listen on " + this->options.listenAddress;
+    if (!this->control.isListening())
+        return "cannot listen on " + this->options.controlAddress;
+    return {};
+}
+
+void EntryShell::run()
+{
+    this->tick();
+    this->loop.run();
+}
+
+void EntryShell::handle(const EntryEvent::Any &event)
+{
+    EntryOrder::List orders;
+    this->node.handle(this->loop.now(), event, orders);
+    this->execute(orders);
+    this->scheduleTick();
+}
+
+void EntryShell::scheduleTick()
+{
+    if (std::exchange(this->tickScheduled, true))
+        return;
+    this->loop.after(milliseconds(0), [this] {
+        this->tickScheduled = false;
+        this->tick();
+    });
+}
+
+void EntryShell::tick()
+{
+    this->closedSessions.clear();
+    std::vector<EntryEvent::CallerBuffered> changes;
+    for (auto &[id, caller] : this->callers) {
+        const std::uint64_t pending = this->callerServer.pendingBytes(id);
+        if (std::exchange(caller.buffered, pending) != pending)
+            changes.push_back({id, pending});
+    }
+    for (const EntryEvent::CallerBuffered &change : changes)
+        this->handle(change);
+    EntryOrder::List orders;
+    this->node.tick(this->loop.now(), orders);
+    this->execute(orders);
+}
+
+void EntryShell::watchLinks()
+{
+    for (auto &[agent, link] : this->links)
+        link.session->checkLiveness(this->loop.now(), LinkSilenceLimit);
+}
+
+// Callers
+
+void EntryShell::serve(const HttpServer::Request &request)
+{
+    if (request.path == "/v1/entries" && request.method == "GET") {
+        this->serveEntries(request);
+        return;
+    }
+    const ConfigurationPtr configuration = this->node.configuration();
+    if (configuration == nullptr) {
+        WorkMessage::Failure failure;
+        failure.run = RunState::NotRun;
+        failure.code = "not_ready";
+        failure.message = "this entry has no configuration yet";
+        failure.retryAfter = std::chrono::seconds(1);
+        this->replyFailure(request.id, {}, failure);
+        return;
+    }
+    if (request.path == "/v1/models" && request.method == "GET") {
+        this->serveModels(request);
+        return;
+    }
+    auto parsed = this->gateway.parse(request, *configuration);
+    if (const auto *failure = std::get_if<WorkMessage::Failure>(&parsed)) {
+        this->replyFailure(request.id, std::string(request.header("x-request-id")), *failure);
+        return;
+    }
+    const auto &call = std::get<EntryEvent::CallerRequest>(parsed);
+    Caller caller;
+    caller.requestId = call.request.requestId.substr(call.request.requestId.find('/') + 1);
+    caller.stream = call.request.stream;
+    caller.arrived = this->loop.now();
+    this->callers[request.id] = std::move(caller);
+    this->handle(call);
+}
+
+void EntryShell::serveEntries(const HttpServer::Request &request)
+{
+    const auto lifetime = this->node.addressLifetime();
+    nlohmann::json rows = nlohmann::json::array();
+    for (const EntryNode::Address &entry : this->node.entriesFor(request.peerAddress + request.query))
+        rows.push_back({{"address", entry.address}, {"failure_domain", entry.failureDomain}});
+    const nlohmann::json body = {{"entries", rows}, {"keep_seconds", lifetime.count()}};
+    this->callerServer.reply(request.id, 200,
+                             {{"Content-Type", "application/json"},
+                              {"Cache-Control", "max-age=" + std::to_string(lifetime.count())}},
+                             body.dump());
+}
+
+void EntryShell::serveModels(const HttpServer::Request &request)
+{
+    const ConfigurationPtr configuration = this->node.configuration();
+    const ClientAccount *account = CallerGateway::authenticate(request, *configuration);
+    if (account == nullptr) {
+        WorkMessage::Failure failure;
+        failure.run = RunState::NotRun;
+        failure.status = 401;
+        failure.code = "unauthorized";
+        failure.message = "no client account has this bearer key";
+        this->replyFailure(request.id, {}, failure);
+        return;
+    }
+    this->callerServer.reply(request.id, 200, {{"Content-Type", "application/json"}},
+                             CallerGateway::modelList(*configuration, *account));
+}
+
+void EntryShell::replyFailure(EntryOrder::CallerId caller, const std::string &requestId,
+                              const WorkMessage::Failure &failure)
+{
+    this->metrics.add("nutmegrill_entry_failures_total", {{"code", failure.code}});
+    HttpServer::Headers headers = {{"Content-Type", "application/json"}};
+    if (!requestId.empty())
+        headers.emplace_back("X-Request-Id", requestId);
+    if (failure.retryAfter.count() > 0) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(failure.retryAfter);
+        headers.emplace_back("Retry-After", std::to_string(seconds.count()));
+    }
+    this->callerServer.reply(caller, failure.status, headers,
+                             CallerGateway::failureBody(failure, requestId));
+}
+
+// Orders
+
+void EntryShell::execute(const EntryOrder::List &orders)
+{
+    for (const EntryOrder::Any &order : orders)
+        std::visit([this](const auto &body) { this->execute(body); }, order);
+}
+
+void EntryShell::execute(const EntryOrder::OpenLink &order)
+{
+    if (auto old = this->links.find(order.agent); old != this->links.end()) {
+        this->closedSessions.push_back(std::move(old->second.session));
+        this->links.erase(old);
+    }
+    Link link;
+    link.session = PeerSession::connect(this->loop, order.address, *this);
+    this->links[order.agent] = std::move(link);
+}
+
+void EntryShell::execute(const EntryOrder::CloseLink &order)
+{
+    const auto link = this->links.find(order.agent);
+    if (link == this->links.end() || std::exchange(link->second.closing, true))
+        return;
+    link->second.session->finish(link->second.control);
+    link->second.session->announceShutdown();
+}
+
+void EntryShell::execute(const EntryOrder::SendPeer &order)
+{
+    if (const auto link = this->links.find(order.agent); link != this->links.end())
+        link->second.session->send(link->second.control, encodeMessage(order.message));
+}
+
+void EntryShell::execute(const EntryOrder::StartWork &order)
+{
+    this->metrics.add("nutmegrill_entry_starts_total", {{"service", order.request.service}});
+    const auto link = this->links.find(order.agent);
+    const std::int32_t stream =
+            link == this->links.end() ? 0 : link->second.session->openStream("/work");
+    if (stream == 0) {
+        this->loop.after(milliseconds(0), [this, work = order.work] {
+            this->handle(EntryEvent::WorkClosed{work, RunState::NotRun});
+        });
+        return;
+    }
+    PeerSession *session = link->second.session.get();
+    this->works[order.work] = Work{session, stream};
+    this->workOfStream[{session, stream}] = order.work;
+    session->send(stream, encodeMessage(WorkMessage::Any(order.request)));
+    session->finish(stream);
+}
+
+void EntryShell::execute(const EntryOrder::CancelWork &order)
+{
+    const auto work = this->works.find(order.work);
+    if (work == this->works.end())
+        return;
+    const auto [session, stream] = work->second;
+    this->workOfStream.erase({session, stream});
+    this->works.erase(work);
+    session->reset(stream, false);
+}
+
+void EntryShell::execute(const EntryOrder::PauseWork &order)
+{
+    if (const auto work = this->works.find(order.work); work != this->works.end())
+        work->second.session->pause(work->second.stream, order.paused);
+}
+
+void EntryShell::execute(const EntryOrder::ReplyHead &order)
+{
+    const auto caller = this->callers.find(order.caller);
+    if (caller == this->callers.end())
+        return;
+    Caller &row = caller->second;
+    row.agent = order.agent;
+    row.head = order.head;
+    if (!row.stream || row.headSent)
+        return;
+    row.headSent = true;
+    HttpServer::Headers headers = order.head.headers;
+    headers.emplace_back("X-Request-Id", row.requestId);
+    headers.emplace_back("Cache-Control", "no-store");
+    this->callerServer.startReply(order.caller, order.head.status, headers);
+}
+
+void EntryShell::execute(const EntryOrder::ReplyEvent &order)
+{
+    const auto caller = this->callers.find(order.caller);
+    if (caller == this->callers.end())
+        return;
+    Caller &row = caller->second;
+    const Instant now = this->loop.now();
+    const bool first = row.lastEvent == Instant();
+    this->metrics.observe(first ? "nutmegrill_entry_first_event_seconds"
+                                : "nutmegrill_entry_event_gap_seconds",
+                          {}, toSeconds(now - (first ? row.arrived : row.lastEvent)));
+    row.lastEvent = now;
+    if (row.stream)
+        this->callerServer.sendChunk(order.caller, eventId(row.agent, order.index) + order.data);
+    else
+        row.body += order.data;
+}
+
+void EntryShell::execute(const EntryOrder::ReplyEnd &order)
+{
+    const auto caller = this->callers.find(order.caller);
+    if (caller == this->callers.end())
+        return;
+    const Caller row = std::move(caller->second);
+    this->callers.erase(caller);
+    this->metrics.add("nutmegrill_entry_answers_total", {});
+    if (row.stream) {
+        this->callerServer.endReply(order.caller);
+        return;
+    }
+    HttpServer::Headers headers = row.head.headers;
+    headers.emplace_back("X-Request-Id", row.requestId);
+    this->callerServer.reply(order.caller, row.head.status, headers, row.body);
+}
+
+void EntryShell::execute(const EntryOrder::ReplyFailure &order)
+{
+    const auto caller = this->callers.find(order.caller);
+    if (caller == this->callers.end())
+        return;
+    const Caller row = std::move(caller->second);
+    this->callers.erase(caller);
+    if (!row.headSent) {
+        this->replyFailure(order.caller, row.requestId, order.failure);
+        return;
+    }
+    // The status has left already: the stream says what happened and ends without its last chunk, so
+    // that no caller takes it for a whole answer.
+    this->metrics.add("nutmegrill_entry_failures_total", {{"code", order.failure.code}});
+    this->callerServer.sendChunk(order.caller,
+                                 "event: error\ndata: "
+                                         + CallerGateway::failureBody(order.failure, row.requestId)
+                                         + "\n\n");
+    this->loop.after(ExitDelay,
+                     [this, id = order.caller] { this->callerServer.abort(id); });
+}
+
+void EntryShell::execute(const EntryOrder::ReadStore &order)
+{
+    const auto done = [this](const ConfigurationPtr &configuration) {
+        if (configuration == nullptr)
+            this->handle(EntryEvent::StoreUnreachable{});
+        else
+            this->handle(EntryEvent::ConfigurationRead{configuration, true});
+    };
+    if (order.watch)
+        this->configurations.watch(done);
+    else
+        this->configurations.read(done);
+}
+
+void EntryShell::execute(const EntryOrder::StoreTakeOut &order)
+{
+    this->takeOuts->write(order.takeOut);
+}
+
+void EntryShell::execute(const EntryOrder::Stop &)
+{
+    this->callerServer.stopListening();
+    this->loop.after(ExitDelay, [this] { this->loop.stop(); });
+}
+
+void EntryShell::execute(const LogRecord &record)
+{
+    EventLog::write(record);
+}
+
+// Links
+
+std::string EntryShell::agentOf(const PeerSession &session) const
+{
+    for (const auto &[agent, link] : this->links) {
+        if (link.session.get() == &session)
+            return agent;
+    }
+    return {};
+}
+
+void EntryShell::peerConnected(PeerSession &session)
+{
+    const std::string agent = this->agentOf(session);
+    if (agent.empty())
+        return;
+    this->links[agent].control = session.openStream("/control");
+    this->handle(EntryEvent::LinkOpened{agent});
+}
+
+void EntryShell::peerStreamOpened(PeerSession &session, std::int32_t stream, std::string_view)
+{
+    // Agents open no streams to entries.
+    session.reset(stream, true);
+}
+
+void EntryShell::peerMessage(PeerSession &session, std::int32_t stream, std::string message)
+{
+    if (const auto work = this->workOfStream.find({&session, stream});
+        work != this->workOfStream.end()) {
+        if (auto decoded = decodeWorkMessage(message))
+            this->handle(EntryEvent::WorkReceived{work->second, std::move(*decoded)});
+        return;
+    }
+    const std::string agent = this->agentOf(session);
+    const auto link = this->links.find(agent);
+    if (link == this->links.end() || link->second.control != stream)
+        return;
+    if (auto decoded = decodePeerMessage(message))
+        this->handle(EntryEvent::PeerReceived{agent, std::move(*decoded)});
+}
+
+void EntryShell::peerStreamClosed(PeerSession &session, std::int32_t stream, StreamEnd end)
+{
+    const auto found = this->workOfStream.find({&session, stream});
+    if (found == this->workOfStream.end())
+        return;
+    const EntryOrder::WorkId work = found->second;
+    this->workOfStream.erase(found);
+    this->works.erase(work);
+    this->handle(EntryEvent::WorkClosed{
+            work, end == StreamEnd::NotProcessed ? RunState::NotRun : RunState::Unknown});
+}
+
+void EntryShell::peerDisconnected(PeerSession &session)
+{
+    const std::string agent = this->agentOf(session);
+    if (agent.empty())
+        return;
+    // The session is in one of its own callbacks; the next tick frees it.
+    this->closedSessions.push_back(std::move(this->links[agent].session));
+    this->links.erase(agent);
+    this->handle(EntryEvent::LinkClosed{agent});
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/EntryShell.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "Entry/EntryNode.h"
+#include "Net/EventLoop.h"
+#include "Net/HttpServer.h"
+#include "Net/Metrics.h"
+#include "Net/PeerObserver.h"
+#include "Net/StoreClient.h"
+#include "Programs/CallerGateway.h"
+#include "Programs/ConfigurationReader.h"
+#include "Programs/ControlServer.h"
+#include "Programs/InstanceListReader.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Nutmegrill {
+
+class TakeOutWriter;
+
+/// Process around an EntryNode: callers in, peer links to agents and the store out.
+class EntryShell : public PeerObserver
+{
+public:
+    struct Options
+    {
+        EntrySettings node;
+        std::string listenAddress;
+        std::string controlAddress;
+        std::string storeAddress;
+        std::string instancesAddress;
+    };
+
+    EntryShell(EventLoop &loop, const Options &options);
+    ~EntryShell() override;
+
+    /// Empty when the process can serve, otherwise the reason why not.
+    std::string startError() const;
+
+    /// Runs until the node has stopped.
+    void run();
+
+    void peerConnected(PeerSession &session) override;
+    void peerStreamOpened(PeerSession &session, std::int32_t stream,
+                          std::string_view path) override;
+    void peerMessage(PeerSession &session, std::int32_t stream, std::string message) override;
+    void peerStreamClosed(PeerSession &session, std::int32_t stream, StreamEnd end) override;
+    void peerDisconnected(PeerSession &session) override;
+
+private:
+    struct Link
+    {
+        std::unique_ptr<PeerSession> session;
+        std::int32_t control = 0;
+        bool closing = false;
+    };
+    struct Caller
+    {
+        std::string requestId;
+        bool stream = false;
+        bool headSent = false;
+        WorkMessage::Head head;
+        std::string agent;
+        std::string body;
+        Instant arrived;
+        Instant lastEvent;
+        std::uint64_t buffered = 0;
+    };
+    struct Work
+    {
+        PeerSession *session = nullptr;
+        std::int32_t stream = 0;
+    };
+    using StreamKey = std::pair<PeerSession *, std::int32_t>;
+
+    void serve(const HttpServer::Request &request);
+    void serveEntries(const HttpServer::Request &request);
+    void serveModels(const HttpServer::Request &request);
+    void replyFailure(EntryOrder::CallerId caller, const std::string &requestId,
+                      const WorkMessage::Failure &failure);
+    ControlServer::Answer acceptTakeOut(const HttpServer::Request &request);
+    void addControlPaths();
+
+    void handle(const EntryEvent::Any &event);
+    void scheduleTick();
+    void tick();
+    void watchLinks();
+    void execute(const EntryOrder::List &orders);
+    void execute(const EntryOrder::OpenLink &order);
+    void execute(const EntryOrder::CloseLink &order);
+    void execute(const EntryOrder::SendPeer &order);
+    void execute(const EntryOrder::StartWork &order);
+    void execute(const EntryOrder::CancelWork &order);
+    void execute(const EntryOrder::PauseWork &order);
+    void execute(const EntryOrder::ReplyHead &order);
+    void execute(const EntryOrder::ReplyEvent &order);
+    void execute(const EntryOrder::ReplyEnd &order);
+    void execute(const EntryOrder::ReplyFailure &order);
+    void execute(const EntryOrder::ReadStore &order);
+    void execute(const EntryOrder::StoreTakeOut &order);
+    void execute(const EntryOrder::Stop &order);
+    void execute(const LogRecord &record);
+    std::string agentOf(const PeerSession &session) const;
+
+    EventLoop &loop;
+    Options options;
+    EntryNode node;
+    Metrics metrics;
+    HttpServer callerServer;
+    ControlServer control;
+    StoreClient store;
+    ConfigurationReader configurations;
+    CallerGateway gateway;
+    InstanceListReader instances;
+    std::unique_ptr<TakeOutWriter> takeOuts;
+    std::map<std::string, Link> links;
+    std::vector<std::unique_ptr<PeerSession>> closedSessions;
+    std::map<EntryOrder::CallerId, Caller> callers;
+    std::map<EntryOrder::WorkId, Work> works;
+    std::map<StreamKey, EntryOrder::WorkId> workOfStream;
+    bool tickScheduled = false;
+    std::vector<std::unique_ptr<EventLoop::Timer>> timers;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/Settings.cpp
@@ -0,0 +1,185 @@
+#include "Programs/Settings.h"
+
+#include <algorithm>
+#include <cctype>
+#include <iostream>
+#include <map>
+#include <sstream>
+#include <utility>
+
+#include <boost/program_options.hpp>
+#include <event2/util.h>
+#include <sys/socket.h>
+
+namespace Nutmegrill {
+
+namespace options = boost::program_options;
+
+namespace {
+
+constexpr const char *Version = "0.1.0";
+const std::string environmentPrefix = "NUTMEGRILL_";
+
+std::string flagOfVariable(const std::string &variable)
+{
+    if (variable.compare(0, environmentPrefix.size(), environmentPrefix) != 0)
+        return {};
+    std::string flag = variable.substr(environmentPrefix.size());
+    std::transform(flag.begin(), flag.end(), flag.begin(), [](unsigned char letter) {
+        return letter == '_' ? '-' : static_cast<char>(std::tolower(letter));
+    });
+    return flag;
+}
+
+bool isAddress(const std::string &text)
+{
+    sockaddr_storage storage{};
+    int length = sizeof storage;
+    return text.find(':') != std::string::npos
+           && evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr *>(&storage),
+                                         &length)
+                      == 0;
+}
+
+bool isNumber(const std::string &text)
+{
+    static constexpr std::size_t MaxDigits = 18;
+    return !text.empty() && text.size() <= MaxDigits
+           && std::all_of(text.begin(), text.end(),
+                          [](unsigned char letter) { return std::isdigit(letter) != 0; });
+}
+
+std::vector<std::string> splitList(const std::string &text)
+{
+    std::vector<std::string> parts;
+    std::istringstream stream(text);
+    for (std::string part; std::getline(stream, part, ',');)
+        parts.push_back(part);
+    return parts;
+}
+
+} // namespace
+
+struct Settings::Parser
+{
+    options::options_description description;
+    std::map<std::string, Format> formats;
+    std::vector<std::string> required;
+    std::map<std::string, std::string> values;
+};
+
+Settings::Settings(std::string program, std::string summary)
+    : parser(std::make_unique<Parser>()), program(std::move(program))
+{
+    this->parser->description.add_options()("help", "show this help")("version",
+                                                                      "show the version");
+    this->parser->values["summary"] = std::move(summary);
+}
+
+Settings::~Settings() = default;
+
+void Settings::require(const std::string &name, Format format, const std::string &help)
+{
+    this->parser->description.add_options()(name.c_str(), options::value<std::string>(),
+                                            help.c_str());
+    this->parser->formats[name] = format;
+    this->parser->required.push_back(name);
+}
+
+void Settings::allow(const std::string &name, Format format, const std::string &defaultValue,
+                     const std::string &help)
+{
+    this->parser->description.add_options()(
+            name.c_str(), options::value<std::string>()->default_value(defaultValue), help.c_str());
+    this->parser->formats[name] = format;
+}
+
+bool Settings::read(int argc, const char *const *argv)
+{
+    std::vector<std::string> faults;
+    options::variables_map parsed;
+    options::options_description all;
+    all.add(this->parser->description);
+    all.add_options()("words", options::value<std::vector<std::string>>());
+    options::positional_options_description words;
+    words.add("words", -1);
+    try {
+        options::store(
+                options::command_line_parser(argc, argv).options(all).positional(words).run(),
+                parsed);
+        const auto knownFlag = [this](const std::string &variable) {
+            const std::string flag = flagOfVariable(variable);
+            return this->parser->formats.count(flag) != 0 ? flag : std::string();
+        };
+        options::store(options::parse_environment(this->parser->description, knownFlag), parsed);
+    } catch (const options::error &error) {
+        faults.emplace_back(error.what());
+    }
+    if (parsed.count("help") != 0) {
+        std::cout << this->program << ": " << this->parser->values["summary"] << "\n"
+                  << this->parser->description
+                  << "Every flag may also be given as environment variable " << environmentPrefix
+                  << "<FLAG>.\n";
+        return false;
+    }
+    if (parsed.count("version") != 0) {
+        std::cout << this->program << " " << Version << "\n";
+        return false;
+    }
+    for (const auto &[name, format] : this->parser->formats) {
+        if (parsed.count(name) != 0)
+            this->parser->values[name] = parsed[name].as<std::string>();
+    }
+    if (parsed.count("words") != 0)
+        this->positional = parsed["words"].as<std::vector<std::string>>();
+    if (faults.empty())
+        this->checkValues(faults);
+    for (const std::string &fault : faults)
+        std::cerr << this->program << ": " << fault << "\n";
+    if (!faults.empty())
+        this->code = ExitUsage;
+    return faults.empty();
+}
+
+void Settings::checkValues(std::vector<std::string> &faults) const
+{
+    for (const std::string &name : this->parser->required) {
+        const auto found = this->parser->values.find(name);
+        if (found == this->parser->values.end() || found->second.empty())
+            faults.push_back("--" + name + " is missing");
+    }
+    for (const auto &[name, format] : this->parser->formats) {
+        const auto found = this->parser->values.find(name);
+        if (found == this->parser->values.end() || found->second.empty())
+            continue;
+        const std::string &value = found->second;
+        if (format == Format::Number && !isNumber(value))
+            faults.push_back("--" + name + ": '" + value + "' is not a number");
+        std::vector<std::string> addresses;
+        if (format == Format::Address)
+            addresses = {value};
+        else if (format == Format::AddressList)
+            addresses = splitList(value);
+        for (const std::string &address : addresses) {
+            if (!isAddress(address))
+                faults.push_back("--" + name + ": '" + address + "' is not of the form IP:port");
+        }
+    }
+}
+
+const std::string &Settings::text(const std::string &name) const
+{
+    return this->parser->values.at(name);
+}
+
+std::uint64_t Settings::number(const std::string &name) const
+{
+    return std::stoull(this->text(name));
+}
+
+std::vector<std::string> Settings::list(const std::string &name) const
+{
+    return splitList(this->text(name));
+}
+
+} // namespace Nutmegrill
