Add a first entry node

Links to the agents of its subset, takes the configuration from the store or from peers, starts requests on agents with a credit and passes answers on without duplicates.

--- /dev/null
+++ b/Source/Entry/AdmissionSystem.cpp
@@ -0,0 +1,251 @@
+#include "Entry/AdmissionSystem.h"
+
+#include "Entry/Continuation.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Used when the caller names no deadline.
+constexpr std::chrono::seconds DefaultTimeLimit(60);
+// Time to connect to an agent outside the subset that holds the tail of an answer.
+constexpr std::chrono::seconds ResumeConnectLimit(2);
+constexpr milliseconds ShortRetryAfter(1000);
+
+std::uint64_t costOf(const WorkMessage::Request &request)
+{
+    return request.promptTokens + request.maxTokens;
+}
+
+} // namespace
+
+WorkMessage::Failure AdmissionSystem::failure(RunState run, int status, std::string code,
+                                              std::string message)
+{
+    WorkMessage::Failure failure;
+    failure.run = run;
+    failure.status = status;
+    failure.code = std::move(code);
+    failure.message = std::move(message);
+    if (status == 429 || status == 503)
+        failure.retryAfter = ShortRetryAfter;
+    return failure;
+}
+
+void AdmissionSystem::fail(RequestTable::Row &row, const WorkMessage::Failure &failure)
+{
+    this->tables.order(EntryOrder::ReplyFailure{row.caller, failure});
+    this->tables.buffers.remove(row.caller);
+    this->tables.requests.erase(row.caller);
+}
+
+bool AdmissionSystem::isSuspect(const WorkMessage::Request &request) const
+{
+    return request.fingerprint != 0
+           && this->tables.crashes.isSuspect(this->tables.now, request.fingerprint);
+}
+
+std::uint32_t AdmissionSystem::weightOf(const std::string &account) const
+{
+    const ClientAccount *declared = this->tables.spread.current() == nullptr
+                                            ? nullptr
+                                            : this->tables.spread.current()->findAccount(account);
+    return declared == nullptr ? 1 : declared->weight;
+}
+
+// A suspect may wait long for an idle agent; in its own lane it holds up no other request. The
+// prefix is fixed per row, because the fingerprint can become a suspect while the request waits.
+std::string AdmissionSystem::laneOf(const RequestTable::Row &row) const
+{
+    return (row.suspectLane ? "suspects of " : "") + row.request.account;
+}
+
+std::optional<WorkMessage::Failure> AdmissionSystem::rejection(const RequestTable::Row &row,
+                                                               bool ready)
+{
+    const WorkMessage::Request &request = row.request;
+    if (this->tables.stopping && this->tables.settings.switches.gracefulStop
+        && this->tables.now >= this->tables.stopNotBefore)
+        return failure(RunState::NotRun, 503, "stopping", "this entry is stopping");
+    if (!ready)
+        return failure(RunState::NotRun, 503, "not_ready", "no configuration is in force here");
+    if (this->tables.spread.current()->findService(request.service) == nullptr)
+        return failure(RunState::NotRun, 404, "unknown_service", "no such service");
+    if (this->tables.settings.switches.quarantine && request.fingerprint != 0
+        && this->tables.crashes.isQuarantined(this->tables.now, request.fingerprint))
+        return failure(RunState::NotRun, 422, "quarantined",
+                       "this request crashed backend servers and is not run for some minutes");
+    const FairQueue &queue = this->tables.service(request.service).queue;
+    const ClientAccount *account = this->tables.spread.current()->findAccount(request.account);
+    if (account != nullptr && queue.sizeOf(this->laneOf(row)) >= account->maxQueued)
+        return failure(RunState::NotRun, 429, "too_many_queued",
+                       "too many requests of this client account wait");
+    const milliseconds wait =
+            queue.expectedWait(this->laneOf(row), this->weightOf(request.account), costOf(request));
+    if (this->tables.now + wait > row.deadline) {
+        auto rejected = failure(RunState::NotRun, 503, "overloaded",
+                                "the expected wait exceeds the deadline");
+        rejected.retryAfter = std::max(wait, ShortRetryAfter);
+        return rejected;
+    }
+    return std::nullopt;
+}
+
+void AdmissionSystem::accept(const EntryEvent::CallerRequest &event, bool ready)
+{
+    RequestTable::Row &row = this->tables.requests.add(event.caller);
+    row.caller = event.caller;
+    row.request = event.request;
+    row.deadline = this->tables.now
+                   + (event.timeLimit > milliseconds(0) ? event.timeLimit : DefaultTimeLimit);
+    row.suspectLane = this->isSuspect(event.request);
+    if (const auto rejected = this->rejection(row, ready)) {
+        this->fail(row, *rejected);
+        return;
+    }
+    row.model = this->tables.spread.current()->findService(row.request.service)->kind
+                == ServiceDeclaration::Kind::Model;
+    if (!event.resumeAgent.empty()) {
+        this->resumeFrom(row, event.resumeAgent);
+        return;
+    }
+    // Without the agent's name there is no tail to resume from: the answer starts anew.
+    row.request.firstEvent = 0;
+    row.request.resumeOnly = false;
+    ServiceRow &service = this->tables.service(row.request.service);
+    service.retries.noteFirstAttempt();
+    service.queue.push(this->laneOf(row), this->weightOf(row.request.account), row.caller,
+                       costOf(row.request));
+}
+
+void AdmissionSystem::resumeFrom(RequestTable::Row &row, const std::string &agent)
+{
+    row.phase = RequestTable::Phase::Resuming;
+    row.agent = agent;
+    row.sentId = row.request.requestId;
+    row.handedOver = true;
+    std::erase_if(this->tables.requests.parked(),
+                  [&](const auto &parked) { return parked.second.requestId == row.sentId; });
+    row.nextEvent = row.request.firstEvent;
+    row.acked = row.nextEvent;
+    row.ackNext = row.nextEvent;
+    // The text before the first event is not known here, so that no other agent can continue.
+    row.textLost = true;
+    row.resumeUntil = this->tables.now + ResumeConnectLimit;
+    if (BackendTable::Row *backend = this->tables.backends.find(agent))
+        backend->wantedUntil = row.deadline;
+}
+
+void AdmissionSystem::requeue(RequestTable::Row &row)
+{
+    this->tables.requests.endWork(row);
+    row.phase = RequestTable::Phase::Queued;
+    row.query = false;
+    row.suspectLane = this->isSuspect(row.request);
+    this->tables.service(row.request.service)
+            .queue.pushFront(this->laneOf(row), this->weightOf(row.request.account), row.caller,
+                             costOf(row.request));
+}
+
+void AdmissionSystem::leaveQueue(const RequestTable::Row &row)
+{
+    this->tables.service(row.request.service).queue.remove(this->laneOf(row), row.caller);
+}
+
+void AdmissionSystem::startQueued()
+{
+    for (auto &[name, service] : this->tables.services) {
+        service.queue.tick(this->tables.now);
+        while (service.queue.size() > 0
+               && this->tables.router.hasCredit(this->tables.now, name, this->tables.backends,
+                                                this->tables.spread)
+               && service.queue.take(this->tables.now, [this](EntryEvent::CallerId caller) {
+                      return this->place(caller);
+                  })) {
+        }
+    }
+}
+
+bool AdmissionSystem::place(EntryEvent::CallerId caller)
+{
+    RequestTable::Row &row = *this->tables.requests.find(caller);
+    BackendTable::Row *backend =
+            this->tables.router.choose(this->tables.now, row, this->isSuspect(row.request),
+                                       this->tables.backends, this->tables.spread);
+    if (backend == nullptr)
+        return false;
+    WorkMessage::Request request = row.request;
+    row.offset = row.nextEvent;
+    if (row.nextEvent > 0) {
+        request = Continuation::next(row).value_or(row.request);
+        // A separate id: the agent may still hold the tail of the earlier part under the first one.
+        request.requestId += "~" + std::to_string(row.continuations);
+    }
+    request.firstEvent = 0;
+    this->start(row, *backend, std::move(request), false);
+    return true;
+}
+
+void AdmissionSystem::start(RequestTable::Row &row, BackendTable::Row &backend,
+                            WorkMessage::Request request, bool query)
+{
+    row.phase = RequestTable::Phase::Running;
+    row.agent = backend.agent;
+    row.query = query;
+    row.paused = false;
+    request.resumeOnly = query;
+    request.configurationVersion = this->tables.spread.version();
+    request.remaining =
+            std::max(milliseconds(1),
+                     std::chrono::duration_cast<milliseconds>(row.deadline - this->tables.now));
+    row.sentId = request.requestId;
+    if (query) {
+        ++row.resumes;
+        ++backend.ownRunning;
+    } else {
+        ++row.attempts;
+        backend.takeCredit(Router::kvBytes(request, this->tables.spread));
+    }
+    const auto work = this->tables.requests.startWork(row);
+    this->tables.order(EntryOrder::StartWork{work, backend.agent, std::move(request)});
+}
+
+void AdmissionSystem::checkQueued()
+{
+    std::vector<EntryEvent::CallerId> queued;
+    for (const auto &[caller, row] : this->tables.requests.all()) {
+        if (row.phase == RequestTable::Phase::Queued)
+            queued.push_back(caller);
+    }
+    for (const auto caller : queued)
+        this->checkQueued(*this->tables.requests.find(caller));
+}
+
+void AdmissionSystem::checkQueued(RequestTable::Row &row)
+{
+    // An idempotent request that broke and waits to run again may have run in part.
+    const RunState run = row.handedOver ? RunState::Unknown : RunState::NotRun;
+    const std::uint64_t fingerprint = row.request.fingerprint;
+    if (this->tables.now >= row.deadline) {
+        this->leaveQueue(row);
+        this->fail(row, failure(run, 503, "queue_timeout",
+                                "no backend server was free before the deadline"));
+    } else if (this->tables.settings.switches.quarantine && fingerprint != 0
+               && this->tables.crashes.isQuarantined(this->tables.now, fingerprint)) {
+        this->leaveQueue(row);
+        this->fail(row, failure(run, 422, "quarantined",
+                                "this request crashed backend servers and is not run again"));
+    } else if (this->isSuspect(row.request) != row.suspectLane) {
+        this->leaveQueue(row);
+        this->requeue(row);
+    }
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Entry/AdmissionSystem.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Entry/EntryTables.h"
+
+#include <optional>
+#include <string>
+
+namespace Nutmegrill {
+
+/// Admits requests to the queues and starts them on agents.
+class AdmissionSystem
+{
+public:
+    explicit AdmissionSystem(EntryTables &tables) : tables(tables) {}
+
+    void accept(const EntryEvent::CallerRequest &event, bool ready);
+    /// Puts a request back that an agent did not run.
+    void requeue(RequestTable::Row &row);
+    void leaveQueue(const RequestTable::Row &row);
+
+    /// Starts queued requests for which there are credits.
+    void startQueued();
+    /// Rejects queued requests that are past their deadline or quarantined.
+    void checkQueued();
+
+    /// Sends the row's request to an agent; \a query only reads a kept tail.
+    void start(RequestTable::Row &row, BackendTable::Row &backend, WorkMessage::Request request,
+               bool query);
+
+    /// Ends the request with a failure and forgets it.
+    void fail(RequestTable::Row &row, const WorkMessage::Failure &failure);
+    static WorkMessage::Failure failure(RunState run, int status, std::string code,
+                                        std::string message);
+
+private:
+    void checkQueued(RequestTable::Row &row);
+    std::optional<WorkMessage::Failure> rejection(const RequestTable::Row &row, bool ready);
+    bool place(EntryEvent::CallerId caller);
+    bool isSuspect(const WorkMessage::Request &request) const;
+    std::string laneOf(const RequestTable::Row &row) const;
+    std::uint32_t weightOf(const std::string &account) const;
+    void resumeFrom(RequestTable::Row &row, const std::string &agent);
+
+    EntryTables &tables;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Entry/AnswerSystem.cpp
@@ -0,0 +1,286 @@
+#include "Entry/AnswerSystem.h"
+
+#include "Entry/Continuation.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::uint32_t MaxAttempts = 3;
+// Queries of one agent without a new event in between.
+constexpr std::uint32_t MaxResumes = 5;
+// A link that only broke is open again well within this time; after it another agent continues.
+constexpr std::chrono::seconds IdempotentResumeLimit(1);
+// Agents keep the tail of an answer for 30 s after its link died.
+constexpr std::chrono::seconds TailLifetime(30);
+// Time to find an agent for a stream that continues past the caller's deadline.
+constexpr std::chrono::seconds ContinuationLimit(5);
+
+WorkMessage::Failure broken()
+{
+    return AdmissionSystem::failure(RunState::Unknown, 502, "connection_lost",
+                                    "the connection to the backend server was lost");
+}
+
+} // namespace
+
+bool AnswerSystem::mayRepeat(const RequestTable::Row &row) const
+{
+    return row.request.idempotent || !this->tables.settings.switches.atMostOnce;
+}
+
+void AnswerSystem::receive(const EntryEvent::WorkReceived &event)
+{
+    RequestTable::Row *row = this->tables.requests.findByWork(event.work);
+    if (row == nullptr) {
+        if (std::holds_alternative<WorkMessage::End>(event.message)
+            || std::holds_alternative<WorkMessage::Failure>(event.message))
+            this->tables.requests.parked().erase(event.work);
+        return;
+    }
+    if (const auto *head = std::get_if<WorkMessage::Head>(&event.message))
+        this->head(*row, *head);
+    else if (const auto *part = std::get_if<WorkMessage::Event>(&event.message))
+        this->event(*row, *part);
+    else if (const auto *end = std::get_if<WorkMessage::End>(&event.message))
+        this->end(*row, *end);
+    else if (const auto *failure = std::get_if<WorkMessage::Failure>(&event.message))
+        this->failed(*row, *failure);
+}
+
+void AnswerSystem::head(RequestTable::Row &row, const WorkMessage::Head &message)
+{
+    if (row.headSent)
+        return;
+    row.headSent = true;
+    this->tables.order(EntryOrder::ReplyHead{row.caller, message, row.agent});
+}
+
+void AnswerSystem::event(RequestTable::Row &row, const WorkMessage::Event &message)
+{
+    const std::uint64_t index = message.index + row.offset;
+    if (index < row.nextEvent && this->tables.settings.switches.dropDuplicates)
+        return;
+    if (index > row.nextEvent) {
+        // Events are missing: the agent is asked for them from its tail.
+        this->releaseWork(row);
+        this->awaitResume(row);
+        return;
+    }
+    this->head(row, WorkMessage::Head{});
+    row.resumes = 0;
+    this->readText(row, message.data);
+    row.nextEvent = index;
+    this->reply(row, message.data);
+}
+
+void AnswerSystem::reply(RequestTable::Row &row, const std::string &data)
+{
+    this->tables.order(EntryOrder::ReplyEvent{row.caller, row.nextEvent, data});
+    row.sentBytes += data.size();
+    row.unread.emplace_back(row.nextEvent, row.sentBytes);
+    ++row.nextEvent;
+}
+
+void AnswerSystem::readText(RequestTable::Row &row, const std::string &data)
+{
+    if (!row.model || !row.request.stream || row.textLost)
+        return;
+    const Continuation::Part part = Continuation::read(data);
+    row.finished = row.finished || part.finished;
+    row.doneSent = row.doneSent || part.done;
+    if (!part.understood
+        || row.text.size() + part.text.size() > this->tables.settings.streamBufferBytes) {
+        row.textLost = true;
+        row.text = std::string();
+        return;
+    }
+    row.text += part.text;
+    row.textEvents += part.text.empty() ? 0 : 1;
+}
+
+void AnswerSystem::end(RequestTable::Row &row, const WorkMessage::End &message)
+{
+    this->releaseWork(row);
+    if (message.events + row.offset > row.nextEvent)
+        this->awaitResume(row);
+    else
+        this->finish(row);
+}
+
+void AnswerSystem::finish(RequestTable::Row &row)
+{
+    this->tables.order(EntryOrder::ReplyEnd{row.caller});
+    this->tables.crashes.clearSuspect(row.request.fingerprint);
+    row.phase = RequestTable::Phase::Done;
+    row.text = std::string();
+}
+
+void AnswerSystem::releaseWork(RequestTable::Row &row)
+{
+    BackendTable::Row *backend = this->tables.backends.find(row.agent);
+    if (row.work != 0 && backend != nullptr && backend->ownRunning > 0)
+        --backend->ownRunning;
+    this->tables.requests.endWork(row);
+}
+
+void AnswerSystem::failed(RequestTable::Row &row, WorkMessage::Failure failure)
+{
+    if (failure.configurationVersion > this->tables.spread.version())
+        this->tables.order(EntryOrder::SendPeer{
+                row.agent, PeerMessage::ConfigurationWanted{this->tables.spread.version()}});
+    this->releaseWork(row);
+    const bool rejected = failure.status < 500 && failure.status != 429;
+    if (row.query) {
+        // The tail is gone, or the agent is another run of itself that knows nothing: its "not
+        // run" says nothing about the earlier hand-over.
+        if (failure.run == RunState::NotRun)
+            failure.run = RunState::Unknown;
+        if (failure.run == RunState::Unknown)
+            this->continueElsewhere(row, std::move(failure));
+        else
+            this->admission.fail(row, failure);
+    } else if (failure.run == RunState::NotRun) {
+        if (rejected)
+            row.attempts = MaxAttempts;
+        this->retryNotRun(row, std::move(failure));
+    } else if (failure.run == RunState::Unknown && !rejected) {
+        this->continueElsewhere(row, std::move(failure));
+    } else {
+        this->admission.fail(row, failure);
+    }
+}
+
+void AnswerSystem::retryNotRun(RequestTable::Row &row, WorkMessage::Failure failure)
+{
+    ServiceRow &service = this->tables.service(row.request.service);
+    if (row.attempts < MaxAttempts && this->tables.now < row.deadline
+        && service.retries.takeRetry()) {
+        row.avoid = row.agent;
+        this->admission.requeue(row);
+        return;
+    }
+    // An earlier start may have run although this one did not.
+    if (row.handedOver)
+        failure.run = RunState::Unknown;
+    this->admission.fail(row, failure);
+}
+
+void AnswerSystem::workClosed(EntryEvent::WorkId work, RunState run)
+{
+    this->tables.requests.parked().erase(work);
+    RequestTable::Row *row = this->tables.requests.findByWork(work);
+    if (row == nullptr)
+        return;
+    this->releaseWork(*row);
+    if (run == RunState::NotRun && !row->query)
+        this->retryNotRun(*row, AdmissionSystem::failure(RunState::NotRun, 503, "stream_refused",
+                                                         "the agent did not take the request"));
+    else
+        this->awaitResume(*row);
+}
+
+void AnswerSystem::linkClosed(const std::string &agent)
+{
+    std::vector<EntryEvent::WorkId> left;
+    for (const auto &[caller, row] : this->tables.requests.all()) {
+        if (row.work != 0 && row.agent == agent)
+            left.push_back(row.work);
+    }
+    for (const auto work : left)
+        this->workClosed(work, RunState::Unknown);
+}
+
+void AnswerSystem::awaitResume(RequestTable::Row &row)
+{
+    row.handedOver = true;
+    if (!this->tables.settings.switches.resume) {
+        this->continueElsewhere(row, broken());
+        return;
+    }
+    row.phase = RequestTable::Phase::Resuming;
+    const auto limit = this->mayRepeat(row) ? IdempotentResumeLimit : TailLifetime;
+    row.resumeUntil = this->tables.now + limit;
+    if (BackendTable::Row *backend = this->tables.backends.find(row.agent))
+        backend->wantedUntil = row.resumeUntil;
+}
+
+void AnswerSystem::resumeBroken()
+{
+    std::vector<EntryEvent::CallerId> waiting;
+    for (const auto &[caller, row] : this->tables.requests.all()) {
+        if (row.phase == RequestTable::Phase::Resuming)
+            waiting.push_back(caller);
+    }
+    for (const auto caller : waiting)
+        this->resume(*this->tables.requests.find(caller));
+}
+
+void AnswerSystem::resume(RequestTable::Row &row)
+{
+    BackendTable::Row *backend = this->tables.backends.find(row.agent);
+    const bool linked = backend != nullptr && backend->welcomed;
+    if (linked && row.resumes < MaxResumes) {
+        WorkMessage::Request request = row.request;
+        request.requestId = row.sentId;
+        request.firstEvent = row.nextEvent - row.offset;
+        this->admission.start(row, *backend, std::move(request), true);
+        return;
+    }
+    // A refused connection means that the process of the agent is gone.
+    const bool gone = backend == nullptr || (!linked && backend->openFailures > 0);
+    if (linked || this->tables.now >= row.resumeUntil || (gone && this->mayRepeat(row)))
+        this->continueElsewhere(row, broken());
+}
+
+void AnswerSystem::continueElsewhere(RequestTable::Row &row, WorkMessage::Failure failure)
+{
+    row.handedOver = true;
+    if (row.finished) {
+        // Only the closing event was lost.
+        if (!row.doneSent)
+            this->reply(row, "data: [DONE]\n\n");
+        this->finish(row);
+        return;
+    }
+    const bool fromText = this->tables.settings.switches.continuation && row.model
+                          && row.request.stream && !row.textLost;
+    const bool possible = row.nextEvent == 0 || (fromText && Continuation::next(row).has_value());
+    if (!this->mayRepeat(row) || !possible || row.attempts >= MaxAttempts) {
+        this->admission.fail(row, failure);
+        return;
+    }
+    row.avoid = row.agent;
+    row.resumes = 0;
+    if (row.nextEvent > 0) {
+        ++row.continuations;
+        row.deadline = std::max(row.deadline, this->tables.now + ContinuationLimit);
+    }
+    this->admission.requeue(row);
+}
+
+void AnswerSystem::expireRunning()
+{
+    std::vector<EntryEvent::CallerId> expired;
+    for (const auto &[caller, row] : this->tables.requests.all()) {
+        if (row.phase == RequestTable::Phase::Running && !row.headSent
+            && this->tables.now >= row.deadline)
+            expired.push_back(caller);
+    }
+    for (const auto caller : expired) {
+        RequestTable::Row &row = *this->tables.requests.find(caller);
+        // A call that must not be repeated runs on, so that its outcome is recorded.
+        if (row.request.idempotent)
+            this->tables.order(EntryOrder::CancelWork{row.work});
+        this->releaseWork(row);
+        this->admission.fail(row, AdmissionSystem::failure(RunState::Unknown, 504, "deadline",
+                                                           "no answer before the deadline"));
+    }
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Entry/AnswerSystem.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Entry/AdmissionSystem.h"
+#include "Entry/EntryTables.h"
+
+#include <string>
+
+namespace Nutmegrill {
+
+/// Passes answers on to callers and decides what follows when a work ends without one.
+class AnswerSystem
+{
+public:
+    AnswerSystem(EntryTables &tables, AdmissionSystem &admission)
+        : tables(tables), admission(admission)
+    {}
+
+    void receive(const EntryEvent::WorkReceived &event);
+    void workClosed(EntryEvent::WorkId work, RunState run);
+    /// Treats works that the closed link left behind as closed.
+    void linkClosed(const std::string &agent);
+
+    /// Asks agents for the rest of answers whose work broke.
+    void resumeBroken();
+    /// Ends requests that got no answer before their deadline.
+    void expireRunning();
+
+private:
+    void head(RequestTable::Row &row, const WorkMessage::Head &message);
+    void event(RequestTable::Row &row, const WorkMessage::Event &message);
+    void end(RequestTable::Row &row, const WorkMessage::End &message);
+    void failed(RequestTable::Row &row, WorkMessage::Failure failure);
+    void readText(RequestTable::Row &row, const std::string &data);
+    void reply(RequestTable::Row &row, const std::string &data);
+    void finish(RequestTable::Row &row);
+    void releaseWork(RequestTable::Row &row);
+    void awaitResume(RequestTable::Row &row);
+    void resume(RequestTable::Row &row);
+    void retryNotRun(RequestTable::Row &row, WorkMessage::Failure failure);
+    void continueElsewhere(RequestTable::Row &row, WorkMessage::Failure failure);
+    bool mayRepeat(const RequestTable::Row &row) const;
+
+    EntryTables &tables;
+    AdmissionSystem &admission;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Entry/CallerSystem.cpp
@@ -0,0 +1,166 @@
+#include "Entry/CallerSystem.h"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace Nutmegrill {
+
+namespace {
+
+// Events are acknowledged one to two periods after the connection took them, so that a caller whose
+// entry dies still finds at the agent what was lost on the way.
+constexpr std::chrono::seconds AckPeriod(1);
+// A caller whose connection broke comes back within this time or not at all.
+constexpr std::chrono::seconds ParkedLifetime(10);
+
+} // namespace
+
+StreamBudget::Limits CallerSystem::limitsOf(const RequestTable::Row &row) const
+{
+    const EntrySettings &settings = this->tables.settings;
+    const ClientAccount *account =
+            this->tables.spread.current() == nullptr
+                    ? nullptr
+                    : this->tables.spread.current()->findAccount(row.request.account);
+    return {settings.streamBufferBytes,
+            account == nullptr ? settings.processBufferBytes : account->bufferBytes,
+            settings.processBufferBytes};
+}
+
+void CallerSystem::buffered(const EntryEvent::CallerBuffered &event)
+{
+    RequestTable::Row *row = this->tables.requests.find(event.caller);
+    if (row == nullptr)
+        return;
+    this->tables.buffers.update(this->tables.now, event.caller, row->request.account, event.bytes);
+    this->applyPause(*row);
+}
+
+void CallerSystem::applyPause(RequestTable::Row &row)
+{
+    if (row.work == 0 || !this->tables.settings.switches.backpressure)
+        return;
+    const bool pause = this->tables.buffers.wantsPause(row.caller, row.paused, this->limitsOf(row));
+    if (pause == row.paused)
+        return;
+    row.paused = pause;
+    this->tables.order(EntryOrder::PauseWork{row.work, pause});
+}
+
+void CallerSystem::limitBuffers()
+{
+    std::vector<EntryEvent::CallerId> stalled;
+    const Instant since = this->tables.now - this->tables.settings.stallLimit;
+    for (auto &[caller, row] : this->tables.requests.all()) {
+        this->applyPause(row);
+        if ((row.paused || row.phase == RequestTable::Phase::Done)
+            && this->tables.buffers.isStalled(caller, since, this->limitsOf(row)))
+            stalled.push_back(caller);
+    }
+    for (const auto caller : stalled) {
+        RequestTable::Row &row = *this->tables.requests.find(caller);
+        // Several readers may be stalled; as many are cut as the shortage needs.
+        if (!this->tables.buffers.isStalled(caller, since, this->limitsOf(row)))
+            continue;
+        const bool answered = row.phase == RequestTable::Phase::Done;
+        this->park(row);
+        // The final reply of a finished request is out; its buffer ends with the connection.
+        if (answered)
+            continue;
+        this->admission.fail(row,
+                             AdmissionSystem::failure(RunState::Running, 503, "reader_stalled",
+                                                      "the caller read nothing for too long; the "
+                                                      "answer can be resumed"));
+    }
+}
+
+void CallerSystem::park(RequestTable::Row &row)
+{
+    if (row.work == 0)
+        return;
+    if (!row.paused)
+        this->tables.order(EntryOrder::PauseWork{row.work, true});
+    this->tables.requests.parked()[row.work] = {row.sentId, this->tables.now + ParkedLifetime};
+    this->releaseWork(row);
+}
+
+void CallerSystem::releaseWork(RequestTable::Row &row)
+{
+    BackendTable::Row *backend = this->tables.backends.find(row.agent);
+    if (row.work != 0 && backend != nullptr && backend->ownRunning > 0)
+        --backend->ownRunning;
+    this->tables.requests.endWork(row);
+}
+
+void CallerSystem::gone(EntryEvent::CallerId caller)
+{
+    RequestTable::Row *row = this->tables.requests.find(caller);
+    if (row == nullptr)
+        return;
+    if (row->phase == RequestTable::Phase::Queued)
+        this->admission.leaveQueue(*row);
+    // A stream can be resumed; a call that must not be repeated runs on, so that its outcome is
+    // recorded.
+    if (row->work != 0 && row->request.stream)
+        this->park(*row);
+    else if (row->work != 0 && row->request.idempotent)
+        this->tables.order(EntryOrder::CancelWork{row->work});
+    this->releaseWork(*row);
+    this->tables.buffers.remove(caller);
+    this->tables.requests.erase(caller);
+}
+
+std::uint64_t CallerSystem::readBy(RequestTable::Row &row) const
+{
+    const std::uint64_t held = this->tables.buffers.bytesOf(row.caller);
+    const std::uint64_t taken = row.sentBytes - std::min(row.sentBytes, held);
+    while (!row.unread.empty() && row.unread.front().second <= taken)
+        row.unread.pop_front();
+    return row.unread.empty() ? row.nextEvent : row.unread.front().first;
+}
+
+void CallerSystem::acknowledge(RequestTable::Row &row)
+{
+    const BackendTable::Row *backend = this->tables.backends.find(row.agent);
+    if (row.ackNext > row.acked && row.ackNext > row.offset && backend != nullptr
+        && backend->welcomed)
+        this->tables.order(EntryOrder::SendPeer{
+                row.agent, PeerMessage::Ack{row.sentId, row.ackNext - row.offset}});
+    row.acked = row.ackNext;
+    row.ackNext = this->readBy(row);
+    row.nextAck = this->tables.now + AckPeriod;
+}
+
+void CallerSystem::sendAcks()
+{
+    std::vector<EntryEvent::CallerId> complete;
+    for (auto &[caller, row] : this->tables.requests.all()) {
+        const bool done = row.phase == RequestTable::Phase::Done;
+        if ((row.phase != RequestTable::Phase::Running && !done) || this->tables.now < row.nextAck)
+            continue;
+        const bool first = row.nextAck == Instant();
+        this->acknowledge(row);
+        if (done && !first && row.acked == row.nextEvent)
+            complete.push_back(caller);
+    }
+    for (const auto caller : complete) {
+        this->tables.buffers.remove(caller);
+        this->tables.requests.erase(caller);
+    }
+}
+
+void CallerSystem::cancelParked()
+{
+    auto &parked = this->tables.requests.parked();
+    for (auto work = parked.begin(); work != parked.end();) {
+        if (this->tables.now < work->second.deadline) {
+            ++work;
+            continue;
+        }
+        this->tables.order(EntryOrder::CancelWork{work->first});
+        work = parked.erase(work);
+    }
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Entry/CallerSystem.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "Entry/AdmissionSystem.h"
+#include "Entry/EntryTables.h"
+
+namespace Nutmegrill {
+
+/// Follows how fast callers read: pauses their works, acknowledges what they have, and releases
+/// requests whose caller has gone.
+class CallerSystem
+{
+public:
+    CallerSystem(EntryTables &tables, AdmissionSystem &admission)
+        : tables(tables), admission(admission)
+    {}
+
+    void buffered(const EntryEvent::CallerBuffered &event);
+    void gone(EntryEvent::CallerId caller);
+
+    void limitBuffers();
+    void sendAcks();
+    void cancelParked();
+
+private:
+    StreamBudget::Limits limitsOf(const RequestTable::Row &row) const;
+    void applyPause(RequestTable::Row &row);
+    void park(RequestTable::Row &row);
+    void releaseWork(RequestTable::Row &row);
+    void acknowledge(RequestTable::Row &row);
+    std::uint64_t readBy(RequestTable::Row &row) const;
+
+    EntryTables &tables;
+    AdmissionSystem &admission;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Entry/ConfigurationSystem.cpp
@@ -0,0 +1,111 @@
+#include "Entry/ConfigurationSystem.h"
+
+#include "Membership/RelaySelector.h"
+
+#include <chrono>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::chrono::seconds PeerAnswerLimit(2);
+constexpr milliseconds ReadAgain(1000);
+// Spreads the reads of all relays when the store returns.
+constexpr std::uint64_t ReadJitter = 1000;
+constexpr std::chrono::seconds TakeOutAgain(5);
+
+} // namespace
+
+void ConfigurationSystem::read(const EntryEvent::ConfigurationRead &event)
+{
+    if (event.fromStore) {
+        if (this->storeDown)
+            this->nextTakeOut = this->tables.now;
+        this->storeRead = true;
+        this->storeDown = false;
+        this->nextRead = NoDeadline;
+    }
+    PeerOutput::List output;
+    this->tables.spread.accept(this->tables.now, event.configuration, output);
+    this->tables.send(output);
+    this->checkReady();
+}
+
+void ConfigurationSystem::storeUnreachable()
+{
+    this->storeDown = true;
+    this->nextRead =
+            this->tables.now + ReadAgain + milliseconds(this->tables.random.below(ReadJitter));
+    this->checkReady();
+}
+
+void ConfigurationSystem::takeOut(const EntryEvent::TakeOutRequested &event)
+{
+    PeerOutput::List output;
+    if (this->tables.spread.takeOut(event.takeOut, output))
+        this->nextTakeOut = this->tables.now;
+    this->tables.send(output);
+}
+
+void ConfigurationSystem::readStore()
+{
+    const EntrySettings &settings = this->tables.settings;
+    const bool nowRelay =
+            RelaySelector::isRelay(settings.name, settings.failureDomain, this->tables.instances);
+    const bool changed = nowRelay != this->relay;
+    this->relay = nowRelay;
+    const bool again =
+            this->storeDown && this->tables.now >= this->nextRead && (this->relay || !this->ready);
+    if (this->asked && !changed && !again)
+        return;
+    this->asked = true;
+    this->nextRead = NoDeadline;
+    this->tables.order(EntryOrder::ReadStore{this->relay});
+}
+
+void ConfigurationSystem::spread()
+{
+    PeerOutput::List output;
+    this->tables.spread.tick(this->tables.now, output);
+    this->tables.send(output);
+    this->tables.crashes.tick(this->tables.now);
+}
+
+bool ConfigurationSystem::heardEveryPeer()
+{
+    if (this->tables.spread.peersHeard() == 0)
+        return false;
+    if (this->peersUntil == NoDeadline)
+        this->peersUntil = this->tables.now + PeerAnswerLimit;
+    if (this->tables.now >= this->peersUntil)
+        return true;
+    for (const auto &[agent, row] : this->tables.backends.all()) {
+        const bool refused = row.openFailures > 0;
+        if (row.inSubset && !row.welcomed && !refused)
+            return false;
+    }
+    return this->tables.spread.version() >= this->tables.spread.highestHeard();
+}
+
+void ConfigurationSystem::checkReady()
+{
+    if (this->ready || this->tables.spread.current() == nullptr)
+        return;
+    this->ready = this->storeRead || (this->storeDown && this->heardEveryPeer());
+}
+
+void ConfigurationSystem::storeTakeOuts()
+{
+    if (!this->relay || this->storeDown || this->tables.now < this->nextTakeOut)
+        return;
+    const auto pending = this->tables.spread.pendingTakeOuts();
+    if (pending.empty())
+        return;
+    this->nextTakeOut = this->tables.now + TakeOutAgain;
+    for (const PeerMessage::PendingTakeOut &takeOut : pending)
+        this->tables.order(EntryOrder::StoreTakeOut{takeOut});
+}
+
+} // namespace Nutmegrill
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "Entry/EntrySwitches.h"
+
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -8,12 +11,21 @@
 /// What an entry's decision logic is told at start.
 struct EntrySettings
 {
+    enum class RoutePolicy { PrefixAffinity, RoundRobin, LeastReported, PowerOfTwo };
+
     std::string name;
     std::string failureDomain;
     std::string deploymentKey;
     std::uint64_t seed = 1;
     /// Agents of one service that an entry links to.
     std::uint32_t subsetSize = 24;
+    RoutePolicy routePolicy = RoutePolicy::PrefixAffinity;
+    std::chrono::seconds addressLifetime{10};
+    /// Bytes held for the slow readers of one stream and of the whole process.
+    std::uint64_t streamBufferBytes = 256U << 10U;
+    std::uint64_t processBufferBytes = 64U << 20U;
+    std::chrono::seconds stallLimit{30};
+    EntrySwitches switches;
 };
 
 } // namespace Nutmegrill
--- /dev/null
+++ b/Source/Entry/EntryTables.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "Core/RandomSource.h"
+#include "Core/Time.h"
+#include "Entry/AddressAdvisor.h"
+#include "Entry/BackendTable.h"
+#include "Entry/EntryOrder.h"
+#include "Entry/EntrySettings.h"
+#include "Entry/FairQueue.h"
+#include "Entry/RequestTable.h"
+#include "Entry/RetryBudget.h"
+#include "Entry/Router.h"
+#include "Entry/StreamBudget.h"
+#include "Membership/ConfigurationSpread.h"
+#include "Membership/CrashRecords.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// Queue and retry budget of one service.
+struct ServiceRow
+{
+    explicit ServiceRow(bool fairShares) : queue(fairShares) {}
+
+    FairQueue queue;
+    RetryBudget retries;
+};
+
+/// The state that the systems of an entry share.
+struct EntryTables
+{
+    explicit EntryTables(EntrySettings settings)
+        : settings(std::move(settings)), router(this->settings), random(this->settings.seed)
+    {}
+
+    ServiceRow &service(const std::string &name)
+    {
+        return this->services.try_emplace(name, this->settings.switches.fairShares).first->second;
+    }
+
+    void order(EntryOrder::Any order) { this->orders->push_back(std::move(order)); }
+    void send(const PeerOutput::List &output)
+    {
+        for (const PeerOutput &item : output)
+            this->order(EntryOrder::SendPeer{item.peer, item.message});
+    }
+    void log(std::uint32_t number, LogRecord::Level level, std::string text)
+    {
+        this->order(LogRecord{number, level, std::move(text)});
+    }
+
+    EntrySettings settings;
+    Instant now;
+    /// Orders of the present call.
+    EntryOrder::List *orders = nullptr;
+
+    std::vector<InstanceRecord> instances;
+    ConfigurationSpread spread;
+    CrashRecords crashes;
+    BackendTable backends;
+    RequestTable requests;
+    std::map<std::string, ServiceRow> services;
+    StreamBudget buffers;
+    AddressAdvisor advisor;
+    Router router;
+    RandomSource random;
+
+    bool stopping = false;
+    bool stopped = false;
+    Instant stopNotBefore;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Entry/LinkSystem.cpp
@@ -0,0 +1,177 @@
+#include "Entry/LinkSystem.h"
+
+#include "Membership/SubsetSelector.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds FirstReopen(200);
+constexpr std::uint32_t LargestReopenShift = 4;
+// Demand is sent at once when it rises from nothing, else at this period.
+constexpr milliseconds DemandPeriod(200);
+
+} // namespace
+
+void LinkSystem::readInstances(const EntryEvent::InstancesRead &event)
+{
+    this->tables.instances = event.instances;
+    this->tables.advisor.readInstances(event.instances);
+    for (auto &[agent, row] : this->tables.backends.all())
+        row.listed = false;
+    for (const InstanceRecord &instance : event.instances) {
+        if (instance.role != InstanceRecord::Role::Agent)
+            continue;
+        BackendTable::Row &row = this->tables.backends.add(instance.name);
+        row.agent = instance.name;
+        row.address = instance.address;
+        row.service = instance.service;
+        row.failureDomain = instance.failureDomain;
+        row.listed = true;
+        row.listedLeaving = instance.leaving;
+    }
+    this->selectSubset();
+    this->keepLinks();
+}
+
+void LinkSystem::selectSubset()
+{
+    const SubsetSelector selector(this->tables.settings.subsetSize);
+    std::set<std::string> services;
+    for (auto &[agent, row] : this->tables.backends.all()) {
+        row.inSubset = false;
+        services.insert(row.service);
+    }
+    for (const std::string &service : services) {
+        for (const std::string &agent :
+             selector.select(this->tables.settings.name, service, this->tables.instances))
+            this->tables.backends.add(agent).inSubset = true;
+    }
+}
+
+bool LinkSystem::isWanted(const BackendTable::Row &row) const
+{
+    return row.listed && (row.inSubset || this->tables.now < row.wantedUntil);
+}
+
+void LinkSystem::keepLinks()
+{
+    auto &rows = this->tables.backends.all();
+    for (auto row = rows.begin(); row != rows.end();) {
+        BackendTable::Row &backend = row->second;
+        const bool closed = backend.link == BackendTable::Link::Closed;
+        if (closed && !backend.listed) {
+            row = rows.erase(row);
+            continue;
+        }
+        if (closed && this->isWanted(backend) && this->tables.now >= backend.nextOpen) {
+            backend.link = BackendTable::Link::Opening;
+            this->tables.order(EntryOrder::OpenLink{backend.agent, backend.address});
+        }
+        // A link that works is kept although the instance list, which lags, lost the agent.
+        if (backend.link == BackendTable::Link::Open && backend.listed && !this->isWanted(backend)
+            && !backend.listedLeaving && backend.ownRunning == 0) {
+            this->tables.order(EntryOrder::CloseLink{backend.agent});
+            this->linkClosed(backend.agent);
+        }
+        ++row;
+    }
+}
+
+void LinkSystem::linkOpened(const std::string &agent)
+{
+    BackendTable::Row *row = this->tables.backends.find(agent);
+    if (row == nullptr) {
+        this->tables.order(EntryOrder::CloseLink{agent});
+        return;
+    }
+    row->resetLink();
+    row->link = BackendTable::Link::Open;
+    row->openFailures = 0;
+    const EntrySettings &settings = this->tables.settings;
+    this->tables.order(EntryOrder::SendPeer{
+            agent, PeerMessage::Hello{settings.name, settings.failureDomain, settings.deploymentKey,
+                                      this->tables.spread.version()}});
+}
+
+void LinkSystem::linkClosed(const std::string &agent)
+{
+    this->tables.spread.closePeer(agent);
+    BackendTable::Row *row = this->tables.backends.find(agent);
+    if (row == nullptr)
+        return;
+    if (row->link == BackendTable::Link::Opening)
+        ++row->openFailures;
+    row->resetLink();
+    const milliseconds wait = FirstReopen * (1U << std::min(row->openFailures, LargestReopenShift));
+    // Jitter, so that all entries do not reconnect to a returning agent in the same instant.
+    const milliseconds jitter(this->tables.random.below(static_cast<std::uint64_t>(wait.count())));
+    // The first attempt is made at once, because the agent mostly lives when only a link broke.
+    row->nextOpen = row->openFailures == 0 ? this->tables.now : this->tables.now + wait + jitter;
+}
+
+void LinkSystem::receive(const std::string &agent, const PeerMessage::Any &message)
+{
+    BackendTable::Row *row = this->tables.backends.find(agent);
+    if (row == nullptr || row->link != BackendTable::Link::Open)
+        return;
+    if (const auto *welcomed = std::get_if<PeerMessage::Welcome>(&message)) {
+        this->welcome(*row, *welcomed);
+    } else if (const auto *grant = std::get_if<PeerMessage::Grant>(&message)) {
+        row->startsUpTo = grant->startsUpTo;
+        row->kvBytesFree = grant->kvBytesFree;
+        row->kvLimited = grant->kvBytesFree != 0;
+        row->grantDeadline = this->tables.now + grant->remaining;
+    } else if (const auto *status = std::get_if<PeerMessage::BackendStatus>(&message)) {
+        row->status = *status;
+        row->startsSinceStatus = 0;
+    } else if (const auto *notice = std::get_if<PeerMessage::CrashNotice>(&message)) {
+        this->spreadCrash(agent, *notice);
+    } else {
+        PeerOutput::List output;
+        this->tables.spread.receive(this->tables.now, agent, message, output);
+        this->tables.send(output);
+    }
+}
+
+void LinkSystem::welcome(BackendTable::Row &row, const PeerMessage::Welcome &message)
+{
+    row.welcomed = true;
+    PeerOutput::List output;
+    this->tables.spread.openPeer(this->tables.now, row.agent, message.configurationVersion, output);
+    this->tables.send(output);
+}
+
+void LinkSystem::spreadCrash(const std::string &agent, const PeerMessage::CrashNotice &notice)
+{
+    if (!this->tables.crashes.merge(this->tables.now, notice))
+        return;
+    const auto merged = this->tables.crashes.notice(this->tables.now, notice.fingerprint);
+    for (const auto &[peer, row] : this->tables.backends.all()) {
+        if (row.welcomed && peer != agent)
+            this->tables.order(EntryOrder::SendPeer{peer, merged});
+    }
+}
+
+void LinkSystem::sendDemand()
+{
+    for (auto &[agent, row] : this->tables.backends.all()) {
+        if (!row.welcomed)
+            continue;
+        const auto queued =
+                static_cast<std::uint32_t>(this->tables.service(row.service).queue.size());
+        if (queued == row.demandSent || (row.demandSent != 0 && this->tables.now < row.nextDemand))
+            continue;
+        row.demandSent = queued;
+        row.nextDemand = this->tables.now + DemandPeriod;
+        this->tables.order(EntryOrder::SendPeer{agent, PeerMessage::Demand{queued}});
+    }
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Entry/RoutePolicy.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Core/RandomSource.h"
+#include "Entry/BackendTable.h"
+#include "Entry/EntrySettings.h"
+#include "Messages/WorkMessage.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// Chooses among the agents that can take a request now.
+class RoutePolicy
+{
+public:
+    using Candidates = std::vector<const BackendTable::Row *>;
+
+    virtual ~RoutePolicy() = default;
+
+    /// \a candidates is not empty and in name order.
+    virtual const BackendTable::Row *choose(const WorkMessage::Request &request,
+                                            const Candidates &candidates, RandomSource &random) = 0;
+
+    static std::unique_ptr<RoutePolicy> make(EntrySettings::RoutePolicy policy,
+                                             const std::string &ownDomain);
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Entry/StreamBudget.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Core/Time.h"
+#include "Entry/EntryEvent.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace Nutmegrill {
+
+/// Bytes held for slow readers, per stream, per client account and for the process.
+class StreamBudget
+{
+public:
+    using CallerId = EntryEvent::CallerId;
+
+    struct Limits
+    {
+        std::uint64_t stream = 0;
+        std::uint64_t account = 0;
+        std::uint64_t process = 0;
+    };
+
+    void update(Instant now, CallerId caller, const std::string &account, std::uint64_t bytes);
+    void remove(CallerId caller);
+
+    std::uint64_t bytesOf(CallerId caller) const;
+    std::uint64_t processBytes() const { return this->total; }
+
+    /// Whether a stream that is paused or not should be paused now. A paused stream goes on when
+    /// its buffer has fallen to half of its limit.
+    bool wantsPause(CallerId caller, bool paused, const Limits &limits) const;
+
+    /// Whether the reader has taken nothing since \a since or earlier while the process is short of
+    /// buffer memory.
+    bool isStalled(CallerId caller, Instant since, const Limits &limits) const;
+
+private:
+    struct Row
+    {
+        std::string account;
+        std::uint64_t bytes = 0;
+        Instant lastRead;
+    };
+
+    std::map<CallerId, Row> rows;
+    std::map<std::string, std::uint64_t> accounts;
+    std::uint64_t total = 0;
+};
+
+} // namespace Nutmegrill
--- a/Source/Membership/ConfigurationSpread.cpp
+++ b/Source/Membership/ConfigurationSpread.cpp
@@ -117,6 +117,14 @@
                           [](const auto &entry) { return entry.second.version.has_value(); }));
 }
 
+std::uint64_t ConfigurationSpread::highestHeard() const
+{
+    std::uint64_t highest = 0;
+    for (const auto &[peer, row] : this->peers)
+        highest = std::max(highest, row.version.value_or(0));
+    return highest;
+}
+
 bool ConfigurationSpread::replace(const ConfigurationPtr &candidate, PeerOutput::List &output)
 {
     if (candidate == nullptr || candidate->version <= this->version())
--- a/Source/Membership/ConfigurationSpread.h
+++ b/Source/Membership/ConfigurationSpread.h
@@ -56,6 +56,9 @@
     std::size_t peersHeard() const;
     std::size_t peersOpen() const { return this->peers.size(); }
 
+    /// Highest version that an open peer has told; 0 without one.
+    std::uint64_t highestHeard() const;
+
 private:
     struct Peer
     {
