--- a/Source/Agent/AgentSettings.h
+++ b/Source/Agent/AgentSettings.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Agent/AgentMechanisms.h"
+
 #include <cstdint>
 #include <string>
 
@@ -13,6 +15,7 @@
     std::string failureDomain;
     std::string deploymentKey;
     std::uint64_t incarnation = 1;
+    AgentMechanisms mechanisms;
 };
 
 } // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/AgentState.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Agent/AgentSettings.h"
+#include "Agent/AgentTurn.h"
+#include "Agent/BackendState.h"
+#include "Agent/ClaimTable.h"
+#include "Agent/CreditLedger.h"
+#include "Agent/LinkRow.h"
+#include "Agent/RequestRow.h"
+#include "Membership/ConfigurationSpread.h"
+#include "Membership/CrashRecords.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace Nutmegrill {
+
+/// Tables of an agent, shared by the parts of its decision logic.
+class AgentState
+{
+public:
+    explicit AgentState(AgentSettings settings);
+
+    AgentSettings settings;
+    ConfigurationSpread spread;
+    CrashRecords crashes;
+    /// Fingerprints with a crash record, for links that open later.
+    std::set<std::uint64_t> suspects;
+    BackendState backend;
+    CreditLedger credits;
+    ClaimTable claims;
+    std::map<AgentOrder::LinkId, LinkRow> links;
+    std::map<std::string, RequestRow> requests;
+    /// Request of each open work stream.
+    std::map<AgentOrder::WorkId, std::string> works;
+
+    /// Declaration of the agent's service; null when there is none.
+    const ServiceDeclaration *service() const;
+
+    bool isOut() const;
+
+    /// Requests that the backend server may run now; 0 while it gets no new work.
+    std::uint32_t limit() const;
+
+    PeerMessage::BackendStatus::State status() const;
+
+    std::uint32_t running() const;
+    /// Accepted requests that are not ended: they run or are about to.
+    std::uint32_t active() const;
+    /// A suspect waits or runs, so that nothing else may start.
+    bool isIsolating(Instant now) const;
+
+    /// KV-cache bytes at the end of the answer.
+    std::uint64_t projectedKvBytes(const WorkMessage::Request &request) const;
+    std::uint64_t projectedKvBytes() const;
+
+    RequestRow *findRequest(const std::string &requestId);
+    RequestRow *findRequestOfWork(AgentOrder::WorkId work);
+    LinkRow *findGreeted(AgentOrder::LinkId link);
+
+    void send(const AgentTurn &turn, AgentOrder::WorkId work, WorkMessage::Any message) const;
+    void fail(const AgentTurn &turn, AgentOrder::WorkId work, WorkMessage::Failure failure) const;
+    /// Ends the row's stream with a failure, if it has one, and erases the row.
+    void failRequest(const AgentTurn &turn, const std::string &requestId,
+                     const WorkMessage::Failure &failure);
+    /// Sends a message to every greeted link but \a except.
+    void broadcast(const AgentTurn &turn, const PeerMessage::Any &message,
+                   AgentOrder::LinkId except = 0) const;
+    void log(const AgentTurn &turn, std::uint32_t number, LogRecord::Level level,
+             std::string text) const;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/AnswerTail.cpp
@@ -0,0 +1,34 @@
+#include "Agent/AnswerTail.h"
+
+#include <utility>
+
+namespace Nutmegrill {
+
+void AnswerTail::append(std::string data)
+{
+    this->kept += data.size();
+    this->events.push_back(std::move(data));
+}
+
+bool AnswerTail::acknowledge(std::uint64_t nextEvent)
+{
+    const std::uint64_t before = this->first;
+    while (this->first < nextEvent && !this->events.empty())
+        this->dropFirst();
+    return this->first > before;
+}
+
+void AnswerTail::shrink(std::uint64_t budget)
+{
+    while (this->kept > budget && !this->events.empty())
+        this->dropFirst();
+}
+
+void AnswerTail::dropFirst()
+{
+    this->kept -= this->events.front().size();
+    this->events.pop_front();
+    ++this->first;
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/ClaimKeeper.cpp
@@ -0,0 +1,213 @@
+#include "Agent/ClaimKeeper.h"
+
+#include "Agent/WorkFailure.h"
+#include "Core/Hash.h"
+
+#include <chrono>
+#include <utility>
+#include <vector>
+
+namespace Nutmegrill {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto ClaimPatience = 2s;
+constexpr std::chrono::milliseconds LongestRun = 60s;
+// Clocks of two processes may differ in rate, and a reader sees the record late anyway.
+constexpr auto ForgetSightingAfter = 10min;
+constexpr std::size_t MostSightings = 4096;
+
+std::string bodyHashOf(const WorkMessage::Request &request)
+{
+    return sha256Hex(request.method + " " + request.path + "\n" + request.body);
+}
+
+WorkMessage::Failure otherBody()
+{
+    return makeFailure(RunState::NotRun, 422, "key_reused",
+                       "the Idempotency-Key was used with another body");
+}
+
+WorkMessage::Failure runningElsewhere()
+{
+    return makeFailure(RunState::Running, 409, "running", "the call is being run");
+}
+
+WorkMessage::Failure unknownOutcome()
+{
+    return makeFailure(RunState::Unknown, 409, "unknown", "the outcome of the call is not known");
+}
+
+} // namespace
+
+std::string ClaimKeeper::keyOf(const WorkMessage::Request &request)
+{
+    return "nutmegrill/claims/" + request.service + "/" + request.account + "/"
+           + request.idempotencyKey;
+}
+
+std::optional<WorkMessage::Failure> ClaimKeeper::check(const AgentTurn &,
+                                                       const WorkMessage::Request &request) const
+{
+    if (request.idempotent || !this->state.settings.mechanisms.claims)
+        return std::nullopt;
+    const ClaimTable::Row *own = this->state.claims.find(keyOf(request));
+    if (own == nullptr)
+        return std::nullopt;
+    if (own->record.bodyHash != bodyHashOf(request))
+        return otherBody();
+    if (own->desired.empty())
+        return rejectNotRun("claim_pending", "an earlier claim of the call is being withdrawn");
+    return runningElsewhere();
+}
+
+void ClaimKeeper::begin(const AgentTurn &turn, RequestRow &row)
+{
+    ClaimRecord record;
+    record.agent = this->state.settings.name;
+    record.bodyHash = bodyHashOf(row.request);
+    record.runLimit = row.request.remaining.count() > 0
+                              ? std::min(row.request.remaining, LongestRun)
+                              : LongestRun;
+    row.phase = RequestRow::Phase::Claiming;
+    row.startDeadline = turn.now + ClaimPatience;
+    this->state.claims.claim(row.claimKey, row.request.requestId, std::move(record));
+}
+
+void ClaimKeeper::receiveAnswer(const AgentTurn &turn, const AgentEvent::ClaimsAnswered &answer)
+{
+    for (const ClaimTable::Outcome &outcome : this->state.claims.answered(turn.now, answer)) {
+        switch (outcome.kind) {
+        case ClaimTable::Outcome::Kind::Claimed:
+            this->start(turn, outcome);
+            break;
+        case ClaimTable::Outcome::Kind::Lost:
+            this->answerFromRecord(turn, outcome);
+            break;
+        case ClaimTable::Outcome::Kind::Recorded:
+            this->finishRecord(turn, outcome);
+            break;
+        }
+    }
+}
+
+void ClaimKeeper::checkDeadlines(const AgentTurn &turn)
+{
+    std::vector<std::string> late;
+    std::vector<std::string> overdue;
+    for (const auto &[id, row] : this->state.requests) {
+        if (row.phase == RequestRow::Phase::Claiming && row.startDeadline <= turn.now)
+            late.push_back(id);
+        if (row.phase == RequestRow::Phase::Running && row.runDeadline <= turn.now)
+            overdue.push_back(id);
+    }
+    for (const std::string &id : late) {
+        this->state.claims.withdraw(this->state.requests[id].claimKey);
+        this->state.failRequest(turn, id, rejectNotRun("no_claim", "the store does not answer"));
+    }
+    for (const std::string &id : overdue) {
+        this->state.claims.finish(this->state.requests[id].claimKey, ClaimRecord::State::Unknown,
+                                  {});
+        turn.orders.emplace_back(AgentOrder::CancelBackend{id});
+        this->state.failRequest(
+                turn, id,
+                makeFailure(RunState::Unknown, 504, "run_limit", "the call did not end in time"));
+    }
+    std::erase_if(this->sightings,
+                  [&turn](const auto &entry) { return entry.second.forgetAt <= turn.now; });
+}
+
+void ClaimKeeper::writeClaims(const AgentTurn &turn)
+{
+    if (auto batch = this->state.claims.nextBatch(turn.now); batch.has_value())
+        turn.orders.emplace_back(std::move(*batch));
+}
+
+// The claim is in the store. What has changed since the arrival is checked once more.
+void ClaimKeeper::start(const AgentTurn &turn, const ClaimTable::Outcome &outcome)
+{
+    RequestRow *row = this->state.findRequest(outcome.requestId);
+    const bool wanted = row != nullptr && row->phase == RequestRow::Phase::Claiming
+                        && row->claimKey == outcome.key && turn.now < row->startDeadline;
+    if (!wanted) {
+        this->state.claims.withdraw(outcome.key);
+        return;
+    }
+    if (this->state.running() >= this->state.limit()) {
+        this->state.claims.withdraw(outcome.key);
+        this->state.failRequest(turn, outcome.requestId,
+                                rejectNotRun("no_credit", "the limit fell during the claim"));
+        return;
+    }
+    row->phase = RequestRow::Phase::Running;
+    row->startDeadline = NoDeadline;
+    row->runDeadline = turn.now + this->state.claims.find(outcome.key)->record.runLimit;
+    turn.orders.emplace_back(AgentOrder::CallBackend{row->request});
+}
+
+void ClaimKeeper::answerFromRecord(const AgentTurn &turn, const ClaimTable::Outcome &outcome)
+{
+    const RequestRow *row = this->state.findRequest(outcome.requestId);
+    if (row == nullptr || row->phase != RequestRow::Phase::Claiming || row->claimKey != outcome.key)
+        return;
+    const auto record = decodeClaimRecord(outcome.record);
+    WorkMessage::Failure failure = unknownOutcome();
+    if (!record.has_value()) {
+        this->state.failRequest(turn, outcome.requestId, failure);
+        return;
+    }
+    if (record->bodyHash != bodyHashOf(row->request)) {
+        failure = otherBody();
+    } else if (record->state == ClaimRecord::State::Completed && record->hasBody) {
+        this->replay(turn, *row, *record);
+        this->state.works.erase(row->work);
+        this->state.requests.erase(outcome.requestId);
+        return;
+    } else if (record->state == ClaimRecord::State::Completed) {
+        failure = makeFailure(RunState::Completed, 409, "completed",
+                              "the call was run; its answer is too large to be kept");
+    } else if (record->state == ClaimRecord::State::Running
+               && !this->isOverdue(turn, outcome.key, *record)) {
+        failure = runningElsewhere();
+    }
+    this->state.failRequest(turn, outcome.requestId, failure);
+}
+
+void ClaimKeeper::finishRecord(const AgentTurn &turn, const ClaimTable::Outcome &outcome)
+{
+    RequestRow *row = this->state.findRequest(outcome.requestId);
+    if (row == nullptr || row->phase != RequestRow::Phase::Ended || row->claimKey != outcome.key)
+        return;
+    row->recordDeadline = NoDeadline;
+    row->withheld = false;
+    this->answers.flush(turn, *row);
+}
+
+bool ClaimKeeper::isOverdue(const AgentTurn &turn, const std::string &key,
+                            const ClaimRecord &record)
+{
+    const auto found = this->sightings.find(key);
+    if (found != this->sightings.end() && found->second.claimId == record.claimId)
+        return found->second.deadline <= turn.now;
+    // Losing a sighting only makes the claim count as running for longer.
+    if (this->sightings.size() >= MostSightings)
+        this->sightings.erase(this->sightings.begin());
+    const Instant deadline = turn.now + record.runLimit;
+    this->sightings[key] = {record.claimId, deadline, deadline + ForgetSightingAfter};
+    return false;
+}
+
+void ClaimKeeper::replay(const AgentTurn &turn, const RequestRow &row, const ClaimRecord &record)
+{
+    if (row.work == 0)
+        return;
+    this->state.send(turn, row.work, WorkMessage::Head{record.status, record.headers});
+    const std::uint64_t events = record.body.empty() ? 0 : 1;
+    if (events > 0)
+        this->state.send(turn, row.work, WorkMessage::Event{0, record.body});
+    this->state.send(turn, row.work, WorkMessage::End{events});
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/ClaimKeeper.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "Agent/AgentState.h"
+#include "Agent/AnswerFlow.h"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Nutmegrill {
+
+/// Runs non-idempotent calls at most once: claims them in the store before the hand-over, records
+/// their answers and answers repeats from the records.
+class ClaimKeeper
+{
+public:
+    ClaimKeeper(AgentState &state, AnswerFlow &answers) : state(state), answers(answers) {}
+
+    /// Store key of the call's claim.
+    static std::string keyOf(const WorkMessage::Request &request);
+
+    /// A call whose claim this agent holds is answered from memory.
+    std::optional<WorkMessage::Failure> check(const AgentTurn &turn,
+                                              const WorkMessage::Request &request) const;
+
+    void begin(const AgentTurn &turn, RequestRow &row);
+    void receiveAnswer(const AgentTurn &turn, const AgentEvent::ClaimsAnswered &answer);
+
+    /// Rejects calls whose claim got no answer in time, and gives up runs past their limit.
+    void checkDeadlines(const AgentTurn &turn);
+
+    void writeClaims(const AgentTurn &turn);
+
+private:
+    /// A running claim of another agent; it counts as unknown past the deadline.
+    struct Sighting
+    {
+        std::string claimId;
+        Instant deadline;
+        Instant forgetAt;
+    };
+
+    void start(const AgentTurn &turn, const ClaimTable::Outcome &outcome);
+    void answerFromRecord(const AgentTurn &turn, const ClaimTable::Outcome &outcome);
+    void finishRecord(const AgentTurn &turn, const ClaimTable::Outcome &outcome);
+    bool isOverdue(const AgentTurn &turn, const std::string &key, const ClaimRecord &record);
+    void replay(const AgentTurn &turn, const RequestRow &row, const ClaimRecord &record);
+
+    AgentState &state;
+    AnswerFlow &answers;
+    std::map<std::string, Sighting> sightings;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/ClaimTable.cpp
@@ -0,0 +1,167 @@
+#include "Agent/ClaimTable.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::chrono::seconds BatchTimeout(2);
+constexpr std::chrono::milliseconds FirstRetryPause(250);
+constexpr std::chrono::seconds LongestRetryPause(2);
+
+} // namespace
+
+ClaimTable::ClaimTable(std::string claimIdPrefix) : claimIdPrefix(std::move(claimIdPrefix)) {}
+
+const ClaimTable::Row *ClaimTable::find(const std::string &key) const
+{
+    const auto found = this->rows.find(key);
+    return found == this->rows.end() ? nullptr : &found->second;
+}
+
+void ClaimTable::claim(const std::string &key, const std::string &requestId, ClaimRecord record)
+{
+    record.claimId = this->claimIdPrefix + "-" + std::to_string(++this->lastClaim);
+    record.state = ClaimRecord::State::Running;
+    Row row;
+    row.requestId = requestId;
+    row.desired = encodeClaimRecord(record);
+    row.record = std::move(record);
+    this->rows[key] = std::move(row);
+}
+
+void ClaimTable::finish(const std::string &key, ClaimRecord::State state, const ClaimRecord &answer)
+{
+    const auto found = this->rows.find(key);
+    if (found == this->rows.end())
+        return;
+    ClaimRecord record = found->second.record;
+    record.state = state;
+    record.status = answer.status;
+    record.headers = answer.headers;
+    record.body = answer.body;
+    record.hasBody = answer.hasBody;
+    found->second.desired = encodeClaimRecord(record);
+}
+
+void ClaimTable::withdraw(const std::string &key)
+{
+    const auto found = this->rows.find(key);
+    if (found == this->rows.end())
+        return;
+    found->second.desired.clear();
+    if (found->second.current.empty() && !found->second.attempt.has_value())
+        this->rows.erase(found);
+}
+
+std::optional<AgentOrder::WriteClaims> ClaimTable::nextBatch(Instant now)
+{
+    if (this->batchOpen && now >= this->batchDeadline)
+        this->fallBack(now);
+    if (this->batchOpen || now < this->retryAt)
+        return std::nullopt;
+    AgentOrder::WriteClaims batch;
+    for (auto &[key, row] : this->rows) {
+        row.attempt = this->nextWrite(key, row);
+        row.inBatch = row.attempt.has_value();
+        if (row.inBatch)
+            batch.writes.push_back(*row.attempt);
+    }
+    if (batch.writes.empty())
+        return std::nullopt;
+    batch.batch = ++this->lastBatch;
+    this->batchOpen = true;
+    this->batchDeadline = now + BatchTimeout;
+    return batch;
+}
+
+std::vector<ClaimTable::Outcome> ClaimTable::answered(Instant now,
+                                                      const AgentEvent::ClaimsAnswered &answer)
+{
+    std::vector<Outcome> outcomes;
+    // The answer to an older batch comes after its writes were repeated; theirs decides.
+    if (!this->batchOpen || answer.batch != this->lastBatch)
+        return outcomes;
+    if (!answer.reached) {
+        this->fallBack(now);
+        return outcomes;
+    }
+    this->batchOpen = false;
+    this->retryPause = Instant::duration(0);
+    for (const AgentEvent::ClaimResult &result : answer.results)
+        this->settle(result.key, result, outcomes);
+    for (auto &[key, row] : this->rows)
+        row.inBatch = false;
+    return outcomes;
+}
+
+// The writes of the batch may or may not have taken effect; they stay as attempts.
+void ClaimTable::fallBack(Instant now)
+{
+    this->batchOpen = false;
+    this->retryPause =
+            std::clamp<Instant::duration>(2 * this->retryPause, FirstRetryPause, LongestRetryPause);
+    this->retryAt = now + this->retryPause;
+    for (auto &[key, row] : this->rows)
+        row.inBatch = false;
+}
+
+std::optional<AgentOrder::ClaimWrite> ClaimTable::nextWrite(const std::string &key,
+                                                            const Row &row) const
+{
+    if (row.attempt.has_value()) {
+        // A claim that is no longer wanted is deleted instead of being written again.
+        const bool isClaim = row.current.empty() && !row.attempt->record.empty();
+        if (isClaim && row.desired.empty())
+            return AgentOrder::ClaimWrite{key, row.attempt->record, {}};
+        return row.attempt;
+    }
+    if (row.current == row.desired)
+        return std::nullopt;
+    return AgentOrder::ClaimWrite{key, row.current, row.desired};
+}
+
+void ClaimTable::settle(const std::string &key, const AgentEvent::ClaimResult &result,
+                        std::vector<Outcome> &outcomes)
+{
+    const auto found = this->rows.find(key);
+    if (found == this->rows.end() || !found->second.inBatch)
+        return;
+    Row &row = found->second;
+    const AgentOrder::ClaimWrite write = *row.attempt;
+    row.attempt.reset();
+    row.inBatch = false;
+    if (result.kind == AgentEvent::ClaimResult::Kind::Mine || result.record == write.record) {
+        row.current = write.record;
+        this->settleTaken(key, row, outcomes);
+        return;
+    }
+    const auto record = decodeClaimRecord(result.record);
+    if (record.has_value() && record->claimId == row.record.claimId) {
+        row.current = result.record;
+        this->settleTaken(key, row, outcomes);
+        return;
+    }
+    const bool claiming = write.expected.empty();
+    outcomes.push_back({key, row.requestId,
+                        claiming ? Outcome::Kind::Lost : Outcome::Kind::Recorded, result.record});
+    this->rows.erase(found);
+}
+
+// The store holds row.current. A state that is not the last one is followed by another write.
+void ClaimTable::settleTaken(const std::string &key, Row &row, std::vector<Outcome> &outcomes)
+{
+    if (row.current != row.desired)
+        return;
+    if (row.current == encodeClaimRecord(row.record)) {
+        outcomes.push_back({key, row.requestId, Outcome::Kind::Claimed, {}});
+        return;
+    }
+    outcomes.push_back({key, row.requestId, Outcome::Kind::Recorded, {}});
+    this->rows.erase(key);
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/CreditLedger.cpp
@@ -0,0 +1,182 @@
+#include "Agent/CreditLedger.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::chrono::seconds CreditLifetime(2);
+constexpr std::chrono::seconds RenewBefore(1);
+
+} // namespace
+
+void CreditLedger::open(LinkId link)
+{
+    this->accounts[link] = Account{};
+}
+
+void CreditLedger::close(LinkId link)
+{
+    this->accounts.erase(link);
+}
+
+void CreditLedger::setDemand(LinkId link, std::uint32_t queued)
+{
+    if (const auto found = this->accounts.find(link); found != this->accounts.end())
+        found->second.demand = queued;
+}
+
+void CreditLedger::hear(LinkId link)
+{
+    if (const auto found = this->accounts.find(link); found != this->accounts.end()) {
+        found->second.heard = true;
+        found->second.silent = false;
+    }
+}
+
+bool CreditLedger::start(Instant now, LinkId link)
+{
+    const auto found = this->accounts.find(link);
+    if (found == this->accounts.end())
+        return false;
+    Account &account = found->second;
+    const bool covered = account.credits() > 0 && now < account.deadline;
+    ++account.started;
+    if (account.demand > 0)
+        --account.demand;
+    return covered;
+}
+
+std::uint64_t CreditLedger::outstanding(Instant now) const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[link, account] : this->accounts)
+        sum += now < account.deadline ? account.credits() : 0;
+    return sum;
+}
+
+CreditLedger::Grants CreditLedger::distribute(Instant now, std::uint64_t places,
+                                              std::uint64_t kvBytesFree)
+{
+    this->expire(now);
+    if (const std::uint64_t held = this->credits(); held > places) {
+        this->takeBack(held - places, true);
+        this->takeBack(this->credits() > places ? this->credits() - places : 0, false);
+    }
+    std::uint64_t wanted = 0;
+    for (const auto &[link, account] : this->accounts)
+        wanted += account.wanted();
+    std::uint64_t free = places - this->credits();
+    // Spare credits at idle entries move to entries with a queue at once; waiting for them to
+    // expire would cost a queued request up to 2 s.
+    if (wanted > free)
+        this->takeBack(wanted - free, true);
+    free = places - this->credits();
+    free -= this->giveShares(free);
+    free -= this->giveInTurn(free, true);
+    this->giveInTurn(free, false);
+    this->renew(now);
+
+    Grants grants;
+    for (auto &[link, account] : this->accounts) {
+        if (!account.changed)
+            continue;
+        account.changed = false;
+        account.heard = false;
+        account.deadline = now + CreditLifetime;
+        grants.emplace_back(link,
+                            PeerMessage::Grant{account.startsUpTo, kvBytesFree, CreditLifetime});
+    }
+    return grants;
+}
+
+void CreditLedger::expire(Instant now)
+{
+    for (auto &[link, account] : this->accounts) {
+        if (account.credits() == 0 || account.deadline > now)
+            continue;
+        account.startsUpTo = account.started;
+        account.silent = !account.heard;
+    }
+}
+
+// Only a link that was heard since its last grant is renewed: the credits of a frozen entry expire.
+void CreditLedger::renew(Instant now)
+{
+    for (auto &[link, account] : this->accounts) {
+        if (account.credits() > 0 && account.heard && account.deadline <= now + RenewBefore)
+            account.changed = true;
+    }
+}
+
+std::uint64_t CreditLedger::credits() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[link, account] : this->accounts)
+        sum += account.credits();
+    return sum;
+}
+
+void CreditLedger::setCredits(Account &account, std::uint64_t credits)
+{
+    account.startsUpTo = account.started + credits;
+    account.changed = true;
+}
+
+void CreditLedger::takeBack(std::uint64_t count, bool spareOnly)
+{
+    for (auto &[link, account] : this->accounts) {
+        const std::uint64_t held = account.credits();
+        const std::uint64_t kept = spareOnly ? std::min<std::uint64_t>(held, account.demand) : 0;
+        const std::uint64_t taken = std::min(count, held - kept);
+        if (taken == 0)
+            continue;
+        this->setCredits(account, held - taken);
+        count -= taken;
+    }
+}
+
+// Whole shares in proportion to the demand that is not covered yet.
+std::uint64_t CreditLedger::giveShares(std::uint64_t places)
+{
+    std::uint64_t wanted = 0;
+    for (const auto &[link, account] : this->accounts)
+        wanted += account.wanted();
+    if (wanted == 0)
+        return 0;
+    const std::uint64_t given = std::min(places, wanted);
+    std::uint64_t total = 0;
+    for (auto &[link, account] : this->accounts) {
+        const std::uint64_t share = given * account.wanted() / wanted;
+        if (share == 0)
+            continue;
+        this->setCredits(account, account.credits() + share);
+        total += share;
+    }
+    return total;
+}
+
+std::uint64_t CreditLedger::giveInTurn(std::uint64_t places, bool wantedOnly)
+{
+    std::uint64_t given = 0;
+    std::size_t passedOver = 0;
+    while (given < places && passedOver < this->accounts.size()) {
+        auto next = this->accounts.upper_bound(this->lastServed);
+        if (next == this->accounts.end())
+            next = this->accounts.begin();
+        this->lastServed = next->first;
+        Account &account = next->second;
+        if (account.silent || (wantedOnly && account.wanted() == 0)) {
+            ++passedOver;
+            continue;
+        }
+        passedOver = 0;
+        this->setCredits(account, account.credits() + 1);
+        ++given;
+    }
+    return given;
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/PeerControl.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Agent/AgentState.h"
+#include "Agent/AnswerFlow.h"
+#include "Agent/BackendWatch.h"
+
+namespace Nutmegrill {
+
+/// The control streams of the links: greeting, configuration, credits and backend status.
+class PeerControl
+{
+public:
+    PeerControl(AgentState &state, AnswerFlow &answers, BackendWatch &backend)
+        : state(state), answers(answers), backend(backend)
+    {}
+
+    void open(const AgentEvent::LinkOpened &event);
+    void close(const AgentTurn &turn, const AgentEvent::LinkClosed &event);
+    void receive(const AgentTurn &turn, const AgentEvent::PeerReceived &event);
+    void accept(const AgentTurn &turn, const AgentEvent::ConfigurationRead &event);
+
+    void offerConfiguration(const AgentTurn &turn);
+    void grantCredits(const AgentTurn &turn);
+    void sendStatus(const AgentTurn &turn);
+
+private:
+    void greet(const AgentTurn &turn, AgentOrder::LinkId link, const PeerMessage::Hello &hello);
+    void send(const AgentTurn &turn, const PeerOutput::List &output) const;
+    void follow(const AgentTurn &turn);
+
+    AgentState &state;
+    AnswerFlow &answers;
+    BackendWatch &backend;
+    /// Version whose limits are declared to the warm-up.
+    std::uint64_t followed = 0;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/StreamFlow.cpp
@@ -0,0 +1,54 @@
+#include "Agent/StreamFlow.h"
+
+#include <algorithm>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::uint64_t StreamBytes = 256U << 10U;
+constexpr std::uint64_t ProcessBytes = 32U << 20U;
+constexpr std::uint64_t SmallestShare = 16U << 10U;
+
+// Bytes of the answer that no reader has taken.
+std::uint64_t heldBytes(const RequestRow &row)
+{
+    return row.work != 0 ? row.buffered : row.tail.bytes();
+}
+
+} // namespace
+
+void StreamFlow::receiveBuffered(const AgentEvent::WorkBuffered &event)
+{
+    if (RequestRow *row = this->state.findRequestOfWork(event.work); row != nullptr)
+        row->buffered = event.bytes;
+}
+
+void StreamFlow::pauseSlowStreams(const AgentTurn &turn)
+{
+    if (!this->state.settings.mechanisms.pauses)
+        return;
+    std::uint64_t sum = 0;
+    std::uint64_t streams = 0;
+    for (const auto &[id, row] : this->state.requests) {
+        if (row.phase != RequestRow::Phase::Running)
+            continue;
+        sum += heldBytes(row);
+        ++streams;
+    }
+    const std::uint64_t budget =
+            sum <= ProcessBytes ? StreamBytes
+                                : std::clamp(ProcessBytes / streams, SmallestShare, StreamBytes);
+    for (auto &[id, row] : this->state.requests) {
+        if (row.phase != RequestRow::Phase::Running)
+            continue;
+        // Reading restarts at half the budget, so that a stream at the limit does not toggle.
+        const bool paused = heldBytes(row) >= (row.paused ? budget / 2 : budget);
+        if (paused == row.paused)
+            continue;
+        row.paused = paused;
+        turn.orders.emplace_back(AgentOrder::PauseBackend{id, paused});
+    }
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/WarmupLimit.cpp
@@ -0,0 +1,95 @@
+#include "Agent/WarmupLimit.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::chrono::seconds WindowLength(1);
+// A cold backend server is many times slower; normal batch growth stays below a factor of three.
+constexpr int SlowFactor = 4;
+// A single late token (a pause of the engine) must not turn a warm backend server cold.
+constexpr std::uint32_t SlowIntervalsToTurnCold = 3;
+constexpr std::size_t IntervalsForWindow = 4;
+// From the cold to the warm limit in about this many clean windows.
+constexpr std::uint32_t Steps = 8;
+
+} // namespace
+
+void WarmupLimit::declare(std::uint32_t cold, std::uint32_t warm)
+{
+    const bool first = this->warm == 0;
+    const bool wasWarm = !first && this->isWarm();
+    this->warm = std::max(warm, 1U);
+    this->cold = std::clamp(cold, 1U, this->warm);
+    if (first)
+        this->current = this->cold;
+    else if (wasWarm)
+        this->current = this->warm;
+    else
+        this->current = std::clamp(this->current, this->cold, this->warm);
+}
+
+void WarmupLimit::turnCold(Instant now)
+{
+    this->current = this->cold;
+    this->openWindow(now);
+}
+
+bool WarmupLimit::addTokenInterval(Instant now, Instant::duration interval)
+{
+    this->intervals.push_back(interval);
+    if (this->warmInterval.count() > 0 && interval > SlowFactor * this->warmInterval)
+        ++this->slowIntervals;
+    if (this->slowIntervals < SlowIntervalsToTurnCold
+        || 2 * this->slowIntervals < this->intervals.size())
+        return true;
+    this->turnCold(now);
+    return false;
+}
+
+bool WarmupLimit::tick(Instant now)
+{
+    if (now < this->windowEnd)
+        return false;
+    const std::uint32_t before = this->current;
+    if (this->isWindowClean()) {
+        const std::uint32_t step = std::max(1U, (this->warm - this->cold + Steps - 1) / Steps);
+        this->current = std::min(this->warm, this->current + step);
+        this->learnWarmInterval();
+    }
+    this->openWindow(now);
+    return this->current != before;
+}
+
+void WarmupLimit::openWindow(Instant now)
+{
+    this->intervals.clear();
+    this->slowIntervals = 0;
+    this->completions = 0;
+    this->windowEnd = now + WindowLength;
+}
+
+bool WarmupLimit::isWindowClean() const
+{
+    const bool measured = this->intervals.size() >= IntervalsForWindow || this->completions > 0;
+    return measured && 4 * this->slowIntervals <= this->intervals.size();
+}
+
+void WarmupLimit::learnWarmInterval()
+{
+    if (this->intervals.size() < IntervalsForWindow)
+        return;
+    const auto middle =
+            this->intervals.begin() + static_cast<std::ptrdiff_t>(this->intervals.size() / 2);
+    std::nth_element(this->intervals.begin(), middle, this->intervals.end());
+    // Events read in one batch have interval zero and say nothing about the engine's pace.
+    if (middle->count() <= 0)
+        return;
+    const Instant::duration risen = this->warmInterval + this->warmInterval / 16;
+    this->warmInterval = this->warmInterval.count() == 0 ? *middle : std::min(*middle, risen);
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/WarmupLimit.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Core/Time.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// Number of requests that the backend server bears at once. Starts at the declared cold limit and
+/// widens by one step after each window with good measurements.
+class WarmupLimit
+{
+public:
+    /// Sets the declared limits.
+    void declare(std::uint32_t cold, std::uint32_t warm);
+
+    void turnCold(Instant now);
+
+    /// One measured time between two tokens of one answer. Returns false when the backend server
+    /// has turned cold by it.
+    bool addTokenInterval(Instant now, Instant::duration interval);
+
+    /// A call without tokens was answered.
+    void addCompletion() { ++this->completions; }
+
+    /// Closes the window when its time is over. Returns whether the limit has changed.
+    bool tick(Instant now);
+
+    std::uint32_t limit() const { return this->current; }
+    bool isWarm() const { return this->current >= this->warm; }
+
+private:
+    void openWindow(Instant now);
+    bool isWindowClean() const;
+    void learnWarmInterval();
+
+    std::uint32_t cold = 0;
+    std::uint32_t warm = 0;
+    std::uint32_t current = 0;
+    std::vector<Instant::duration> intervals;
+    std::uint32_t slowIntervals = 0;
+    std::uint32_t completions = 0;
+    /// Token interval of the backend server in good windows; zero before the first one.
+    Instant::duration warmInterval{0};
+    Instant windowEnd;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/WorkAdmission.cpp
@@ -0,0 +1,226 @@
+#include "Agent/WorkAdmission.h"
+
+#include "Agent/WorkFailure.h"
+#include "Core/Hash.h"
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::chrono::milliseconds LongestWaitAlone = std::chrono::seconds(30);
+
+bool isResume(const WorkMessage::Request &request)
+{
+    return request.resumeOnly || request.firstEvent > 0;
+}
+
+std::uint64_t fingerprintOf(const WorkMessage::Request &request)
+{
+    if (request.fingerprint != 0)
+        return request.fingerprint;
+    return hash64(request.body, hash64(request.service, hash64(request.account)));
+}
+
+} // namespace
+
+void WorkAdmission::arrive(const AgentTurn &turn, const AgentEvent::WorkArrived &event)
+{
+    const WorkMessage::Request &request = event.request;
+    if (this->state.findGreeted(event.link) == nullptr) {
+        turn.orders.emplace_back(AgentOrder::SendWork{
+                event.work, makeFailure(RunState::NotRun, 403, "no_hello", "unknown link")});
+        return;
+    }
+    this->state.credits.hear(event.link);
+    const bool hasCredit = !isResume(request) && this->state.credits.start(turn.now, event.link);
+    if (RequestRow *row = this->state.findRequest(request.requestId); row != nullptr) {
+        this->join(turn, *row, event);
+        return;
+    }
+    if (isResume(request)) {
+        this->state.fail(
+                turn, event.work,
+                makeFailure(RunState::Unknown, 410, "tail_gone", "the answer is not kept here"));
+        return;
+    }
+    auto failure = this->checkRequest(turn, request);
+    if (!failure.has_value())
+        failure = this->checkBackend();
+    if (!failure.has_value())
+        failure = this->claims.check(turn, request);
+    if (!failure.has_value())
+        failure = this->checkRoom(turn, request, hasCredit);
+    if (failure.has_value())
+        this->state.fail(turn, event.work, *failure);
+    else
+        this->admit(turn, event, fingerprintOf(request));
+}
+
+void WorkAdmission::cancel(const AgentTurn &turn, const AgentEvent::WorkCancelled &event)
+{
+    RequestRow *row = this->state.findRequestOfWork(event.work);
+    if (row == nullptr)
+        return;
+    if (row->isStarted() && row->isClaimed()) {
+        // The call runs on, because its answer is still to be recorded.
+        this->answers.detach(turn, *row);
+        return;
+    }
+    this->state.works.erase(event.work);
+    if (row->phase == RequestRow::Phase::Running)
+        turn.orders.emplace_back(AgentOrder::CancelBackend{row->request.requestId});
+    if (row->phase == RequestRow::Phase::Claiming)
+        this->state.claims.withdraw(row->claimKey);
+    this->state.requests.erase(std::string(row->request.requestId));
+}
+
+void WorkAdmission::startSuspects(const AgentTurn &turn)
+{
+    std::vector<std::string> late;
+    for (auto &[id, row] : this->state.requests) {
+        if (row.phase != RequestRow::Phase::Alone)
+            continue;
+        if (row.startDeadline <= turn.now || this->state.backend.leaving)
+            late.push_back(id);
+    }
+    for (const std::string &id : late)
+        this->state.failRequest(turn, id, rejectNotRun("suspect", "no time to run it alone"));
+    const bool busy = std::any_of(
+            this->state.requests.begin(), this->state.requests.end(), [](const auto &entry) {
+                return entry.second.isActive() && entry.second.phase != RequestRow::Phase::Alone;
+            });
+    if (busy || this->state.limit() == 0)
+        return;
+    for (auto &[id, row] : this->state.requests) {
+        if (row.phase != RequestRow::Phase::Alone)
+            continue;
+        this->begin(turn, row);
+        return;
+    }
+}
+
+void WorkAdmission::join(const AgentTurn &turn, RequestRow &row,
+                         const AgentEvent::WorkArrived &event)
+{
+    const WorkMessage::Request &request = event.request;
+    const bool otherCall = request.account != row.request.account
+                           || request.service != row.request.service
+                           || (!isResume(request) && request.body != row.request.body);
+    if (otherCall) {
+        this->state.fail(turn, event.work,
+                         makeFailure(RunState::NotRun, 422, "request_id_used",
+                                     "the request id belongs to another call"));
+        return;
+    }
+    if (!row.tail.reaches(request.firstEvent)
+        || (!this->state.settings.mechanisms.tails && row.isStarted())) {
+        this->state.fail(turn, event.work,
+                         makeFailure(RunState::Unknown, 410, "tail_gone",
+                                     "the answer is no longer kept from that event on"));
+        return;
+    }
+    if (row.work != 0) {
+        this->state.works.erase(row.work);
+        this->state.fail(turn, row.work,
+                         makeFailure(RunState::Running, 409, "taken_over",
+                                     "another stream reads this answer"));
+    }
+    this->answers.attach(turn, row, event);
+}
+
+std::optional<WorkMessage::Failure>
+WorkAdmission::checkRequest(const AgentTurn &turn, const WorkMessage::Request &request) const
+{
+    const AgentSettings &settings = this->state.settings;
+    if (request.service != settings.service)
+        return makeFailure(RunState::NotRun, 404, "other_service",
+                           "this agent serves " + settings.service);
+    if (!request.idempotent && request.idempotencyKey.empty())
+        return makeFailure(RunState::NotRun, 400, "key_required",
+                           "a call that is not idempotent needs an Idempotency-Key");
+    if (settings.mechanisms.crashIsolation
+        && this->state.crashes.isQuarantined(turn.now, fingerprintOf(request)))
+        return makeFailure(RunState::NotRun, 422, "quarantined",
+                           "backend servers crashed while they ran this request");
+    return std::nullopt;
+}
+
+std::optional<WorkMessage::Failure> WorkAdmission::checkBackend() const
+{
+    using Status = PeerMessage::BackendStatus::State;
+    if (this->state.limit() > 0)
+        return std::nullopt;
+    switch (this->state.status()) {
+    case Status::Leaving:
+        return rejectNotRun("leaving", "the backend server is leaving");
+    case Status::Out:
+        return rejectNotRun("out", "the failure domain is out of service");
+    default:
+        return rejectNotRun("down", "the backend server is not reachable");
+    }
+}
+
+std::optional<WorkMessage::Failure> WorkAdmission::checkRoom(const AgentTurn &turn,
+                                                             const WorkMessage::Request &request,
+                                                             bool hasCredit) const
+{
+    if (!this->state.settings.mechanisms.arrivalCheck)
+        return std::nullopt;
+    if (this->state.isIsolating(turn.now)
+        && !this->state.crashes.isSuspect(turn.now, fingerprintOf(request)))
+        return rejectNotRun("isolating", "a suspect request runs alone");
+    // Without a valid credit, places that are promised to others do not count as free.
+    const std::uint64_t promised = hasCredit ? 0 : this->state.credits.outstanding(turn.now);
+    if (this->state.active() + promised >= this->state.limit())
+        return rejectNotRun("no_credit", "the backend server bears no more requests");
+    const ServiceDeclaration *service = this->state.service();
+    if (service == nullptr || service->kvBytes == 0)
+        return std::nullopt;
+    const std::uint64_t projected = this->state.projectedKvBytes(request);
+    if (projected > service->kvBytes)
+        return makeFailure(RunState::NotRun, 413, "exceeds_kv_memory",
+                           "the answer may outgrow the memory of a backend server");
+    if (this->state.projectedKvBytes() + projected > service->kvBytes)
+        return rejectNotRun("kv_memory", "the backend server has no memory for the answer");
+    return std::nullopt;
+}
+
+void WorkAdmission::admit(const AgentTurn &turn, const AgentEvent::WorkArrived &event,
+                          std::uint64_t fingerprint)
+{
+    const std::string &id = event.request.requestId;
+    RequestRow &row = this->state.requests[id];
+    row.request = event.request;
+    row.fingerprint = fingerprint;
+    if (!event.request.idempotent)
+        row.claimKey = ClaimKeeper::keyOf(event.request);
+    this->answers.attach(turn, row, event);
+    if (this->state.settings.mechanisms.crashIsolation
+        && this->state.crashes.isSuspect(turn.now, fingerprint)) {
+        row.phase = RequestRow::Phase::Alone;
+        const bool limited = event.request.remaining.count() > 0;
+        row.startDeadline = turn.now
+                            + (limited ? std::min(event.request.remaining, LongestWaitAlone)
+                                       : LongestWaitAlone);
+        return;
+    }
+    this->begin(turn, row);
+}
+
+void WorkAdmission::begin(const AgentTurn &turn, RequestRow &row)
+{
+    if (row.isClaimed() && this->state.settings.mechanisms.claims) {
+        this->claims.begin(turn, row);
+        return;
+    }
+    row.phase = RequestRow::Phase::Running;
+    row.startDeadline = NoDeadline;
+    turn.orders.emplace_back(AgentOrder::CallBackend{row.request});
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/WorkAdmission.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Agent/AgentState.h"
+#include "Agent/AnswerFlow.h"
+#include "Agent/ClaimKeeper.h"
+
+#include <optional>
+
+namespace Nutmegrill {
+
+/// Decides on arriving work: join a request that is known, reject, wait or hand over.
+class WorkAdmission
+{
+public:
+    WorkAdmission(AgentState &state, AnswerFlow &answers, ClaimKeeper &claims)
+        : state(state), answers(answers), claims(claims)
+    {}
+
+    void arrive(const AgentTurn &turn, const AgentEvent::WorkArrived &event);
+    void cancel(const AgentTurn &turn, const AgentEvent::WorkCancelled &event);
+
+    /// Starts the first waiting suspect when the backend server is empty; rejects those whose
+    /// deadline has passed.
+    void startSuspects(const AgentTurn &turn);
+
+private:
+    void join(const AgentTurn &turn, RequestRow &row, const AgentEvent::WorkArrived &event);
+    std::optional<WorkMessage::Failure> checkRequest(const AgentTurn &turn,
+                                                     const WorkMessage::Request &request) const;
+    std::optional<WorkMessage::Failure> checkBackend() const;
+    std::optional<WorkMessage::Failure>
+    checkRoom(const AgentTurn &turn, const WorkMessage::Request &request, bool hasCredit) const;
+    void admit(const AgentTurn &turn, const AgentEvent::WorkArrived &event,
+               std::uint64_t fingerprint);
+    void begin(const AgentTurn &turn, RequestRow &row);
+
+    AgentState &state;
+    AnswerFlow &answers;
+    ClaimKeeper &claims;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Agent/WorkFailure.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Messages/WorkMessage.h"
+
+#include <string>
+
+namespace Nutmegrill {
+
+/// Failures that an agent answers. \a code is stable and read by programs.
+inline WorkMessage::Failure makeFailure(RunState run, int status, std::string code,
+                                        std::string message)
+{
+    WorkMessage::Failure failure;
+    failure.run = run;
+    failure.status = status;
+    failure.code = std::move(code);
+    failure.message = std::move(message);
+    return failure;
+}
+
+/// Rejection of a request that was never handed to the backend server and may run elsewhere.
+inline WorkMessage::Failure rejectNotRun(std::string code, std::string message)
+{
+    return makeFailure(RunState::NotRun, 503, std::move(code), std::move(message));
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Agent/FakeStore.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Agent/AgentOrder.h"
+
+#include <map>
+#include <string>
+
+namespace Nutmegrill {
+
+/// A map with compare-and-swap that can be down or lose its answers.
+class FakeStore
+{
+public:
+    enum class Mode {
+        Up,
+        Down, ///< nothing takes effect, no answer
+        Lost  ///< the writes take effect, no answer
+    };
+
+    AgentEvent::ClaimsAnswered run(const AgentOrder::WriteClaims &batch)
+    {
+        AgentEvent::ClaimsAnswered answer;
+        answer.batch = batch.batch;
+        answer.reached = this->mode == Mode::Up;
+        if (this->mode == Mode::Down)
+            return answer;
+        for (const AgentOrder::ClaimWrite &write : batch.writes)
+            answer.results.push_back(this->swap(write));
+        if (this->mode == Mode::Lost)
+            answer.results.clear();
+        return answer;
+    }
+
+    Mode mode = Mode::Up;
+    std::map<std::string, std::string> records;
+
+private:
+    AgentEvent::ClaimResult swap(const AgentOrder::ClaimWrite &write)
+    {
+        const auto found = this->records.find(write.key);
+        const std::string held = found == this->records.end() ? "" : found->second;
+        if (held != write.expected)
+            return {write.key, AgentEvent::ClaimResult::Kind::Exists, held};
+        if (write.record.empty())
+            this->records.erase(write.key);
+        else
+            this->records[write.key] = write.record;
+        return {write.key, AgentEvent::ClaimResult::Kind::Mine, {}};
+    }
+};
+
+} // namespace Nutmegrill
