--- /dev/null
+++ b/Tests/StandIns/Instances.cpp
@@ -0,0 +1,97 @@
+#include "Net/EventLoop.h"
+#include "StandIns/StandIn.h"
+
+#include <deque>
+#include <fstream>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+/// The platform's instance list: GET /instances, PUT and DELETE /instances/NAME.
+class InstancesStandIn : public StandIn
+{
+public:
+    explicit InstancesStandIn(EventLoop &loop) : StandIn(loop, "stand-in-instances") {}
+
+protected:
+    void started() override
+    {
+        if (!this->file.empty()) {
+            std::ifstream input(this->file);
+            const Json initial = Json::parse(input, nullptr, false);
+            for (const Json &instance : initial.value("instances", Json::array()))
+                this->shown[instance.at("name").get<std::string>()] = instance;
+        }
+    }
+
+    void serve(const HttpServer::Request &request, const Json &body) override
+    {
+        static const std::string prefix = "/instances/";
+        if (request.path == "/instances" && request.method == "GET") {
+            ++this->reads;
+            this->showDue();
+            Json rows = Json::array();
+            for (const auto &[name, instance] : this->shown)
+                rows.push_back(instance);
+            this->reply(request.id, 200, {{"instances", rows}});
+            return;
+        }
+        const bool isPut = request.method == "PUT";
+        if (request.path.compare(0, prefix.size(), prefix) != 0
+            || (!isPut && request.method != "DELETE"))
+            throw StandInError(404, "not found");
+        ++this->changes;
+        const std::string name = request.path.substr(prefix.size());
+        Json instance;
+        if (isPut) {
+            // Members that are not given have their defaults.
+            instance = {{"name", name},        {"role", "agent"}, {"address", ""},
+                        {"failureDomain", ""}, {"service", ""},   {"leaving", false}};
+            instance.update(body);
+            instance["name"] = name;
+        }
+        this->pending.push_back(
+                {this->loop.now() + std::chrono::milliseconds(this->lagMs), name, instance});
+        this->reply(request.id, 200, Json::object());
+    }
+
+    Json counters() const override { return {{"reads", this->reads}, {"changes", this->changes}}; }
+
+private:
+    // A change that is not yet shown; a null instance is a removal.
+    struct Pending
+    {
+        Instant due;
+        std::string name;
+        Json instance;
+    };
+
+    void showDue()
+    {
+        const Instant now = this->loop.now();
+        while (!this->pending.empty() && this->pending.front().due <= now) {
+            const Pending &change = this->pending.front();
+            if (change.instance.is_null())
+                this->shown.erase(change.name);
+            else
+                this->shown[change.name] = change.instance;
+            this->pending.pop_front();
+        }
+    }
+
+    std::int64_t &lagMs = this->number("lag-ms", 0, "time before a change is shown");
+    std::string &file = this->text("file", "", "JSON file with the initial answer of GET");
+
+    std::map<std::string, Json> shown;
+    std::deque<Pending> pending;
+    std::uint64_t reads = 0;
+    std::uint64_t changes = 0;
+};
+
+std::unique_ptr<StandIn> createStandIn(EventLoop &loop)
+{
+    return std::make_unique<InstancesStandIn>(loop);
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/StandIns/PrefixCache.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "Core/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace Nutmegrill {
+
+/// Prompt-prefix cache of the stand-in engine. A block is 16 words; it is named by the hash of the
+/// prompt up to its end. Blocks leave in least recently used order.
+class PrefixCache
+{
+public:
+    static constexpr std::uint64_t BlockTokens = 16;
+
+    struct Settings
+    {
+        std::int64_t tokens = 0;
+        std::chrono::milliseconds eventLag{0};
+        /// Every Nth event is lost and leaves a gap in the numbers; 0 loses none.
+        std::int64_t loseEvery = 0;
+    };
+
+    void configure(const Settings &settings) { this->settings = settings; }
+    void clear(Instant now);
+
+    /// Tokens of \a prompt that need no prefill.
+    std::uint64_t lookUp(const std::string &prompt, Instant now);
+    void insert(const std::string &prompt, Instant now);
+
+    /// Answer of GET /cache-events; the query `from=N` skips the events before number N.
+    nlohmann::json events(const std::string &query, const std::string &incarnation,
+                          Instant now) const;
+
+private:
+    struct Event
+    {
+        std::uint64_t number = 0;
+        Instant time;
+        const char *kind = "";
+        std::uint64_t block = 0;
+    };
+
+    void publish(const char *kind, std::uint64_t block, Instant now);
+    void touch(std::uint64_t block);
+
+    Settings settings;
+    std::list<std::uint64_t> order;
+    std::map<std::uint64_t, std::list<std::uint64_t>::iterator> blocks;
+    std::deque<Event> published;
+    std::uint64_t nextEvent = 1;
+};
+
+} // namespace Nutmegrill
