--- /dev/null
+++ b/Source/Programs/OperatorCommands.cpp
@@ -0,0 +1,343 @@
+#include "Programs/OperatorCommands.h"
+
+#include "Config/ConfigurationDiff.h"
+#include "Config/DeclarationChecker.h"
+#include "Config/Declarations.h"
+#include "Net/HttpClient.h"
+#include "Net/StoreClient.h"
+#include "Programs/ConfigurationReader.h"
+#include "Programs/OperatorError.h"
+#include "Programs/PublishRunner.h"
+#include "Programs/Settings.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include <boost/leaf.hpp>
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+using Kind = OperatorError::Kind;
+
+constexpr std::chrono::milliseconds StoreAnswerLimit(2000);
+constexpr std::chrono::seconds CommandLimit(20);
+constexpr std::chrono::seconds ControlAnswerLimit(3);
+
+leaf::error_id fail(Kind kind, std::string message)
+{
+    return leaf::new_error(OperatorError{kind, std::move(message)});
+}
+
+Kind kindOf(PublishError error)
+{
+    return error == PublishError::StoreUnreachable ? Kind::StoreUnreachable : Kind::Refused;
+}
+
+} // namespace
+
+const std::vector<OperatorCommands::Verb> &OperatorCommands::verbs()
+{
+    static const std::vector<Verb> rows = {
+            {"check", "FILE...", "check a set of declarations; nothing is published",
+             &OperatorCommands::check},
+            {"diff", "FILE...", "show what apply would change", &OperatorCommands::diff},
+            {"apply", "FILE...", "check and publish a set of declarations",
+             &OperatorCommands::apply},
+            {"take-out", "FAILURE-DOMAIN", "give a failure domain no new work",
+             &OperatorCommands::takeOut},
+            {"bring-back", "FAILURE-DOMAIN", "give a failure domain work again",
+             &OperatorCommands::bringBack},
+            {"status", "", "show the published configuration and what each process has in force",
+             &OperatorCommands::status},
+            {"watch", "", "print each new configuration until interrupted",
+             &OperatorCommands::watch},
+            {"dump", "", "print the state of every process given by --processes",
+             &OperatorCommands::dump},
+            {"explain", "REQUEST", "show what the processes know about a request",
+             &OperatorCommands::explain}};
+    return rows;
+}
+
+std::string OperatorCommands::help()
+{
+    std::string text = "Commands:\n";
+    for (const Verb &verb : verbs())
+        text += "  " + std::string(verb.name) + " " + verb.arguments + "\n      " + verb.help
+                + "\n";
+    return text;
+}
+
+OperatorCommands::OperatorCommands(EventLoop &loop, const Settings &settings)
+    : loop(loop), settings(settings)
+{
+}
+
+OperatorCommands::Result OperatorCommands::run()
+{
+    if (this->settings.words().empty())
+        return fail(Kind::Usage, "no command given; --help lists them");
+    const std::string &name = this->settings.words().front();
+    const auto verb = std::find_if(verbs().begin(), verbs().end(),
+                                   [&name](const Verb &row) { return row.name == name; });
+    if (verb == verbs().end())
+        return fail(Kind::Usage, "unknown command '" + name + "'; --help lists them");
+    return (this->*verb->member)();
+}
+
+leaf::result<Configuration> OperatorCommands::loadDeclarations() const
+{
+    const auto &words = this->settings.words();
+    if (words.size() < 2)
+        return fail(Kind::Usage, "no declaration files given");
+    Declarations declarations;
+    for (std::size_t index = 1; index < words.size(); ++index)
+        declarations.addFile(words[index]);
+    const DeclarationChecker::Result result = DeclarationChecker::check(declarations);
+    for (const DeclarationError &error : result.errors)
+        std::cerr << error.text() << "\n";
+    if (!result.configuration.has_value())
+        return fail(Kind::Declarations,
+                    std::to_string(result.errors.size()) + " errors; nothing was published");
+    return *result.configuration;
+}
+
+leaf::result<ConfigurationPtr> OperatorCommands::readStored()
+{
+    StoreClient store(this->loop, this->settings.text("store"), StoreAnswerLimit);
+    // An absent head is an empty configuration; an outage is an error.
+    std::optional<StoreResult> head;
+    store.read(std::string(ConfigurationHead::Key),
+               [&head](const StoreResult &result) { head = result; });
+    this->loop.runUntil([&head] { return head.has_value(); }, CommandLimit);
+    if (!head.has_value() || !head->isOk())
+        return fail(Kind::StoreUnreachable,
+                    std::string(describe(head.has_value() ? head->error : StoreError::AnswerLost))
+                            + " at " + this->settings.text("store"));
+    if (head->found.empty())
+        return std::make_shared<Configuration>();
+    ConfigurationReader reader(this->loop, store);
+    std::optional<ConfigurationPtr> configuration;
+    reader.read([&configuration](const ConfigurationPtr &read) { configuration = read; });
+    this->loop.runUntil([&configuration] { return configuration.has_value(); }, CommandLimit);
+    if (!configuration.has_value() || *configuration == nullptr)
+        return fail(Kind::StoreUnreachable, "the stored configuration could not be read");
+    return *configuration;
+}
+
+OperatorCommands::Result OperatorCommands::check()
+{
+    BOOST_LEAF_AUTO(configuration, this->loadDeclarations());
+    std::cout << "ok: " << configuration.places.size() << " places, "
+              << configuration.services.size() << " services, " << configuration.modelGroups.size()
+              << " model groups, " << configuration.clientAccounts.size() << " client accounts\n";
+    return {};
+}
+
+OperatorCommands::Result OperatorCommands::diff()
+{
+    BOOST_LEAF_AUTO(declared, this->loadDeclarations());
+    BOOST_LEAF_AUTO(stored, this->readStored());
+    const ConfigurationChange change{{}, {}, ConfigurationChange::Apply{declared, std::nullopt}};
+    const auto outcome = change.applyTo(*stored);
+    const auto lines = diffConfigurations(*stored, outcome.configuration);
+    for (const std::string &line : lines)
+        std::cout << line << "\n";
+    if (lines.empty())
+        std::cout << "no changes\n";
+    return {};
+}
+
+OperatorCommands::Result OperatorCommands::apply()
+{
+    BOOST_LEAF_AUTO(declared, this->loadDeclarations());
+    BOOST_LEAF_AUTO(stored, this->readStored());
+    return this->publish(ConfigurationChange::Apply{declared, stored->version});
+}
+
+OperatorCommands::Result OperatorCommands::publish(const ConfigurationChange::Action &action)
+{
+    StoreClient store(this->loop, this->settings.text("store"), StoreAnswerLimit);
+    std::optional<PublishOrder::Any> outcome;
+    PublishRunner::start(
+            this->loop, store,
+            ConfigurationChange{this->newChangeId(), this->settings.text("author"), action},
+            [&outcome](const PublishOrder::Any &result) { outcome = result; });
+    this->loop.runUntil([&outcome] { return outcome.has_value(); }, CommandLimit);
+    if (!outcome.has_value())
+        return fail(Kind::OutcomeUnknown, "the store did not answer in time; see status");
+    if (const auto *conflict = std::get_if<PublishOrder::Conflict>(&*outcome))
+        return fail(Kind::Conflict, "version " + std::to_string(conflict->version) + " by "
+                            + conflict->author + " (change " + conflict->changeId
+                            + ") came first; read it with diff and apply again");
+    if (const auto *failed = std::get_if<PublishOrder::Failed>(&*outcome))
+        return fail(kindOf(failed->error), failed->text);
+    if (const auto *unknown = std::get_if<PublishOrder::OutcomeUnknown>(&*outcome))
+        return fail(Kind::OutcomeUnknown, unknown->text + " (change " + unknown->changeId + ")");
+    const auto &done = std::get<PublishOrder::Done>(*outcome);
+    std::cout << (done.changed ? "published" : "already in force:") << " version " << done.version
+              << "\n";
+    return {};
+}
+
+leaf::result<std::string> OperatorCommands::failureDomainArgument() const
+{
+    if (this->settings.words().size() != 2)
+        return fail(Kind::Usage, "give exactly one failure domain");
+    return this->settings.words()[1];
+}
+
+OperatorCommands::Result OperatorCommands::takeOut()
+{
+    BOOST_LEAF_AUTO(failureDomain, this->failureDomainArgument());
+    if (this->settings.text("pending") == "yes")
+        return this->takeOutPending(failureDomain);
+    return this->publish(ConfigurationChange::TakeOut{failureDomain});
+}
+
+OperatorCommands::Result OperatorCommands::takeOutPending(const std::string &failureDomain)
+{
+    const nlohmann::json body = {{"failureDomain", failureDomain},
+                                 {"changeId", this->newChangeId()}};
+    for (const std::string &address : this->settings.list("processes")) {
+        if (!this->fetchControl(address, "POST", "/take-out", body.dump()).empty()) {
+            std::cout << failureDomain
+                      << " is out, pending; it is stored when the store can be reached\n";
+            return {};
+        }
+    }
+    return fail(Kind::NoAnswer, "no entry given by --processes accepted the take-out");
+}
+
+OperatorCommands::Result OperatorCommands::bringBack()
+{
+    BOOST_LEAF_AUTO(failureDomain, this->failureDomainArgument());
+    ConfigurationChange::BringBack action{failureDomain, 0};
+    for (const std::string &address : this->settings.list("processes")) {
+        const auto state = nlohmann::json::parse(this->fetchControl(address, "GET", "/dump", {}),
+                                                 nullptr, false);
+        if (!state.is_object())
+            continue;
+        for (const auto &pending : state.value("pendingTakeOuts", nlohmann::json::array())) {
+            if (pending.value("failureDomain", "") == failureDomain)
+                action.pendingEpoch =
+                        std::max(action.pendingEpoch, pending.value("epoch", std::uint64_t(0)));
+        }
+    }
+    return this->publish(action);
+}
+
+OperatorCommands::Result OperatorCommands::status()
+{
+    BOOST_LEAF_AUTO(stored, this->readStored());
+    std::cout << "published version " << stored->version << " by " << stored->author << " (change "
+              << stored->changeId << ")\n";
+    for (const Place &place : stored->places) {
+        for (const FailureDomainState &domain : place.failureDomains)
+            std::cout << "  " << domain.name << ": " << (domain.out ? "out" : "in") << "\n";
+    }
+    for (const std::string &address : this->settings.list("processes")) {
+        const auto state = nlohmann::json::parse(this->fetchControl(address, "GET", "/dump", {}),
+                                                 nullptr, false);
+        std::cout << address << ": ";
+        if (state.is_object())
+            std::cout << state.value("name", "") << " version "
+                      << state.value("configurationVersion", std::uint64_t(0)) << "\n";
+        else
+            std::cout << "no answer\n";
+    }
+    return {};
+}
+
+OperatorCommands::Result OperatorCommands::watch()
+{
+    StoreClient store(this->loop, this->settings.text("store"), StoreAnswerLimit);
+    ConfigurationReader reader(this->loop, store);
+    std::function<void()> begin = [&] {
+        reader.watch([&](const ConfigurationPtr &configuration) {
+            if (configuration == nullptr) {
+                std::cout << "the store cannot be watched; trying again" << std::endl;
+                this->loop.after(std::chrono::seconds(1), begin);
+                return;
+            }
+            std::cout << "version " << configuration->version << " by " << configuration->author
+                      << " (change " << configuration->changeId << ")" << std::endl;
+        });
+    };
+    begin();
+    this->loop.run();
+    return {};
+}
+
+OperatorCommands::Result OperatorCommands::dump()
+{
+    for (const std::string &address : this->settings.list("processes")) {
+        const std::string state = this->fetchControl(address, "GET", "/dump", {});
+        if (state.empty())
+            return fail(Kind::NoAnswer, address + " did not answer");
+        std::cout << state << "\n";
+    }
+    return {};
+}
+
+OperatorCommands::Result OperatorCommands::explain()
+{
+    if (this->settings.words().size() != 2)
+        return fail(Kind::Usage, "give exactly one request id");
+    const std::string &id = this->settings.words()[1];
+    bool found = false;
+    for (const std::string &address : this->settings.list("processes")) {
+        const auto state = nlohmann::json::parse(this->fetchControl(address, "GET", "/dump", {}),
+                                                 nullptr, false);
+        if (!state.is_object())
+            continue;
+        for (const char *table : {"requests", "recent"}) {
+            for (const auto &row : state.value(table, nlohmann::json::array())) {
+                if (row.dump().find(id) == std::string::npos)
+                    continue;
+                found = true;
+                std::cout << state.value("name", address) << " " << table << ": " << row.dump()
+                          << "\n";
+            }
+        }
+    }
+    if (!found)
+        return fail(Kind::NoAnswer, "no process given by --processes knows request " + id);
+    return {};
+}
+
+std::string OperatorCommands::fetchControl(const std::string &address, const std::string &method,
+                                           const std::string &path, const std::string &body)
+{
+    HttpClient client(this->loop);
+    HttpClient::Request request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    request.silenceLimit = ControlAnswerLimit;
+    request.headers = {{"Authorization", "Bearer " + this->settings.text("deployment-key")}};
+    std::optional<std::string> answer;
+    client.fetch(address, request, [&answer](int status, std::string text) {
+        answer = status == 200 ? std::move(text) : std::string();
+    });
+    this->loop.runUntil([&answer] { return answer.has_value(); }, ControlAnswerLimit * 2);
+    return answer.value_or("");
+}
+
+std::string OperatorCommands::newChangeId() const
+{
+    std::random_device device;
+    return this->settings.text("author") + "-" + std::to_string(device())
+            + std::to_string(device());
+}
+
+} // namespace Nutmegrill
