--- /dev/null
+++ b/Source/Config/Declarations.cpp
@@ -0,0 +1,111 @@
+#include "Config/Declarations.h"
+
+#include <cstddef>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include <yaml-cpp/yaml.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+// Aliases let a small YAML text stand for a huge tree, so the converted tree has a limit. 700
+// client accounts have about 10,000 values.
+constexpr std::size_t MaxValues = 1'000'000;
+constexpr int MaxDepth = 16;
+
+class TreeConverter
+{
+public:
+    DeclaredValue convert(const YAML::Node &node, int depth = 0)
+    {
+        if (depth > MaxDepth || ++this->values > MaxValues)
+            throw YAML::ParserException(node.Mark(), "the document is too deep or too large");
+        DeclaredValue value;
+        value.line = node.Mark().line + 1;
+        if (node.IsScalar()) {
+            value.shape = DeclaredValue::Shape::Scalar;
+            value.text = node.Scalar();
+        } else if (node.IsSequence()) {
+            value.shape = DeclaredValue::Shape::List;
+            for (const YAML::Node &item : node)
+                value.children.push_back(this->convert(item, depth + 1));
+        } else if (node.IsMap()) {
+            value.shape = DeclaredValue::Shape::Map;
+            for (const auto &member : node) {
+                DeclaredValue child = this->convert(member.second, depth + 1);
+                child.key = member.first.IsScalar() ? member.first.Scalar() : "";
+                // The line of the field name, also for a list that begins on the next line.
+                child.line = member.first.Mark().line + 1;
+                value.children.push_back(std::move(child));
+            }
+        }
+        return value;
+    }
+
+private:
+    std::size_t values = 0;
+};
+
+std::string scalarField(const DeclaredValue &map, std::string_view key)
+{
+    for (const DeclaredValue &field : map.children) {
+        if (field.key == key && field.shape == DeclaredValue::Shape::Scalar)
+            return field.text;
+    }
+    return {};
+}
+
+} // namespace
+
+void Declarations::addFile(const std::string &path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    const std::string text((std::istreambuf_iterator<char>(stream)), {});
+    if (!stream.is_open() || stream.bad()) {
+        this->incomplete = true;
+        this->faults.push_back({DeclarationError::Code::UnreadableFile, path, 0, "",
+                                "the file cannot be read", "check the path and its permissions"});
+        return;
+    }
+    this->addText(path, text);
+}
+
+void Declarations::addText(const std::string &file, std::string_view yaml)
+{
+    try {
+        TreeConverter converter;
+        for (const YAML::Node &node : YAML::LoadAll(std::string(yaml))) {
+            if (node.IsDefined() && !node.IsNull())
+                this->addDocument(file, converter.convert(node));
+        }
+    } catch (const YAML::Exception &exception) {
+        this->incomplete = true;
+        this->faults.push_back({DeclarationError::Code::MalformedYaml, file,
+                                exception.mark.line + 1, "",
+                                "the YAML cannot be parsed: " + exception.msg,
+                                "correct the syntax; the documents of this file were not checked"});
+    }
+}
+
+void Declarations::addDocument(const std::string &file, DeclaredValue document)
+{
+    if (document.shape != DeclaredValue::Shape::Map) {
+        this->faults.push_back({DeclarationError::Code::NotAnObject, file, document.line, "",
+                                "the document is not an object",
+                                "write fields such as `kind: Service` and `name: ...`; separate "
+                                "objects with `---`"});
+        return;
+    }
+    DeclaredObject object;
+    object.kind = scalarField(document, "kind");
+    object.name = scalarField(document, "name");
+    object.file = file;
+    object.line = document.line;
+    object.fields = std::move(document);
+    this->loaded.push_back(std::move(object));
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Config/Declarations.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Config/DeclarationError.h"
+#include "Config/DeclaredObject.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// Loads YAML files into objects that keep the file and line of each field. What the objects mean
+/// is for DeclarationChecker to judge.
+class Declarations
+{
+public:
+    /// Adds every document of a file.
+    void addFile(const std::string &path);
+
+    /// Adds every document of \a yaml; \a file is the name that errors carry.
+    void addText(const std::string &file, std::string_view yaml);
+
+    const std::vector<DeclaredObject> &objects() const { return this->loaded; }
+    const std::vector<DeclarationError> &errors() const { return this->faults; }
+
+    /// Whether a file could not be read. Objects are then missing from the set, so a reference to
+    /// an unknown object proves nothing.
+    bool isIncomplete() const { return this->incomplete; }
+
+private:
+    void addDocument(const std::string &file, DeclaredValue document);
+
+    std::vector<DeclaredObject> loaded;
+    std::vector<DeclarationError> faults;
+    bool incomplete = false;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Config/DeclaredObject.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Config/DeclaredValue.h"
+
+#include <string>
+
+namespace Nutmegrill {
+
+/// One YAML document that declares an object.
+struct DeclaredObject
+{
+    std::string kind;
+    std::string name;
+    std::string file;
+    int line = 0;
+    /// All fields, `kind` and `name` included.
+    DeclaredValue fields;
+
+    std::string label() const
+    {
+        return (this->kind.empty() ? "object" : this->kind)
+               + (this->name.empty() ? " without a name" : " " + this->name);
+    }
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Config/FieldReader.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Config/DeclarationError.h"
+#include "Config/DeclaredObject.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// Reads the fields of one map of an object. Each fault becomes an error and the field keeps its
+/// default, so that one pass finds every fault.
+class FieldReader
+{
+public:
+    enum class Presence { Optional, Required };
+
+    struct Range
+    {
+        std::uint64_t least = 0;
+        std::uint64_t most = UINT32_MAX;
+    };
+
+    FieldReader(const DeclaredObject &object, const DeclaredValue &map,
+                std::vector<DeclarationError> &errors);
+
+    /// The field, or null when it is absent; a required one that is absent is an error.
+    const DeclaredValue *find(std::string_view name, Presence presence = Presence::Optional);
+
+    std::string text(std::string_view name, Presence presence = Presence::Optional);
+    std::string choice(std::string_view name, const std::vector<std::string> &choices,
+                       Presence presence = Presence::Optional);
+    std::uint64_t count(std::string_view name, std::uint64_t fallback, Range range,
+                        Presence presence = Presence::Optional);
+    std::uint64_t bytes(std::string_view name, std::uint64_t fallback,
+                        Presence presence = Presence::Optional);
+    bool flag(std::string_view name, bool fallback);
+    std::vector<std::string> names(std::string_view name);
+    /// The items of a list, or nothing.
+    const std::vector<DeclaredValue> &list(std::string_view name,
+                                           Presence presence = Presence::Optional);
+
+    /// Reports every field that no call asked for.
+    void finish();
+
+    void report(DeclarationError::Code code, int line, std::string message, std::string fix);
+
+    /// Line of a field, or of the map when the field is absent.
+    int lineOf(std::string_view name) const;
+
+private:
+    const DeclaredValue *scalar(std::string_view name, Presence presence);
+
+    const DeclaredObject &object;
+    const DeclaredValue &map;
+    std::vector<DeclarationError> &errors;
+    std::vector<std::string> known;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Config/NearestName.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// The candidate closest to \a name by edit distance, or an empty string when none is close. The
+/// first of several equally close candidates wins.
+std::string nearestName(std::string_view name, const std::vector<std::string> &candidates);
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Config/ObjectReader.cpp
@@ -0,0 +1,243 @@
+#include "Config/ObjectReader.h"
+
+#include "Config/FieldReader.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace Nutmegrill {
+
+using Code = DeclarationError::Code;
+using Presence = FieldReader::Presence;
+
+namespace {
+
+constexpr std::size_t MaxNameLength = 63;
+constexpr std::size_t KeyHashLength = 64;
+constexpr std::string_view Lower = "abcdefghijklmnopqrstuvwxyz";
+constexpr std::string_view Digits = "0123456789";
+
+bool consistsOf(std::string_view text, std::string_view first, std::string_view second)
+{
+    return std::all_of(text.begin(), text.end(), [first, second](char letter) {
+        return first.find(letter) != std::string_view::npos
+               || second.find(letter) != std::string_view::npos;
+    });
+}
+
+// Names become parts of store keys, URL paths and metric labels.
+void checkName(FieldReader &reader, int line, const std::string &name)
+{
+    const bool valid = name.size() <= MaxNameLength && !name.empty() && name.front() != '-'
+                       && consistsOf(name, Lower, "0123456789-");
+    if (!valid)
+        reader.report(Code::OutOfRange, line, "malformed name `" + name + "`",
+                      "use up to 63 of a-z, 0-9 and `-`, not beginning with `-`");
+}
+
+std::string readName(FieldReader &reader)
+{
+    reader.find("kind");
+    const std::string name = reader.text("name", Presence::Required);
+    if (!name.empty())
+        checkName(reader, reader.lineOf("name"), name);
+    return name;
+}
+
+FailureDomainState readFailureDomain(const DeclaredObject &object, const DeclaredValue &item,
+                                     std::vector<DeclarationError> &errors)
+{
+    FailureDomainState domain;
+    FieldReader reader(object, item, errors);
+    if (item.shape == DeclaredValue::Shape::Scalar) {
+        domain.name = item.text;
+    } else if (item.shape == DeclaredValue::Shape::Map) {
+        domain.name = reader.text("name", Presence::Required);
+        domain.out = reader.choice("state", {"in", "out"}) == "out";
+        reader.finish();
+    } else {
+        reader.report(Code::WrongType, item.line, "list `failureDomains` holds a non-name",
+                      "write a name, or `{name: ..., state: in|out}`");
+        return domain;
+    }
+    if (!domain.name.empty() || item.shape == DeclaredValue::Shape::Scalar)
+        checkName(reader, item.line, domain.name);
+    return domain;
+}
+
+ServiceDeclaration::Call readCall(const DeclaredObject &object, const DeclaredValue &item,
+                                  std::vector<DeclarationError> &errors)
+{
+    ServiceDeclaration::Call call;
+    FieldReader reader(object, item, errors);
+    if (item.shape != DeclaredValue::Shape::Map) {
+        reader.report(Code::WrongType, item.line, "list `calls` holds something else than a call",
+                      "write `{method: POST, pathPrefix: /records, idempotent: false}`");
+        return call;
+    }
+    call.method = reader.choice("method", {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"},
+                                Presence::Required);
+    call.pathPrefix = reader.text("pathPrefix");
+    call.idempotent = reader.flag("idempotent", call.idempotent);
+    reader.finish();
+    // Without a path the claim of at-most-once execution would cover every call of the method.
+    if (!call.idempotent && reader.lineOf("pathPrefix") == item.line && call.pathPrefix.empty())
+        reader.report(Code::MissingField, item.line, "a non-idempotent call has no path",
+                      "add `pathPrefix: /...`, or `idempotent: true`");
+    if (!call.pathPrefix.empty() && call.pathPrefix.front() != '/')
+        reader.report(Code::OutOfRange, reader.lineOf("pathPrefix"),
+                      "`pathPrefix` does not begin with `/`",
+                      "write `pathPrefix: /" + call.pathPrefix + "`");
+    return call;
+}
+
+std::vector<ServiceDeclaration::Call> readCalls(const DeclaredObject &object, FieldReader &reader,
+                                                std::vector<DeclarationError> &errors)
+{
+    std::vector<ServiceDeclaration::Call> calls;
+    for (const DeclaredValue &item : reader.list("calls")) {
+        const ServiceDeclaration::Call call = readCall(object, item, errors);
+        const bool repeated = std::any_of(calls.begin(), calls.end(), [&call](const auto &row) {
+            return row.method == call.method && row.pathPrefix == call.pathPrefix;
+        });
+        if (repeated && !call.method.empty())
+            reader.report(Code::DuplicateValue, item.line,
+                          "call " + call.method + " " + call.pathPrefix + " stands twice",
+                          "keep one of the two");
+        calls.push_back(call);
+    }
+    return calls;
+}
+
+void checkServiceKind(FieldReader &reader, const ServiceDeclaration &service)
+{
+    const bool isModel = service.kind == ServiceDeclaration::Kind::Model;
+    if (isModel && service.model.empty())
+        reader.report(Code::MissingField, reader.lineOf("type"), "a model service has no `model`",
+                      "add `model:` with the name that callers use");
+    if (!isModel && !service.model.empty())
+        reader.report(Code::Contradiction, reader.lineOf("model"), "a plain service has a `model`",
+                      "remove it, or write `type: model`");
+    if (isModel && !service.calls.empty())
+        reader.report(Code::Contradiction, reader.lineOf("calls"), "a model service has `calls`",
+                      "remove them, or write `type: plain`");
+}
+
+void checkServiceLimits(FieldReader &reader, const ServiceDeclaration &service)
+{
+    if (service.coldRequests > service.warmRequests)
+        reader.report(Code::Contradiction,
+                      std::max(reader.lineOf("coldRequests"), reader.lineOf("warmRequests")),
+                      "the cold limit " + std::to_string(service.coldRequests)
+                              + " is above the warm limit " + std::to_string(service.warmRequests),
+                      "lower `coldRequests` to at most " + std::to_string(service.warmRequests));
+    if (service.kvBytes != 0 && service.kvBytesPerToken > service.kvBytes)
+        reader.report(Code::Contradiction, reader.lineOf("kvBytesPerToken"),
+                      "one token needs more than `kvBytes`", "exchange or correct the two sizes");
+    if (service.kvBytes == 0 && service.kvBytesPerToken != 0)
+        reader.report(Code::Contradiction, reader.lineOf("kvBytesPerToken"),
+                      "`kvBytesPerToken` has no effect without `kvBytes`",
+                      "add `kvBytes: ...`, or remove the field");
+}
+
+} // namespace
+
+const std::vector<std::string> &ObjectReader::kinds()
+{
+    static const std::vector<std::string> kinds{"Place", "Service", "ModelGroup", "ClientAccount"};
+    return kinds;
+}
+
+Place ObjectReader::readPlace(const DeclaredObject &object)
+{
+    FieldReader reader(object, object.fields, this->errors);
+    Place place;
+    place.name = readName(reader);
+    for (const DeclaredValue &item : reader.list("failureDomains", Presence::Required))
+        place.failureDomains.push_back(readFailureDomain(object, item, this->errors));
+    reader.finish();
+    return place;
+}
+
+ServiceDeclaration ObjectReader::readService(const DeclaredObject &object)
+{
+    FieldReader reader(object, object.fields, this->errors);
+    ServiceDeclaration service;
+    service.name = readName(reader);
+    const std::string type = reader.choice("type", {"model", "plain"}, Presence::Required);
+    service.model = reader.text("model");
+    // With an unreadable type the presence of `model` decides, which avoids follow-up errors.
+    const bool isModel = type.empty() ? !service.model.empty() : type == "model";
+    service.kind = isModel ? ServiceDeclaration::Kind::Model : ServiceDeclaration::Kind::Plain;
+    service.failureDomains = reader.names("failureDomains");
+    constexpr FieldReader::Range Requests{1, 100'000};
+    service.warmRequests = static_cast<std::uint32_t>(
+            reader.count("warmRequests", service.warmRequests, Requests));
+    service.coldRequests = static_cast<std::uint32_t>(
+            reader.count("coldRequests", service.coldRequests, Requests));
+    service.kvBytes = reader.bytes("kvBytes", service.kvBytes);
+    service.kvBytesPerToken = reader.bytes("kvBytesPerToken", service.kvBytesPerToken);
+    service.checksSender = reader.flag("checksSender", service.checksSender);
+    service.checksFencing = reader.flag("checksFencing", service.checksFencing);
+    service.calls = readCalls(object, reader, this->errors);
+    reader.finish();
+    if (!type.empty())
+        checkServiceKind(reader, service);
+    checkServiceLimits(reader, service);
+    return service;
+}
+
+ModelGroup ObjectReader::readModelGroup(const DeclaredObject &object)
+{
+    FieldReader reader(object, object.fields, this->errors);
+    ModelGroup group;
+    group.name = readName(reader);
+    group.service = reader.text("service", Presence::Required);
+    group.failureDomain = reader.text("failureDomain", Presence::Required);
+    const auto count = [&reader](std::string_view name, std::uint32_t fallback, Presence presence) {
+        constexpr FieldReader::Range Counts{1, 65'536};
+        return static_cast<std::uint32_t>(reader.count(name, fallback, Counts, presence));
+    };
+    group.ranks = count("ranks", 0, Presence::Required);
+    group.layers = count("layers", group.layers, Presence::Optional);
+    group.expertsPerLayer = count("expertsPerLayer", 0, Presence::Required);
+    group.slotsPerRank = count("slotsPerRank", 0, Presence::Required);
+    group.expertBytes = reader.bytes("expertBytes", 0, Presence::Required);
+    reader.finish();
+    const std::uint64_t slots = std::uint64_t{group.ranks} * group.slotsPerRank;
+    if (slots != 0 && slots < group.expertsPerLayer) {
+        const std::uint64_t needed = (group.expertsPerLayer + group.ranks - 1) / group.ranks;
+        reader.report(Code::Contradiction, reader.lineOf("slotsPerRank"),
+                      "the " + std::to_string(slots) + " slots of a layer cannot hold "
+                              + std::to_string(group.expertsPerLayer) + " experts",
+                      "raise `slotsPerRank` to at least " + std::to_string(needed));
+    }
+    return group;
+}
+
+ClientAccount ObjectReader::readClientAccount(const DeclaredObject &object)
+{
+    FieldReader reader(object, object.fields, this->errors);
+    ClientAccount account;
+    account.name = readName(reader);
+    account.keyHash = reader.text("keyHash", Presence::Required);
+    account.weight = static_cast<std::uint32_t>(
+            reader.count("weight", account.weight, FieldReader::Range{1, 10'000}));
+    account.services = reader.names("services");
+    account.maxQueued = static_cast<std::uint32_t>(
+            reader.count("maxQueued", account.maxQueued, FieldReader::Range{1, 1'000'000}));
+    account.bufferBytes = reader.bytes("bufferBytes", account.bufferBytes);
+    reader.finish();
+    const bool valid = account.keyHash.size() == KeyHashLength
+                       && consistsOf(account.keyHash, Digits, "abcdef");
+    if (!account.keyHash.empty() && !valid)
+        reader.report(Code::OutOfRange, reader.lineOf("keyHash"), "malformed `keyHash`",
+                      "write the SHA-256 of the key as 64 lower-case hexadecimal digits, as "
+                      "`printf %s KEY | sha256sum` prints it");
+    if (account.bufferBytes == 0)
+        reader.report(Code::OutOfRange, reader.lineOf("bufferBytes"), "`bufferBytes` is 0",
+                      "write a size such as `8MiB`");
+    return account;
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Config/DeclarationCheckerTest.cpp
@@ -0,0 +1,247 @@
+#include "Config/DeclarationChecker.h"
+#include "Config/ByteSize.h"
+#include "Config/ConfigurationCodec.h"
+#include "Core/Hash.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+const std::string hashA(64, 'a');
+
+const std::string validSet = "kind: Place\nname: region\nfailureDomains: [east, west]\n---\n"
+                             "kind: Service\nname: writer\ntype: model\nmodel: m1\n"
+                             "failureDomains: [east]\nkvBytes: 8GiB\n---\n"
+                             "kind: ModelGroup\nname: group\nservice: writer\n"
+                             "failureDomain: east\nranks: 4\nexpertsPerLayer: 8\n"
+                             "slotsPerRank: 2\nexpertBytes: 1 MiB\n---\n"
+                             "kind: ClientAccount\nname: office\nkeyHash: "
+                             + hashA + "\nservices: [writer]\n";
+
+DeclarationChecker::Result check(const std::string &yaml)
+{
+    Declarations declarations;
+    declarations.addText("set.yaml", yaml);
+    return DeclarationChecker::check(declarations);
+}
+
+std::string replaced(std::string text, const std::string &from, const std::string &to)
+{
+    const auto at = text.find(from);
+    CPPUNIT_ASSERT_MESSAGE("test text lacks " + from, at != std::string::npos);
+    return text.replace(at, from.size(), to);
+}
+
+std::string errorTexts(const DeclarationChecker::Result &result)
+{
+    std::string all;
+    for (const DeclarationError &error : result.errors)
+        all += error.text() + "\n";
+    return all;
+}
+
+// A change of the valid set and a part of the one error that it must cause.
+struct Fault
+{
+    std::string from;
+    std::string to;
+    std::string expected;
+};
+
+const std::vector<Fault> &faults()
+{
+    using List = std::vector<Fault>;
+    static const List list{
+            {"kind: Place", "kind: Plase",
+             "set.yaml:1: Plase region: unknown kind `Plase`; fix: did you mean `Place`?"},
+            {"kvBytes: 8GiB", "kvByte: 8GiB",
+             ":10: Service writer: unknown field `kvByte`; fix: did you mean `kvBytes`?"},
+            {"kvBytes: 8GiB", "kvBytes: 8GB",
+             ":10: Service writer: field `kvBytes` is not a size in bytes: `8GB`"},
+            {"kvBytes: 8GiB", "kvBytes: [1]", "`kvBytes` is not a single value"},
+            {"kvBytes: 8GiB", "warmRequests: 2\ncoldRequests: 3",
+             ":11: Service writer: the cold limit 3 is above the warm limit 2"},
+            {"kvBytes: 8GiB", "coldRequests: 0", "`coldRequests` is out of range: 0"},
+            {"kvBytes: 8GiB", "warmRequests: -1", "`warmRequests` is not a whole number: `-1`"},
+            {"kvBytes: 8GiB", "checksSender: yes", "neither true nor false: `yes`"},
+            {"kvBytes: 8GiB", "kvBytesPerToken: 1KiB", "no effect without `kvBytes`"},
+            {"kvBytes: 8GiB", "model: m1", ":10: Service writer: field `model` stands twice"},
+            {"model: m1\n", "", "a model service has no `model`"},
+            {"type: model", "type: modle", "unknown value `modle`; fix: write `model`"},
+            {"[east, west]", "[east, east]",
+             "failure domain `east` already belongs to Place region"},
+            {"[east, west]", "[{name: east, state: off}]", "unknown value `off`"},
+            {"[east, west]", "[{name: east, epoch: 4}]", "unknown field `epoch`"},
+            {"[east, west]", "[east, West]", "malformed name `West`"},
+            {"failureDomains: [east]", "failureDomains:\n  - east\n  - wset",
+             ":11: Service writer: there is no failure domain `wset`; fix: did you mean `west`?"},
+            {"failureDomain: east", "failureDomain: west",
+             ":15: ModelGroup group: service `writer` does not run in failure domain `west`"},
+            {"service: writer", "service: riter",
+             "there is no service `riter`; fix: did you mean `writer`?"},
+            {"slotsPerRank: 2", "slotsPerRank: 1",
+             ":18: ModelGroup group: the 4 slots of a layer cannot hold 8 experts; fix: raise "
+             "`slotsPerRank` to at least 2"},
+            {"ranks: 4\n", "", "field `ranks` is missing"},
+            {"name: group", "name: group\nlayers: 1.5", "`layers` is not a whole number"},
+            {"keyHash: a", "keyHash: A", "malformed `keyHash`"},
+            {"services: [writer]", "services: [reader]", "there is no service `reader`"},
+            {"services: [writer]", "services: writer", "`services` is not a list"},
+            {"services: [writer]", "services: []", "list `services` is empty"},
+            {"name: office\n", "", "field `name` is missing"},
+            {"services: [writer]", "services: [writer]\n---\n- 1",
+             ":26: the document is not an object"},
+            {"services: [writer]",
+             "services: [writer]\n---\nkind: ClientAccount\nname: other\nservices: "
+             "[writer]\nkeyHash: "
+                     + hashA,
+             ":29: ClientAccount other: the key hash already belongs to ClientAccount office at "
+             "set.yaml:21"},
+            {"services: [writer]",
+             "services: [writer]\n---\nkind: Place\nname: region\nfailureDomains: [north]",
+             "already declared at set.yaml:1"},
+            {"services: [writer]",
+             "services: [writer]\n---\nkind: Service\nname: second\ntype: model\nmodel: "
+             "m1\nfailureDomains: [west]",
+             ":29: Service second: model `m1` already belongs to Service writer"},
+            {"services: [writer]",
+             "services: [writer]\n---\nkind: Service\nname: plain\ntype: plain\nfailureDomains: "
+             "[west]\ncalls:\n  - {method: POST}",
+             ":31: Service plain: a non-idempotent call has no path"},
+            {"services: [writer]",
+             "services: [writer]\n---\nkind: Service\nname: plain\ntype: plain\nfailureDomains: "
+             "[west]\ncalls: [{method: POST, pathPrefix: x}]",
+             "fix: write `pathPrefix: /x`"},
+    };
+    return list;
+}
+
+} // namespace
+
+class DeclarationCheckerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DeclarationCheckerTest);
+    CPPUNIT_TEST(validSetGivesConfiguration);
+    CPPUNIT_TEST(eachFaultIsOneErrorWithLineAndFix);
+    CPPUNIT_TEST(allErrorsAreReportedInOneRun);
+    CPPUNIT_TEST(unreadableFileHidesNoOtherError);
+    CPPUNIT_TEST(arrangementOfFilesDoesNotMatter);
+    CPPUNIT_TEST(byteSizesAreExact);
+    CPPUNIT_TEST(examplesAreValid);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a field that is read into the wrong place or with the wrong unit.
+    void validSetGivesConfiguration()
+    {
+        const auto result = check(validSet);
+        CPPUNIT_ASSERT_EQUAL(std::string(), errorTexts(result));
+        CPPUNIT_ASSERT(result.configuration.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, result.configuration->version);
+        const auto *service = result.configuration->findModel("m1");
+        CPPUNIT_ASSERT(service != nullptr && service->kvBytes == std::uint64_t{8} << 30U);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1} << 20U,
+                             result.configuration->modelGroups.at(0).expertBytes);
+        CPPUNIT_ASSERT(result.configuration->findAccountByKeyHash(hashA) != nullptr);
+        CPPUNIT_ASSERT(!result.configuration->findFailureDomain("west")->out);
+    }
+
+    // Guards against a fault that passes, is reported at another line, or causes follow-up errors
+    // that mislead the operator.
+    void eachFaultIsOneErrorWithLineAndFix()
+    {
+        for (const Fault &fault : faults()) {
+            const auto result = check(replaced(validSet, fault.from, fault.to));
+            const std::string texts = errorTexts(result);
+            CPPUNIT_ASSERT_MESSAGE(fault.expected + "\nnot in:\n" + texts,
+                                   texts.find(fault.expected) != std::string::npos);
+            CPPUNIT_ASSERT_MESSAGE("more than one error:\n" + texts, result.errors.size() == 1);
+            CPPUNIT_ASSERT(!result.configuration.has_value());
+            CPPUNIT_ASSERT(!result.errors.front().fix.empty());
+        }
+    }
+
+    // Guards against a check that stops at the first error.
+    void allErrorsAreReportedInOneRun()
+    {
+        std::string all = "kind: Nonsense\n---\n" + validSet;
+        all = replaced(all, "kvBytes: 8GiB", "kvBytes: many");
+        all = replaced(all, "slotsPerRank: 2", "slotsPerRank: 1");
+        all = replaced(all, "services: [writer]", "services: [nobody, nowhere]\nwait: 0");
+        const auto result = check(all);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(errorTexts(result), std::size_t{6}, result.errors.size());
+        CPPUNIT_ASSERT(std::is_sorted(result.errors.begin(), result.errors.end()));
+        CPPUNIT_ASSERT(!check("").errors.empty());
+    }
+
+    // Guards against false dangling references when a file of the set is missing, and against a
+    // file error that hides the errors of other files.
+    void unreadableFileHidesNoOtherError()
+    {
+        Declarations declarations;
+        declarations.addText("broken.yaml", "kind: Place\nname: [\n");
+        declarations.addText("services.yaml", "kind: Service\nname: writer\ntype: plain\n"
+                                              "failureDomains: [east]\nwarmRequests: x\n");
+        declarations.addFile("missing-file.yaml");
+        const auto result = DeclarationChecker::check(declarations);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(errorTexts(result), std::size_t{3}, result.errors.size());
+        CPPUNIT_ASSERT(!result.configuration.has_value());
+    }
+
+    // Guards against a digest that depends on how the operator spreads objects over files.
+    void arrangementOfFilesDoesNotMatter()
+    {
+        Declarations reordered;
+        for (std::size_t end = validSet.size(); end != std::string::npos;) {
+            const auto begin = validSet.rfind("---\n", end - 1);
+            const std::size_t start = begin == std::string::npos ? 0 : begin + 4;
+            reordered.addText("part.yaml", validSet.substr(start, end - start));
+            end = begin;
+        }
+        CPPUNIT_ASSERT_EQUAL(
+                encodeConfiguration(*check(validSet).configuration),
+                encodeConfiguration(*DeclarationChecker::check(reordered).configuration));
+    }
+
+    // Guards against a size that wraps around or is read in decimal units.
+    void byteSizesAreExact()
+    {
+        CPPUNIT_ASSERT(parseByteSize("16777215TiB") == std::uint64_t{16777215} << 40U);
+        for (const char *text :
+             {"16777216TiB", "", "GiB", "1.5GiB", "-1", "8gib", "8  GiB", "18446744073709551616"})
+            CPPUNIT_ASSERT_MESSAGE(text, !parseByteSize(text).has_value());
+    }
+
+    // Guards against examples that the checker rejects or that no longer match the design page.
+    void examplesAreValid()
+    {
+        const char *root = std::getenv("NUTMEGRILL_EXAMPLES_DIRECTORY");
+        CPPUNIT_ASSERT(root != nullptr);
+        for (const std::string deployment : {"gleamway", "association"}) {
+            Declarations declarations;
+            for (const std::string file : {"places", "services", "accounts"})
+                declarations.addFile(std::string(root) + "/" + deployment + "/" + file + ".yaml");
+            const auto result = DeclarationChecker::check(declarations);
+            CPPUNIT_ASSERT_EQUAL(std::string(), errorTexts(result));
+            const Configuration &configuration = *result.configuration;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, configuration.places.at(0).failureDomains.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, configuration.services.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, configuration.modelGroups.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{10}, configuration.clientAccounts.size());
+            for (const ClientAccount &account : configuration.clientAccounts)
+                CPPUNIT_ASSERT_EQUAL(sha256Hex("example-key-" + account.name), account.keyHash);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DeclarationCheckerTest);
+
+} // namespace Nutmegrill
