--- /dev/null
+++ b/Tests/Config/ConfigurationPublisherTest.cpp
@@ -0,0 +1,361 @@
+#include "Config/ConfigurationPublisher.h"
+#include "Config/ConfigurationCodec.h"
+#include "Config/ConfigurationDiff.h"
+#include "Config/FakeConfigurationStore.h"
+#include "PropertyCheck.h"
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+using Fault = FakeConfigurationStore::Fault;
+using Change = ConfigurationChange;
+
+Configuration exampleConfiguration()
+{
+    Configuration configuration;
+    configuration.places = {
+            {"region", {{"east", false, 0}, {"west", false, 0}, {"mid", false, 0}}}};
+    return configuration;
+}
+
+/// One publisher and the order it waits for.
+struct Publication
+{
+    explicit Publication(Change change, ConfigurationPublisher::Switches switches = {})
+        : changeId(change.changeId), publisher(std::move(change), switches)
+    {
+        this->publisher.start(this->orders);
+    }
+
+    bool isEnded() const { return this->publisher.state() == ConfigurationPublisher::State::Ended; }
+
+    void step(FakeConfigurationStore &store, Fault fault)
+    {
+        const PublishOrder::Any order = this->orders.back();
+        this->publisher.handle(store.execute(order, fault), this->orders);
+    }
+
+    const PublishOrder::Any &run(FakeConfigurationStore &store)
+    {
+        while (!this->isEnded())
+            this->step(store, Fault::None);
+        return this->orders.back();
+    }
+
+    std::string changeId;
+    PublishOrder::List orders;
+    ConfigurationPublisher publisher;
+};
+
+std::uint64_t publish(FakeConfigurationStore &store, const std::string &id, Change::Action action)
+{
+    Publication publication({id, "tester", std::move(action)});
+    const auto *done = std::get_if<PublishOrder::Done>(&publication.run(store));
+    CPPUNIT_ASSERT_MESSAGE("not published: " + id, done != nullptr);
+    return done->version;
+}
+
+FailureDomainState domainOf(const FakeConfigurationStore &store, const std::string &name)
+{
+    return *store.latest().value().findFailureDomain(name);
+}
+
+// Checks versions, chunks and that no change is in the store twice.
+std::string checkHistory(const FakeConfigurationStore &store, std::set<std::string> &accepted)
+{
+    std::uint64_t expected = 0;
+    for (const std::string &text : store.heads) {
+        const auto head = decodeHead(text);
+        if (!head.has_value() || head->version != ++expected)
+            return "versions do not rise by one";
+        if (!joinChunks(*head, store.chunks).has_value())
+            return "a head names chunks that are not stored";
+        if (!accepted.insert(head->changeId).second)
+            return "change applied twice: " + head->changeId;
+    }
+    return {};
+}
+
+std::string checkOutcomes(const FakeConfigurationStore &store,
+                          const std::vector<Publication> &publications)
+{
+    std::set<std::string> accepted;
+    if (const std::string fault = checkHistory(store, accepted); !fault.empty())
+        return fault;
+    for (const Publication &publication : publications) {
+        const PublishOrder::Any &result = publication.orders.back();
+        const bool stored = accepted.count(publication.changeId) != 0;
+        const auto *done = std::get_if<PublishOrder::Done>(&result);
+        if (done != nullptr && done->changed != stored)
+            return "wrong success: " + publication.changeId;
+        const bool refused = std::holds_alternative<PublishOrder::Conflict>(result)
+                             || std::holds_alternative<PublishOrder::Failed>(result);
+        if (refused && stored)
+            return "reported as not applied but stored: " + publication.changeId;
+    }
+    for (const char *name : {"east", "west"}) {
+        if (accepted.count(std::string("out-") + name) != 0 && !domainOf(store, name).out)
+            return std::string("lost take-out of ") + name;
+    }
+    return {};
+}
+
+// Three publishers race; each step one of them gets the answer to its order, or not.
+std::string race(ChoiceScript &script, bool readBack, bool compareRevision)
+{
+    FakeConfigurationStore store;
+    publish(store, "first", Change::Apply{exampleConfiguration(), std::nullopt});
+    store.comparesRevision = compareRevision;
+    Configuration edited = exampleConfiguration();
+    edited.clientAccounts.push_back({"office", "", 1, {}, 1, 1});
+    std::vector<Publication> publications;
+    const ConfigurationPublisher::Switches switches{readBack};
+    publications.emplace_back(Change{"out-east", "a", Change::TakeOut{"east"}}, switches);
+    publications.emplace_back(Change{"out-west", "b", Change::MergeTakeOut{"west", 1}}, switches);
+    publications.emplace_back(Change{"edit", "c", Change::Apply{edited, std::nullopt}}, switches);
+    for (std::size_t running = publications.size(); running > 0;) {
+        Publication &next = publications[script.below(publications.size())];
+        const std::size_t roll = script.below(10);
+        const bool late = script.below(8) == 7;
+        if (!next.isEnded())
+            next.step(store, roll < 7 ? Fault::None : static_cast<Fault>(roll - 6));
+        if (late)
+            store.deliverDelayed();
+        running = 0;
+        for (Publication &publication : publications) {
+            if (script.isExhausted())
+                publication.run(store);
+            running += publication.isEnded() ? 0 : 1;
+        }
+    }
+    store.deliverDelayed();
+    return checkOutcomes(store, publications);
+}
+
+} // namespace
+
+class ConfigurationPublisherTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConfigurationPublisherTest);
+    CPPUNIT_TEST(racingPublishersLoseAndRepeatNothing);
+    CPPUNIT_TEST(proofFailsWithoutReadBack);
+    CPPUNIT_TEST(proofFailsWithoutCompareAndSwap);
+    CPPUNIT_TEST(applyKeepsFailureDomainState);
+    CPPUNIT_TEST(epochsOrderTakeOutAndBringBack);
+    CPPUNIT_TEST(lostAnswerIsFoundUnderLaterChanges);
+    CPPUNIT_TEST(forgottenChangeIsReportedAsUnknown);
+    CPPUNIT_TEST(conflictNamesTheWinner);
+    CPPUNIT_TEST(damagedStoreIsNotPublishedOver);
+    CPPUNIT_TEST(unreachableStoreEndsPublication);
+    CPPUNIT_TEST(largeDocumentIsSplitAndJoined);
+    CPPUNIT_TEST(diffNamesObjectsAndFields);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a change that is lost, applied twice or reported wrongly in a race.
+    void racingPublishersLoseAndRepeatNothing()
+    {
+        const std::string failure = checkScripts("publisher race", 240, [](ChoiceScript &script) {
+            return race(script, true, true);
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string(), failure);
+    }
+
+    // Shows that the race test notices a publisher that starts over after a lost answer.
+    void proofFailsWithoutReadBack()
+    {
+        CPPUNIT_ASSERT(!checkScripts("no read-back", 240, [](ChoiceScript &script) {
+                            return race(script, false, true);
+                        }).empty());
+    }
+
+    // Shows that the race test notices a store that swaps without comparing.
+    void proofFailsWithoutCompareAndSwap()
+    {
+        CPPUNIT_ASSERT(!checkScripts("no compare", 240, [](ChoiceScript &script) {
+                            return race(script, true, false);
+                        }).empty());
+    }
+
+    // Guards against an edit that returns a failure domain to service.
+    void applyKeepsFailureDomainState()
+    {
+        FakeConfigurationStore store;
+        publish(store, "first", Change::Apply{exampleConfiguration(), std::nullopt});
+        publish(store, "out", Change::TakeOut{"east"});
+        Configuration edited = exampleConfiguration();
+        edited.places[0].failureDomains.push_back({"north", true, 0});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3},
+                             publish(store, "edit", Change::Apply{edited, std::nullopt}));
+        CPPUNIT_ASSERT(domainOf(store, "east") == (FailureDomainState{"east", true, 1}));
+        CPPUNIT_ASSERT(domainOf(store, "north").out);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3},
+                             publish(store, "same", Change::Apply{edited, std::nullopt}));
+    }
+
+    // Guards against a repeat that moves an epoch and a late merge that reverts a bring-back.
+    void epochsOrderTakeOutAndBringBack()
+    {
+        FakeConfigurationStore store;
+        publish(store, "first", Change::Apply{exampleConfiguration(), std::nullopt});
+        publish(store, "out", Change::TakeOut{"east"});
+        publish(store, "repeat", Change::TakeOut{"east"});
+        CPPUNIT_ASSERT(domainOf(store, "east") == (FailureDomainState{"east", true, 1}));
+        publish(store, "back", Change::BringBack{"east", 5});
+        CPPUNIT_ASSERT(domainOf(store, "east") == (FailureDomainState{"east", false, 6}));
+        publish(store, "late merge", Change::MergeTakeOut{"east", 5});
+        publish(store, "back again", Change::BringBack{"east", 5});
+        CPPUNIT_ASSERT(domainOf(store, "east") == (FailureDomainState{"east", false, 6}));
+        publish(store, "merge", Change::MergeTakeOut{"east", 7});
+        CPPUNIT_ASSERT(domainOf(store, "east") == (FailureDomainState{"east", true, 7}));
+        Publication unknown({"u", "tester", Change::TakeOut{"nowhere"}});
+        const auto *failed = std::get_if<PublishOrder::Failed>(&unknown.run(store));
+        CPPUNIT_ASSERT(failed != nullptr && failed->error == PublishError::UnknownFailureDomain);
+        Publication exhausted({"x", "tester", Change::BringBack{"east", UINT64_MAX}});
+        CPPUNIT_ASSERT(std::holds_alternative<PublishOrder::Failed>(exhausted.run(store)));
+    }
+
+    // Guards against a second application when other changes follow before the read-back.
+    void lostAnswerIsFoundUnderLaterChanges()
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<PublishOrder::Done>(runBehind(10)));
+    }
+
+    // Guards against a guess when the head remembers too few changes.
+    void forgottenChangeIsReportedAsUnknown()
+    {
+        CPPUNIT_ASSERT(std::holds_alternative<PublishOrder::OutcomeUnknown>(
+                runBehind(ConfigurationHead::MaxPreviousChanges + 1)));
+    }
+
+    // Guards against an apply that overwrites another operator's change.
+    void conflictNamesTheWinner()
+    {
+        FakeConfigurationStore store;
+        publish(store, "first", Change::Apply{exampleConfiguration(), std::nullopt});
+        Configuration edited = exampleConfiguration();
+        edited.places[0].name = "renamed";
+        Publication loser({"loser", "a", Change::Apply{edited, std::nullopt}});
+        while (!std::holds_alternative<PublishOrder::SwapHead>(loser.orders.back()))
+            loser.step(store, Fault::None);
+        publish(store, "winner", Change::TakeOut{"east"});
+        const auto *conflict = std::get_if<PublishOrder::Conflict>(&loser.run(store));
+        CPPUNIT_ASSERT(conflict != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string("winner tester"),
+                             conflict->changeId + " " + conflict->author);
+        Publication stale({"stale", "a", Change::Apply{edited, 1}});
+        CPPUNIT_ASSERT(std::holds_alternative<PublishOrder::Conflict>(stale.run(store)));
+    }
+
+    // Guards against publishing over a configuration that cannot be read.
+    void damagedStoreIsNotPublishedOver()
+    {
+        FakeConfigurationStore store;
+        const Change edit{"edit", "a", Change::TakeOut{"east"}};
+        publish(store, "first", Change::Apply{exampleConfiguration(), std::nullopt});
+        const auto good = store.chunks;
+        store.chunks.begin()->second += " ";
+        CPPUNIT_ASSERT(std::holds_alternative<PublishOrder::Failed>(Publication(edit).run(store)));
+        store.chunks.clear();
+        CPPUNIT_ASSERT(std::holds_alternative<PublishOrder::Failed>(Publication(edit).run(store)));
+        store.chunks = good;
+        store.heads.back() = "{}";
+        CPPUNIT_ASSERT(std::holds_alternative<PublishOrder::Failed>(Publication(edit).run(store)));
+        FakeConfigurationStore empty;
+        Publication expecting({"e", "a", Change::Apply{exampleConfiguration(), 4}});
+        CPPUNIT_ASSERT(std::holds_alternative<PublishOrder::Failed>(expecting.run(empty)));
+        CPPUNIT_ASSERT(empty.heads.empty());
+    }
+
+    // Guards against an endless wait and against "failed" for a swap that may be stored.
+    void unreachableStoreEndsPublication()
+    {
+        FakeConfigurationStore store;
+        Publication first({"first", "a", Change::Apply{exampleConfiguration(), std::nullopt}});
+        for (int count = 0; count < 20 && !first.isEnded(); ++count)
+            first.step(store, Fault::LostBefore);
+        CPPUNIT_ASSERT(std::holds_alternative<PublishOrder::Failed>(first.orders.back()));
+        Publication second({"second", "a", Change::Apply{exampleConfiguration(), std::nullopt}});
+        while (!std::holds_alternative<PublishOrder::SwapHead>(second.orders.back()))
+            second.step(store, Fault::None);
+        second.step(store, Fault::LostAfter);
+        second.publisher.handle(PublishEvent::StoreUnreachable{}, second.orders);
+        CPPUNIT_ASSERT(std::holds_alternative<PublishOrder::OutcomeUnknown>(second.orders.back()));
+        // The same change again finds itself.
+        CPPUNIT_ASSERT_EQUAL(
+                std::uint64_t{1},
+                publish(store, "second", Change::Apply{exampleConfiguration(), std::nullopt}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store.heads.size());
+    }
+
+    // Guards against a value above the limit of the store and against swapped chunks.
+    void largeDocumentIsSplitAndJoined()
+    {
+        Configuration large = exampleConfiguration();
+        for (int number = 0; number < 6000; ++number)
+            large.clientAccounts.push_back({"account-" + std::to_string(number), "h", 1, {}, 1, 1});
+        FakeConfigurationStore store;
+        publish(store, "large", Change::Apply{large, std::nullopt});
+        CPPUNIT_ASSERT(store.chunks.size() > 1);
+        for (const auto &[hash, text] : store.chunks)
+            CPPUNIT_ASSERT(text.size() <= ConfigurationHead::MaxChunkBytes);
+        CPPUNIT_ASSERT(store.latest().value().clientAccounts == large.clientAccounts);
+        auto head = decodeHead(store.heads.back()).value();
+        std::swap(head.chunks[0], head.chunks[1]);
+        CPPUNIT_ASSERT(!joinChunks(head, store.chunks).has_value());
+    }
+
+    // Guards against a difference that is not shown or shown under another object.
+    void diffNamesObjectsAndFields()
+    {
+        Configuration before = exampleConfiguration();
+        before.clientAccounts = {{"gone", "", 1, {}, 1, 1}, {"kept", "", 1, {}, 1, 1}};
+        Configuration after = exampleConfiguration();
+        after.version = 9;
+        after.clientAccounts = {{"kept", "", 5, {}, 1, 1}, {"new", "", 1, {}, 1, 1}};
+        after.places[0].failureDomains[1].out = true;
+        after.places[0].failureDomains.pop_back();
+        const std::vector<std::string> expected{
+                "- Place region: failureDomains mid",
+                "~ Place region: failureDomains west: out false -> true",
+                "- ClientAccount gone",
+                "+ ClientAccount new",
+                "~ ClientAccount kept: weight 1 -> 5",
+        };
+        const auto lines = diffConfigurations(before, after);
+        CPPUNIT_ASSERT(std::set<std::string>(expected.begin(), expected.end())
+                       == std::set<std::string>(lines.begin(), lines.end()));
+        CPPUNIT_ASSERT_EQUAL(expected.size(), lines.size());
+        CPPUNIT_ASSERT(diffConfigurations(after, after).empty());
+    }
+
+private:
+    // The swap of a publisher is carried out without an answer, then others publish.
+    static PublishOrder::Any runBehind(std::size_t laterChanges)
+    {
+        FakeConfigurationStore store;
+        publish(store, "first", Change::Apply{exampleConfiguration(), std::nullopt});
+        Publication slow({"slow", "a", Change::TakeOut{"east"}});
+        while (!std::holds_alternative<PublishOrder::SwapHead>(slow.orders.back()))
+            slow.step(store, Fault::None);
+        slow.step(store, Fault::LostAfter);
+        for (std::size_t number = 0; number < laterChanges; ++number)
+            publish(store, "later-" + std::to_string(number),
+                    Change::MergeTakeOut{"west", number + 1});
+        const PublishOrder::Any result = slow.run(store);
+        CPPUNIT_ASSERT_EQUAL(laterChanges + 2, store.heads.size());
+        return result;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConfigurationPublisherTest);
+
+} // namespace Nutmegrill
