Add golden sessions for the entry

Eleven recorded sessions cover take-out, leaving backend servers, lost links, agent death, retries, overload, slow readers, planned stop, start with the store down and quarantine. A start that the transport refused gives its credit back, because the agent's cumulative grant does not count it; the demand that the agent knows is followed.

--- a/Source/Entry/AdmissionSystem.cpp
+++ b/Source/Entry/AdmissionSystem.cpp
@@ -1,6 +1,7 @@
 #include "Entry/AdmissionSystem.h"
 
 #include "Entry/Continuation.h"
+#include "Entry/EntryLog.h"
 
 #include <algorithm>
 #include <chrono>
@@ -41,6 +42,9 @@
 
 void AdmissionSystem::fail(RequestTable::Row &row, const WorkMessage::Failure &failure)
 {
+    if (failure.code == "quarantined")
+        this->tables.log(EntryLog::Quarantined, LogRecord::Level::Warning,
+                         row.request.requestId + ": quarantined, not run again");
     this->tables.order(EntryOrder::ReplyFailure{row.caller, failure});
     this->tables.buffers.remove(row.caller);
     this->tables.requests.erase(row.caller);
@@ -166,9 +170,8 @@
         while (service.queue.size() > 0
                && this->tables.router.hasCredit(this->tables.now, name, this->tables.backends,
                                                 this->tables.spread)
-               && service.queue.take(this->tables.now, [this](EntryEvent::CallerId caller) {
-                      return this->place(caller);
-                  })) {
+               && service.queue.take(
+                       [this](EntryEvent::CallerId caller) { return this->place(caller); })) {
         }
     }
 }
--- a/Source/Entry/AnswerSystem.cpp
+++ b/Source/Entry/AnswerSystem.cpp
@@ -1,6 +1,7 @@
 #include "Entry/AnswerSystem.h"
 
 #include "Entry/Continuation.h"
+#include "Entry/EntryLog.h"
 
 #include <algorithm>
 #include <chrono>
@@ -178,11 +179,16 @@
     if (row == nullptr)
         return;
     this->releaseWork(*row);
-    if (run == RunState::NotRun && !row->query)
-        this->retryNotRun(*row, AdmissionSystem::failure(RunState::NotRun, 503, "stream_refused",
-                                                         "the agent did not take the request"));
-    else
+    if (run != RunState::NotRun || row->query) {
         this->awaitResume(*row);
+        return;
+    }
+    // The agent has not seen the start, so that its cumulative grant does not count it.
+    if (BackendTable::Row *backend = this->tables.backends.find(row->agent);
+        backend != nullptr && backend->startsUsed > 0)
+        --backend->startsUsed;
+    this->retryNotRun(*row, AdmissionSystem::failure(RunState::NotRun, 503, "stream_refused",
+                                                     "the agent did not take the request"));
 }
 
 void AnswerSystem::linkClosed(const std::string &agent)
@@ -206,6 +212,8 @@
     row.phase = RequestTable::Phase::Resuming;
     const auto limit = this->mayRepeat(row) ? IdempotentResumeLimit : TailLifetime;
     row.resumeUntil = this->tables.now + limit;
+    if (!row.headSent)
+        row.resumeUntil = std::min(row.resumeUntil, row.deadline);
     if (BackendTable::Row *backend = this->tables.backends.find(row.agent))
         backend->wantedUntil = row.resumeUntil;
 }
@@ -252,6 +260,9 @@
                           && row.request.stream && !row.textLost;
     const bool possible = row.nextEvent == 0 || (fromText && Continuation::next(row).has_value());
     if (!this->mayRepeat(row) || !possible || row.attempts >= MaxAttempts) {
+        if (!row.request.idempotent)
+            this->tables.log(EntryLog::OutcomeUnknown, LogRecord::Level::Warning,
+                             row.request.requestId + ": outcome of a call is unknown");
         this->admission.fail(row, failure);
         return;
     }
@@ -259,6 +270,8 @@
     row.resumes = 0;
     if (row.nextEvent > 0) {
         ++row.continuations;
+        this->tables.log(EntryLog::Continued, LogRecord::Level::Info,
+                         row.request.requestId + ": continues on another agent");
         row.deadline = std::max(row.deadline, this->tables.now + ContinuationLimit);
     }
     this->admission.requeue(row);
--- a/Source/Entry/CallerSystem.cpp
+++ b/Source/Entry/CallerSystem.cpp
@@ -1,5 +1,7 @@
 #include "Entry/CallerSystem.h"
 
+#include "Entry/EntryLog.h"
+
 #include <algorithm>
 #include <chrono>
 #include <vector>
@@ -68,6 +70,8 @@
         // The final reply of a finished request is out; its buffer ends with the connection.
         if (answered)
             continue;
+        this->tables.log(EntryLog::ReaderCut, LogRecord::Level::Warning,
+                         row.request.requestId + ": the caller read nothing for too long");
         this->admission.fail(row,
                              AdmissionSystem::failure(RunState::Running, 503, "reader_stalled",
                                                       "the caller read nothing for too long; the "
--- a/Source/Entry/ConfigurationSystem.cpp
+++ b/Source/Entry/ConfigurationSystem.cpp
@@ -1,8 +1,10 @@
 #include "Entry/ConfigurationSystem.h"
 
+#include "Entry/EntryLog.h"
 #include "Membership/RelaySelector.h"
 
 #include <chrono>
+#include <string>
 
 namespace Nutmegrill {
 
@@ -44,8 +46,11 @@
 void ConfigurationSystem::takeOut(const EntryEvent::TakeOutRequested &event)
 {
     PeerOutput::List output;
-    if (this->tables.spread.takeOut(event.takeOut, output))
+    if (this->tables.spread.takeOut(event.takeOut, output)) {
         this->nextTakeOut = this->tables.now;
+        this->tables.log(EntryLog::TakeOutInForce, LogRecord::Level::Info,
+                         event.takeOut.failureDomain + " is out, not yet in the store");
+    }
     this->tables.send(output);
 }
 
@@ -91,9 +96,16 @@
 
 void ConfigurationSystem::checkReady()
 {
+    if (const std::uint64_t version = this->tables.spread.version(); version != this->logged) {
+        this->logged = version;
+        this->tables.log(EntryLog::ConfigurationInForce, LogRecord::Level::Info,
+                         "configuration " + std::to_string(version) + " is in force");
+    }
     if (this->ready || this->tables.spread.current() == nullptr)
         return;
     this->ready = this->storeRead || (this->storeDown && this->heardEveryPeer());
+    if (this->ready)
+        this->tables.log(EntryLog::Ready, LogRecord::Level::Info, "ready");
 }
 
 void ConfigurationSystem::storeTakeOuts()
--- a/Source/Entry/ConfigurationSystem.h
+++ b/Source/Entry/ConfigurationSystem.h
@@ -2,6 +2,8 @@
 
 #include "Entry/EntryTables.h"
 
+#include <cstdint>
+
 namespace Nutmegrill {
 
 /// Reads the configuration from the store, decides when a fresh process is ready, and merges
@@ -32,6 +34,8 @@
     bool ready = false;
     bool storeRead = false;
     bool storeDown = false;
+    /// Version in the last log event.
+    std::uint64_t logged = 0;
     Instant nextRead = NoDeadline;
     Instant nextTakeOut;
     /// Peers that have not answered by then are not waited for; set when the first has answered.
--- a/Source/Entry/EntryNode.cpp
+++ b/Source/Entry/EntryNode.cpp
@@ -5,6 +5,7 @@
 #include "Entry/CallerSystem.h"
 #include "Entry/ConfigurationSystem.h"
 #include "Entry/EntryDump.h"
+#include "Entry/EntryLog.h"
 #include "Entry/EntryTables.h"
 #include "Entry/LinkSystem.h"
 
@@ -14,13 +15,6 @@
 
 namespace Nutmegrill {
 
-namespace {
-
-constexpr std::uint32_t StopLogNumber = 2001;
-constexpr std::uint32_t StoppedLogNumber = 2002;
-
-} // namespace
-
 class EntryNode::State
 {
 public:
@@ -106,7 +100,7 @@
     this->tables.stopping = true;
     this->tables.stopNotBefore = this->tables.now + this->tables.settings.addressLifetime;
     this->tables.advisor.excludeLeaving(this->tables.settings.name);
-    this->tables.log(StopLogNumber, LogRecord::Level::Info, "planned stop begins");
+    this->tables.log(EntryLog::StopBegins, LogRecord::Level::Info, "planned stop begins");
 }
 
 void EntryNode::State::finishStop()
@@ -120,7 +114,7 @@
     if (wait && this->tables.settings.switches.gracefulStop)
         return;
     this->tables.stopped = true;
-    this->tables.log(StoppedLogNumber, LogRecord::Level::Info, "all streams have ended");
+    this->tables.log(EntryLog::StreamsEnded, LogRecord::Level::Info, "all streams have ended");
     this->tables.order(EntryOrder::Stop{});
 }
 
--- a/Source/Entry/FairQueue.cpp
+++ b/Source/Entry/FairQueue.cpp
@@ -62,7 +62,8 @@
         return;
     lane->second.cost -= item->cost;
     this->totalCost -= item->cost;
-    --this->count;
+    if (--this->count == 0)
+        this->waitedThroughout = false;
     items.erase(item);
     if (items.empty())
         this->lanes.erase(lane);
@@ -94,7 +95,7 @@
     return true;
 }
 
-bool FairQueue::take(Instant, const std::function<bool(CallerId)> &place)
+bool FairQueue::take(const std::function<bool(CallerId)> &place)
 {
     std::set<std::string> passedOver;
     while (passedOver.size() < this->lanes.size()) {
--- a/Source/Entry/FairQueue.h
+++ b/Source/Entry/FairQueue.h
@@ -32,7 +32,7 @@
 
     /// Offers requests to \a place in their order until it accepts one. Returns whether one was
     /// accepted. An account whose first request is not accepted is passed over.
-    bool take(Instant now, const std::function<bool(CallerId)> &place);
+    bool take(const std::function<bool(CallerId)> &place);
 
     std::size_t size() const { return this->count; }
     std::size_t sizeOf(const std::string &account) const;
--- a/Tests/Entry/EntryDriver.cpp
+++ b/Tests/Entry/EntryDriver.cpp
@@ -168,6 +168,7 @@
         {"end", &EntryDriver::end},
         {"failure", &EntryDriver::failure},
         {"closed", &EntryDriver::closed},
+        {"lost", &EntryDriver::lost},
         {"buffered", &EntryDriver::buffered},
         {"gone", &EntryDriver::gone},
         {"stop", &EntryDriver::stop},
@@ -422,6 +423,14 @@
     this->handle(EntryEvent::WorkClosed{line.number(0), runStateOf(line.word(1))});
 }
 
+// lost AGENT WORK...: the link breaks with its works.
+void EntryDriver::lost(Line &line)
+{
+    for (std::size_t index = 1; index < line.words.size(); ++index)
+        this->handle(EntryEvent::WorkClosed{line.number(index), RunState::Unknown});
+    this->handle(EntryEvent::LinkClosed{line.word(0)});
+}
+
 void EntryDriver::buffered(Line &line)
 {
     this->handle(EntryEvent::CallerBuffered{line.number(0), line.number(1)});
--- a/Tests/Entry/EntryDriver.h
+++ b/Tests/Entry/EntryDriver.h
@@ -56,6 +56,7 @@
     void end(Line &line);
     void failure(Line &line);
     void closed(Line &line);
+    void lost(Line &line);
     void buffered(Line &line);
     void gone(Line &line);
     void stop(Line &line);
--- a/Tests/Entry/EntrySessionTest.cpp
+++ b/Tests/Entry/EntrySessionTest.cpp
@@ -11,10 +11,30 @@
 {
     CPPUNIT_TEST_SUITE(EntrySessionTest);
     CPPUNIT_TEST(first);
+    CPPUNIT_TEST(takeOut);
+    CPPUNIT_TEST(leaving);
+    CPPUNIT_TEST(linkLoss);
+    CPPUNIT_TEST(agentDeath);
+    CPPUNIT_TEST(notRun);
+    CPPUNIT_TEST(overload);
+    CPPUNIT_TEST(slowReader);
+    CPPUNIT_TEST(stop);
+    CPPUNIT_TEST(startup);
+    CPPUNIT_TEST(quarantine);
     CPPUNIT_TEST_SUITE_END();
 
 public:
     void first() { check("entry-first"); }
+    void takeOut() { check("entry-take-out"); }
+    void leaving() { check("entry-leaving"); }
+    void linkLoss() { check("entry-link-loss"); }
+    void agentDeath() { check("entry-agent-death"); }
+    void notRun() { check("entry-not-run"); }
+    void overload() { check("entry-overload"); }
+    void slowReader() { check("entry-slow-reader"); }
+    void stop() { check("entry-stop"); }
+    void startup() { check("entry-startup"); }
+    void quarantine() { check("entry-quarantine"); }
 
 private:
     static void check(const std::string &name)
