--- a/Source/Agent/AgentNode.cpp
+++ b/Source/Agent/AgentNode.cpp
@@ -37,6 +37,7 @@
     }
     void on(const AgentTurn &turn, const AgentEvent::WorkArrived &event)
     {
+        this->peers.hearVersion(turn, event.link, event.request.configurationVersion);
         this->admission.arrive(turn, event);
     }
     void on(const AgentTurn &turn, const AgentEvent::WorkCancelled &event)
--- a/Source/Agent/AgentState.cpp
+++ b/Source/Agent/AgentState.cpp
@@ -71,6 +71,15 @@
                        });
 }
 
+bool AgentState::isSuspectRunning(Instant now) const
+{
+    return std::any_of(this->requests.begin(), this->requests.end(),
+                       [this, now](const auto &entry) {
+                           return entry.second.phase == RequestRow::Phase::Running
+                                  && this->crashes.isSuspect(now, entry.second.fingerprint);
+                       });
+}
+
 std::uint64_t AgentState::projectedKvBytes(const WorkMessage::Request &request) const
 {
     const ServiceDeclaration *service = this->service();
--- a/Source/Agent/AgentState.h
+++ b/Source/Agent/AgentState.h
@@ -51,6 +51,7 @@
     std::uint32_t active() const;
     /// A suspect waits or runs, so that nothing else may start.
     bool isIsolating(Instant now) const;
+    bool isSuspectRunning(Instant now) const;
 
     /// KV-cache bytes at the end of the answer.
     std::uint64_t projectedKvBytes(const WorkMessage::Request &request) const;
--- a/Source/Agent/AnswerFlow.cpp
+++ b/Source/Agent/AnswerFlow.cpp
@@ -56,7 +56,7 @@
     if (row->work == 0)
         row->keepDeadline = turn.now + TailLifetime;
     this->state.crashes.clearSuspect(row->fingerprint);
-    if (!row->hasData)
+    if (!row->hasTokens)
         this->state.backend.warmup.addCompletion();
     if (row->isClaimed()) {
         row->recordDeadline = turn.now + RecordPatience;
@@ -96,7 +96,8 @@
 
 void AnswerFlow::detach(const AgentTurn &turn, RequestRow &row)
 {
-    this->state.works.erase(row.work);
+    if (row.work != 0)
+        this->state.works.erase(row.work);
     row.work = 0;
     row.buffered = 0;
     row.keepDeadline = turn.now + TailLifetime;
@@ -163,15 +164,15 @@
 
 void AnswerFlow::measure(const AgentTurn &turn, RequestRow &row, std::uint32_t tokens)
 {
-    // While reading was paused, the time between two events is the entry's, not the engine's.
-    if (row.hasData && tokens > 0 && !row.paused) {
+    if (row.isPaceKnown && tokens > 0) {
         const bool good = this->state.backend.warmup.addTokenInterval(
                 turn.now, (turn.now - row.lastData) / tokens);
         if (!good)
             this->state.log(turn, AgentLog::TurnedCold, LogRecord::Level::Warning,
                             "token intervals are several times the warm one");
     }
-    row.hasData = row.hasData || tokens > 0;
+    row.hasTokens = row.hasTokens || tokens > 0;
+    row.isPaceKnown = tokens > 0 && !row.paused;
     row.lastData = turn.now;
 }
 
--- a/Source/Agent/BackendWatch.cpp
+++ b/Source/Agent/BackendWatch.cpp
@@ -3,7 +3,9 @@
 #include "Agent/AgentLog.h"
 #include "Agent/WorkFailure.h"
 
+#include <algorithm>
 #include <chrono>
+#include <set>
 
 namespace Nutmegrill {
 
@@ -54,8 +56,10 @@
             this->addCrash(turn);
         return;
     }
-    this->broken[row->fingerprint] = turn.now + BrokenMemory;
-    this->brokeNow = true;
+    if (!row->hasCrashed) {
+        this->broken[row->fingerprint] = turn.now + BrokenMemory;
+        this->brokeNow = true;
+    }
     if (row->isClaimed())
         this->state.claims.finish(row->claimKey, ClaimRecord::State::Unknown, {});
     this->state.failRequest(turn, id,
@@ -74,7 +78,11 @@
 
 void BackendWatch::detectCrash(const AgentTurn &turn)
 {
-    if (this->brokeNow && this->state.running() == 0) {
+    const bool isAnyOpen = std::any_of(
+            this->state.requests.begin(), this->state.requests.end(), [](const auto &entry) {
+                return entry.second.phase == RequestRow::Phase::Running && !entry.second.hasCrashed;
+            });
+    if (this->brokeNow && !isAnyOpen) {
         this->addCrash(turn);
         this->setDown(turn, "all connections broke");
     }
@@ -130,12 +138,15 @@
     if (!this->state.settings.mechanisms.crashIsolation)
         return;
     std::set<std::uint64_t> inFlight;
-    for (const auto &[id, row] : this->state.requests) {
-        if (row.phase == RequestRow::Phase::Running)
-            inFlight.insert(row.fingerprint);
+    for (auto &[id, row] : this->state.requests) {
+        if (row.phase != RequestRow::Phase::Running || row.hasCrashed)
+            continue;
+        row.hasCrashed = true;
+        inFlight.insert(row.fingerprint);
     }
     for (const auto &[fingerprint, deadline] : this->broken)
         inFlight.insert(fingerprint);
+    this->broken.clear();
     const std::string crash = this->crashId();
     bool isNew = false;
     for (std::uint64_t fingerprint : inFlight) {
--- a/Source/Agent/ClaimKeeper.cpp
+++ b/Source/Agent/ClaimKeeper.cpp
@@ -135,10 +135,9 @@
         this->state.claims.withdraw(outcome.key);
         return;
     }
-    if (this->state.running() >= this->state.limit()) {
+    if (const auto failure = this->checkStart(turn, *row); failure.has_value()) {
         this->state.claims.withdraw(outcome.key);
-        this->state.failRequest(turn, outcome.requestId,
-                                rejectNotRun("no_credit", "the limit fell during the claim"));
+        this->state.failRequest(turn, outcome.requestId, *failure);
         return;
     }
     row->phase = RequestRow::Phase::Running;
@@ -147,6 +146,24 @@
     turn.orders.emplace_back(AgentOrder::CallBackend{row->request});
 }
 
+std::optional<WorkMessage::Failure> ClaimKeeper::checkStart(const AgentTurn &turn,
+                                                            const RequestRow &row) const
+{
+    if (this->state.running() >= this->state.limit())
+        return rejectNotRun("no_credit", "the limit fell during the claim");
+    if (!this->state.settings.mechanisms.crashIsolation)
+        return std::nullopt;
+    if (this->state.crashes.isQuarantined(turn.now, row.fingerprint))
+        return quarantinedFailure();
+    // A crash notice of a peer can make this or a running request a suspect during the claim.
+    const bool crowded = this->state.crashes.isSuspect(turn.now, row.fingerprint)
+                                 ? this->state.running() > 0
+                                 : this->state.isSuspectRunning(turn.now);
+    if (crowded)
+        return rejectNotRun("isolating", "a suspect request runs alone");
+    return std::nullopt;
+}
+
 void ClaimKeeper::answerFromRecord(const AgentTurn &turn, const ClaimTable::Outcome &outcome)
 {
     const RequestRow *row = this->state.findRequest(outcome.requestId);
--- a/Source/Agent/ClaimKeeper.h
+++ b/Source/Agent/ClaimKeeper.h
@@ -41,6 +41,8 @@
     };
 
     void start(const AgentTurn &turn, const ClaimTable::Outcome &outcome);
+    std::optional<WorkMessage::Failure> checkStart(const AgentTurn &turn,
+                                                   const RequestRow &row) const;
     void answerFromRecord(const AgentTurn &turn, const ClaimTable::Outcome &outcome);
     void finishRecord(const AgentTurn &turn, const ClaimTable::Outcome &outcome);
     bool isOverdue(const AgentTurn &turn, const std::string &key, const ClaimRecord &record);
--- a/Source/Agent/ClaimTable.cpp
+++ b/Source/Agent/ClaimTable.cpp
@@ -10,7 +10,7 @@
 
 constexpr std::chrono::seconds BatchTimeout(2);
 constexpr std::chrono::milliseconds FirstRetryPause(250);
-constexpr std::chrono::seconds LongestRetryPause(2);
+constexpr std::chrono::seconds LongestRetryPause(1);
 
 } // namespace
 
--- a/Source/Agent/CreditLedger.cpp
+++ b/Source/Agent/CreditLedger.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::chrono::seconds CreditLifetime(2);
 constexpr std::chrono::seconds RenewBefore(1);
+// Entries send an offer every second.
+constexpr std::chrono::milliseconds SilentAfter(1500);
 
 } // namespace
 
@@ -28,12 +30,10 @@
         found->second.demand = queued;
 }
 
-void CreditLedger::hear(LinkId link)
+void CreditLedger::hear(Instant now, LinkId link)
 {
-    if (const auto found = this->accounts.find(link); found != this->accounts.end()) {
-        found->second.heard = true;
-        found->second.silent = false;
-    }
+    if (const auto found = this->accounts.find(link); found != this->accounts.end())
+        found->second.silentAt = now + SilentAfter;
 }
 
 bool CreditLedger::start(Instant now, LinkId link)
@@ -65,18 +65,16 @@
         this->takeBack(held - places, true);
         this->takeBack(this->credits() > places ? this->credits() - places : 0, false);
     }
-    std::uint64_t wanted = 0;
-    for (const auto &[link, account] : this->accounts)
-        wanted += account.wanted();
+    const std::uint64_t wanted = this->wanted(now);
     std::uint64_t free = places - this->credits();
     // Spare credits at idle entries move to entries with a queue at once; waiting for them to
     // expire would cost a queued request up to 2 s.
     if (wanted > free)
         this->takeBack(wanted - free, true);
     free = places - this->credits();
-    free -= this->giveShares(free);
-    free -= this->giveInTurn(free, true);
-    this->giveInTurn(free, false);
+    free -= this->giveShares(now, free);
+    free -= this->giveInTurn(now, free, true);
+    this->giveInTurn(now, free, false);
     this->renew(now);
 
     Grants grants;
@@ -84,10 +82,12 @@
         if (!account.changed)
             continue;
         account.changed = false;
-        account.heard = false;
-        account.deadline = now + CreditLifetime;
-        grants.emplace_back(link,
-                            PeerMessage::Grant{account.startsUpTo, kvBytesFree, CreditLifetime});
+        if (account.renewed)
+            account.deadline = now + CreditLifetime;
+        account.renewed = false;
+        const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::max(account.deadline - now, Instant::duration(0)));
+        grants.emplace_back(link, PeerMessage::Grant{account.startsUpTo, kvBytesFree, remaining});
     }
     return grants;
 }
@@ -95,19 +95,20 @@
 void CreditLedger::expire(Instant now)
 {
     for (auto &[link, account] : this->accounts) {
-        if (account.credits() == 0 || account.deadline > now)
-            continue;
-        account.startsUpTo = account.started;
-        account.silent = !account.heard;
+        if (account.deadline <= now)
+            account.startsUpTo = account.started;
     }
 }
 
-// Only a link that was heard since its last grant is renewed: the credits of a frozen entry expire.
+// Only a link that is heard is renewed: the credits of a frozen entry expire.
 void CreditLedger::renew(Instant now)
 {
     for (auto &[link, account] : this->accounts) {
-        if (account.credits() > 0 && account.heard && account.deadline <= now + RenewBefore)
-            account.changed = true;
+        if (account.credits() == 0 || account.silentAt <= now
+            || account.deadline > now + RenewBefore)
+            continue;
+        account.changed = true;
+        account.renewed = true;
     }
 }
 
@@ -119,10 +120,19 @@
     return sum;
 }
 
-void CreditLedger::setCredits(Account &account, std::uint64_t credits)
+std::uint64_t CreditLedger::wanted(Instant now) const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[link, account] : this->accounts)
+        sum += account.wanted(now);
+    return sum;
+}
+
+void CreditLedger::give(Account &account, std::uint64_t count)
 {
-    account.startsUpTo = account.started + credits;
+    account.startsUpTo = account.started + account.credits() + count;
     account.changed = true;
+    account.renewed = true;
 }
 
 void CreditLedger::takeBack(std::uint64_t count, bool spareOnly)
@@ -133,32 +143,31 @@
         const std::uint64_t taken = std::min(count, held - kept);
         if (taken == 0)
             continue;
-        this->setCredits(account, held - taken);
+        account.startsUpTo -= taken;
+        account.changed = true;
         count -= taken;
     }
 }
 
 // Whole shares in proportion to the demand that is not covered yet.
-std::uint64_t CreditLedger::giveShares(std::uint64_t places)
+std::uint64_t CreditLedger::giveShares(Instant now, std::uint64_t places)
 {
-    std::uint64_t wanted = 0;
-    for (const auto &[link, account] : this->accounts)
-        wanted += account.wanted();
+    const std::uint64_t wanted = this->wanted(now);
     if (wanted == 0)
         return 0;
     const std::uint64_t given = std::min(places, wanted);
     std::uint64_t total = 0;
     for (auto &[link, account] : this->accounts) {
-        const std::uint64_t share = given * account.wanted() / wanted;
+        const std::uint64_t share = given * account.wanted(now) / wanted;
         if (share == 0)
             continue;
-        this->setCredits(account, account.credits() + share);
+        give(account, share);
         total += share;
     }
     return total;
 }
 
-std::uint64_t CreditLedger::giveInTurn(std::uint64_t places, bool wantedOnly)
+std::uint64_t CreditLedger::giveInTurn(Instant now, std::uint64_t places, bool wantedOnly)
 {
     std::uint64_t given = 0;
     std::size_t passedOver = 0;
@@ -168,12 +177,12 @@
             next = this->accounts.begin();
         this->lastServed = next->first;
         Account &account = next->second;
-        if (account.silent || (wantedOnly && account.wanted() == 0)) {
+        if (account.silentAt <= now || (wantedOnly && account.wanted(now) == 0)) {
             ++passedOver;
             continue;
         }
         passedOver = 0;
-        this->setCredits(account, account.credits() + 1);
+        give(account, 1);
         ++given;
     }
     return given;
--- a/Source/Agent/CreditLedger.h
+++ b/Source/Agent/CreditLedger.h
@@ -23,7 +23,7 @@
     void setDemand(LinkId link, std::uint32_t queued);
 
     /// Something was received on the link, so its process is alive.
-    void hear(LinkId link);
+    void hear(Instant now, LinkId link);
 
     /// Counts a start on the link. Returns whether a credit that is still valid covered it.
     bool start(Instant now, LinkId link);
@@ -42,29 +42,31 @@
         std::uint64_t startsUpTo = 0;
         std::uint32_t demand = 0;
         Instant deadline;
-        bool heard = false;
-        /// Its last credits expired and nothing was heard since; it gets no new ones.
-        bool silent = false;
+        /// A link that is not heard until then gets no credits and no renewal.
+        Instant silentAt;
         bool changed = false;
+        /// The next grant starts a new lifetime.
+        bool renewed = false;
 
         std::uint64_t credits() const
         {
             return this->startsUpTo > this->started ? this->startsUpTo - this->started : 0;
         }
-        std::uint64_t wanted() const
+        std::uint64_t wanted(Instant now) const
         {
-            return !this->silent && this->demand > this->credits() ? this->demand - this->credits()
-                                                                   : 0;
+            const bool wants = now<this->silentAt &&this->demand> this->credits();
+            return wants ? this->demand - this->credits() : 0;
         }
     };
 
     void expire(Instant now);
     void renew(Instant now);
     std::uint64_t credits() const;
-    void setCredits(Account &account, std::uint64_t credits);
     void takeBack(std::uint64_t count, bool spareOnly);
-    std::uint64_t giveShares(std::uint64_t places);
-    std::uint64_t giveInTurn(std::uint64_t places, bool wantedOnly);
+    std::uint64_t wanted(Instant now) const;
+    std::uint64_t giveShares(Instant now, std::uint64_t places);
+    std::uint64_t giveInTurn(Instant now, std::uint64_t places, bool wantedOnly);
+    static void give(Account &account, std::uint64_t count);
 
     std::map<LinkId, Account> accounts;
     /// The round robin goes on with the first link after this one.
--- a/Source/Agent/LinkRow.h
+++ b/Source/Agent/LinkRow.h
@@ -1,10 +1,11 @@
 #pragma once
 
+#include "Core/Time.h"
+#include "Messages/PeerMessage.h"
+
 #include <optional>
 #include <string>
 
-#include "Messages/PeerMessage.h"
-
 namespace Nutmegrill {
 
 /// One link to an entry or another agent.
@@ -14,6 +15,8 @@
     bool greeted = false;
     std::string process;
     std::optional<PeerMessage::BackendStatus> lastStatus;
+    /// A change of the running count alone is not sent before.
+    Instant nextStatus;
 };
 
 } // namespace Nutmegrill
--- a/Source/Agent/PeerControl.cpp
+++ b/Source/Agent/PeerControl.cpp
@@ -3,12 +3,15 @@
 #include "Agent/AgentLog.h"
 
 #include <algorithm>
+#include <chrono>
 #include <string>
 
 namespace Nutmegrill {
 
 namespace {
 
+constexpr std::chrono::seconds StatusPeriod(1);
+
 bool isSame(const PeerMessage::BackendStatus &first, const PeerMessage::BackendStatus &second)
 {
     return first.state == second.state && first.running == second.running
@@ -28,9 +31,7 @@
     this->state.credits.close(event.link);
     this->state.spread.closePeer(std::to_string(event.link));
     for (auto &[id, row] : this->state.requests) {
-        if (row.link != event.link)
-            continue;
-        if (row.work != 0)
+        if (row.link == event.link)
             this->answers.detach(turn, row);
     }
 }
@@ -43,7 +44,7 @@
     }
     if (this->state.findGreeted(event.link) == nullptr)
         return;
-    this->state.credits.hear(event.link);
+    this->state.credits.hear(turn.now, event.link);
     if (const auto *demand = std::get_if<PeerMessage::Demand>(&event.message)) {
         this->state.credits.setDemand(event.link, demand->queued);
     } else if (const auto *ack = std::get_if<PeerMessage::Ack>(&event.message)) {
@@ -58,6 +59,16 @@
     }
 }
 
+void PeerControl::hearVersion(const AgentTurn &turn, AgentOrder::LinkId link, std::uint64_t version)
+{
+    if (this->state.findGreeted(link) == nullptr || version <= this->state.spread.version())
+        return;
+    PeerOutput::List output;
+    this->state.spread.receive(turn.now, std::to_string(link),
+                               PeerMessage::ConfigurationOffer{version, {}}, output);
+    this->send(turn, output);
+}
+
 void PeerControl::accept(const AgentTurn &turn, const AgentEvent::ConfigurationRead &event)
 {
     PeerOutput::List output;
@@ -96,7 +107,13 @@
     for (auto &[link, row] : this->state.links) {
         if (!row.greeted || (row.lastStatus.has_value() && isSame(*row.lastStatus, status)))
             continue;
+        // The running count alone changes with each start; grants already say what may start.
+        const bool urgent = !row.lastStatus.has_value() || row.lastStatus->state != status.state
+                            || row.lastStatus->limit != status.limit;
+        if (!urgent && turn.now < row.nextStatus)
+            continue;
         row.lastStatus = status;
+        row.nextStatus = turn.now + StatusPeriod;
         turn.orders.emplace_back(AgentOrder::SendPeer{link, status});
     }
 }
@@ -119,6 +136,7 @@
             link, PeerMessage::Welcome{settings.name, settings.service, settings.failureDomain,
                                        settings.incarnation, this->state.spread.version()}});
     this->state.credits.open(link);
+    this->state.credits.hear(turn.now, link);
     PeerOutput::List output;
     this->state.spread.openPeer(turn.now, std::to_string(link), hello.configurationVersion, output);
     this->send(turn, output);
--- a/Source/Agent/PeerControl.h
+++ b/Source/Agent/PeerControl.h
@@ -19,6 +19,9 @@
     void receive(const AgentTurn &turn, const AgentEvent::PeerReceived &event);
     void accept(const AgentTurn &turn, const AgentEvent::ConfigurationRead &event);
 
+    /// Asks for the configuration when a request was sent under a newer one.
+    void hearVersion(const AgentTurn &turn, AgentOrder::LinkId link, std::uint64_t version);
+
     void offerConfiguration(const AgentTurn &turn);
     void grantCredits(const AgentTurn &turn);
     void sendStatus(const AgentTurn &turn);
--- a/Source/Agent/RequestRow.h
+++ b/Source/Agent/RequestRow.h
@@ -38,7 +38,12 @@
     std::optional<WorkMessage::Head> head;
     AnswerTail tail;
     Instant lastData;
-    bool hasData = false;
+    /// Tokens have come, so this is the answer of an engine.
+    bool hasTokens = false;
+    /// The time since lastData is the engine's own pace.
+    bool isPaceKnown = false;
+    /// The backend server crashed while it ran this request, and the crash is recorded.
+    bool hasCrashed = false;
 
     /// Key of the claim in the store; empty for idempotent requests.
     std::string claimKey;
--- a/Source/Agent/StreamFlow.cpp
+++ b/Source/Agent/StreamFlow.cpp
@@ -10,10 +10,13 @@
 constexpr std::uint64_t ProcessBytes = 32U << 20U;
 constexpr std::uint64_t SmallestShare = 16U << 10U;
 
-// Bytes of the answer that no reader has taken.
+// Bytes of the answer that no reader has taken. A claimed call without a reader goes on, because
+// its end is still to be recorded; its tail has a budget of its own.
 std::uint64_t heldBytes(const RequestRow &row)
 {
-    return row.work != 0 ? row.buffered : row.tail.bytes();
+    if (row.work != 0)
+        return row.buffered;
+    return row.isClaimed() ? 0 : row.tail.bytes();
 }
 
 } // namespace
@@ -47,6 +50,8 @@
         if (paused == row.paused)
             continue;
         row.paused = paused;
+        // The next time between two events is the reader's, not the engine's.
+        row.isPaceKnown = false;
         turn.orders.emplace_back(AgentOrder::PauseBackend{id, paused});
     }
 }
--- a/Source/Agent/WarmupLimit.cpp
+++ b/Source/Agent/WarmupLimit.cpp
@@ -11,7 +11,7 @@
 // A cold backend server is many times slower; normal batch growth stays below a factor of three.
 constexpr int SlowFactor = 4;
 // A single late token (a pause of the engine) must not turn a warm backend server cold.
-constexpr std::uint32_t SlowIntervalsToTurnCold = 3;
+constexpr std::uint32_t SlowScoreToTurnCold = 3;
 constexpr std::size_t IntervalsForWindow = 4;
 // From the cold to the warm limit in about this many clean windows.
 constexpr std::uint32_t Steps = 8;
@@ -35,16 +35,21 @@
 void WarmupLimit::turnCold(Instant now)
 {
     this->current = this->cold;
+    this->slowScore = 0;
     this->openWindow(now);
 }
 
 bool WarmupLimit::addTokenInterval(Instant now, Instant::duration interval)
 {
     this->intervals.push_back(interval);
-    if (this->warmInterval.count() > 0 && interval > SlowFactor * this->warmInterval)
+    const bool slow = this->warmInterval.count() > 0 && interval > SlowFactor * this->warmInterval;
+    if (slow) {
         ++this->slowIntervals;
-    if (this->slowIntervals < SlowIntervalsToTurnCold
-        || 2 * this->slowIntervals < this->intervals.size())
+        ++this->slowScore;
+    } else if (this->slowScore > 0) {
+        --this->slowScore;
+    }
+    if (this->slowScore < SlowScoreToTurnCold)
         return true;
     this->turnCold(now);
     return false;
--- a/Source/Agent/WarmupLimit.h
+++ b/Source/Agent/WarmupLimit.h
@@ -40,6 +40,8 @@
     std::uint32_t current = 0;
     std::vector<Instant::duration> intervals;
     std::uint32_t slowIntervals = 0;
+    /// Slow intervals less good ones, not below zero, over all windows.
+    std::uint32_t slowScore = 0;
     std::uint32_t completions = 0;
     /// Token interval of the backend server in good windows; zero before the first one.
     Instant::duration warmInterval{0};
--- a/Source/Agent/WorkAdmission.cpp
+++ b/Source/Agent/WorkAdmission.cpp
@@ -36,7 +36,7 @@
                 event.work, makeFailure(RunState::NotRun, 403, "no_hello", "unknown link")});
         return;
     }
-    this->state.credits.hear(event.link);
+    this->state.credits.hear(turn.now, event.link);
     const bool hasCredit = !isResume(request) && this->state.credits.start(turn.now, event.link);
     if (RequestRow *row = this->state.findRequest(request.requestId); row != nullptr) {
         this->join(turn, *row, event);
@@ -82,19 +82,24 @@
 void WorkAdmission::startSuspects(const AgentTurn &turn)
 {
     std::vector<std::string> late;
+    std::vector<std::string> quarantined;
     for (auto &[id, row] : this->state.requests) {
         if (row.phase != RequestRow::Phase::Alone)
             continue;
-        if (row.startDeadline <= turn.now || this->state.backend.leaving)
+        if (this->state.crashes.isQuarantined(turn.now, row.fingerprint))
+            quarantined.push_back(id);
+        else if (row.startDeadline <= turn.now || this->state.limit() == 0)
             late.push_back(id);
     }
+    for (const std::string &id : quarantined)
+        this->state.failRequest(turn, id, quarantinedFailure());
     for (const std::string &id : late)
-        this->state.failRequest(turn, id, rejectNotRun("suspect", "no time to run it alone"));
+        this->state.failRequest(turn, id, rejectNotRun("suspect", "it cannot run alone here"));
     const bool busy = std::any_of(
             this->state.requests.begin(), this->state.requests.end(), [](const auto &entry) {
                 return entry.second.isActive() && entry.second.phase != RequestRow::Phase::Alone;
             });
-    if (busy || this->state.limit() == 0)
+    if (busy)
         return;
     for (auto &[id, row] : this->state.requests) {
         if (row.phase != RequestRow::Phase::Alone)
@@ -145,8 +150,7 @@
                            "a call that is not idempotent needs an Idempotency-Key");
     if (settings.mechanisms.crashIsolation
         && this->state.crashes.isQuarantined(turn.now, fingerprintOf(request)))
-        return makeFailure(RunState::NotRun, 422, "quarantined",
-                           "backend servers crashed while they ran this request");
+        return quarantinedFailure();
     return std::nullopt;
 }
 
--- a/Source/Agent/WorkFailure.h
+++ b/Source/Agent/WorkFailure.h
@@ -3,6 +3,7 @@
 #include "Messages/WorkMessage.h"
 
 #include <string>
+#include <utility>
 
 namespace Nutmegrill {
 
@@ -24,4 +25,11 @@
     return makeFailure(RunState::NotRun, 503, std::move(code), std::move(message));
 }
 
+/// Rejection of a request that has crashed backend servers; it is not to be tried elsewhere.
+inline WorkMessage::Failure quarantinedFailure()
+{
+    return makeFailure(RunState::NotRun, 422, "quarantined",
+                       "backend servers crashed while they ran this request");
+}
+
 } // namespace Nutmegrill
