--- a/Source/Membership/ConfigurationSpread.cpp
+++ b/Source/Membership/ConfigurationSpread.cpp
@@ -12,8 +12,11 @@
 namespace {
 
 constexpr std::chrono::seconds OfferPeriod(1);
-// A request for a configuration whose answer was lost is repeated after this time.
-constexpr std::chrono::seconds AskAgainPeriod(1);
+// Time for a peer to answer a question before another one is asked.
+constexpr std::chrono::seconds AnswerTime(1);
+// Failure domains with a pending take-out, the ones that the configuration does not know included.
+// Deployments have up to 9; the bound keeps wrong names from filling memory.
+constexpr std::size_t MaxTakeOuts = 64;
 
 } // namespace
 
@@ -21,8 +24,10 @@
                                    PeerOutput::List &output)
 {
     this->peers[peer] = Peer{};
-    this->hear(now, peer, peerVersion, output);
-    this->offer(peer, output);
+    if (this->question.has_value() && this->question->peer == peer)
+        this->question->deadline = now;
+    this->hear(now, peer, PeerMessage::ConfigurationOffer{peerVersion, UnknownAge}, output);
+    this->offer(now, peer, output);
     for (const auto &[domain, takeOut] : this->takeOuts)
         output.push_back({peer, takeOut});
 }
@@ -30,39 +35,50 @@
 void ConfigurationSpread::closePeer(const std::string &peer)
 {
     this->peers.erase(peer);
+    if (this->question.has_value() && this->question->peer == peer)
+        this->question->deadline = Instant::min();
 }
 
 bool ConfigurationSpread::receive(Instant now, const std::string &peer,
                                   const PeerMessage::Any &message, PeerOutput::List &output)
 {
     if (const auto *offered = std::get_if<PeerMessage::ConfigurationOffer>(&message)) {
-        this->hear(now, peer, offered->version, output);
+        this->hear(now, peer, *offered, output);
         return false;
     }
     if (std::holds_alternative<PeerMessage::ConfigurationWanted>(message)) {
-        if (this->configuration != nullptr)
+        if (this->configuration != nullptr && this->peers.count(peer) != 0)
             output.push_back(
                     {peer, PeerMessage::ConfigurationData{
                                    this->version(), encodeConfiguration(*this->configuration)}});
         return false;
     }
-    if (const auto *data = std::get_if<PeerMessage::ConfigurationData>(&message)) {
-        if (data->version <= this->version())
-            return false;
-        auto decoded = decodeConfiguration(data->document);
-        if (!decoded.has_value() || decoded->version != data->version)
-            return false;
-        return this->replace(std::make_shared<Configuration>(std::move(*decoded)), output);
-    }
+    if (const auto *data = std::get_if<PeerMessage::ConfigurationData>(&message))
+        return this->receiveData(now, *data, output);
     if (const auto *takeOut = std::get_if<PeerMessage::PendingTakeOut>(&message))
         return this->takeOut(*takeOut, output);
     return false;
 }
 
-bool ConfigurationSpread::accept(Instant, const ConfigurationPtr &configuration,
+bool ConfigurationSpread::receiveData(Instant now, const PeerMessage::ConfigurationData &data,
+                                      PeerOutput::List &output)
+{
+    if (data.version <= this->version() && this->switches.monotonicVersions)
+        return false;
+    auto decoded = decodeConfiguration(data.document);
+    if (!decoded.has_value() || decoded->version != data.version)
+        return false;
+    return this->replace(now, std::make_shared<Configuration>(std::move(*decoded)), std::nullopt,
+                         output);
+}
+
+bool ConfigurationSpread::accept(Instant now, const ConfigurationPtr &candidate,
                                  PeerOutput::List &output)
 {
-    return this->replace(configuration, output);
+    const bool isNew = this->replace(now, candidate, now, output);
+    if (candidate != nullptr && candidate->version == this->version())
+        this->confirmed = now;
+    return isNew;
 }
 
 bool ConfigurationSpread::takeOut(const PeerMessage::PendingTakeOut &takeOut,
@@ -73,6 +89,8 @@
     const auto known = this->takeOuts.find(takeOut.failureDomain);
     if (known != this->takeOuts.end() && known->second.epoch >= takeOut.epoch)
         return false;
+    if (known == this->takeOuts.end() && this->takeOuts.size() >= MaxTakeOuts)
+        return false;
     this->takeOuts[takeOut.failureDomain] = takeOut;
     for (const auto &[peer, row] : this->peers)
         output.push_back({peer, takeOut});
@@ -81,11 +99,17 @@
 
 void ConfigurationSpread::tick(Instant now, PeerOutput::List &output)
 {
+    if (!this->switches.repeats)
+        return;
+    this->askNext(now, output);
     if (now < this->nextOffer)
         return;
     this->nextOffer = now + OfferPeriod;
-    for (const auto &[peer, row] : this->peers)
-        this->offer(peer, output);
+    for (const auto &[peer, row] : this->peers) {
+        this->offer(now, peer, output);
+        for (const auto &[domain, takeOut] : this->takeOuts)
+            output.push_back({peer, takeOut});
+    }
 }
 
 std::uint64_t ConfigurationSpread::version() const
@@ -117,33 +141,77 @@
                           [](const auto &entry) { return entry.second.version.has_value(); }));
 }
 
-bool ConfigurationSpread::replace(const ConfigurationPtr &candidate, PeerOutput::List &output)
+std::chrono::milliseconds ConfigurationSpread::age(Instant now) const
 {
-    if (candidate == nullptr || candidate->version <= this->version())
+    if (!this->confirmed.has_value())
+        return UnknownAge;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - *this->confirmed);
+}
+
+bool ConfigurationSpread::replace(Instant now, const ConfigurationPtr &candidate,
+                                  std::optional<Instant> readAt, PeerOutput::List &output)
+{
+    if (candidate == nullptr
+        || (candidate->version <= this->version() && this->switches.monotonicVersions))
         return false;
     this->configuration = candidate;
+    this->confirmed = readAt;
     this->dropSettledTakeOuts();
     for (const auto &[peer, row] : this->peers) {
         if (!row.version.has_value() || *row.version < candidate->version)
-            this->offer(peer, output);
+            this->offer(now, peer, output);
     }
+    if (this->question.has_value())
+        this->question->deadline = now;
+    this->askNext(now, output);
     return true;
 }
 
-void ConfigurationSpread::offer(const std::string &peer, PeerOutput::List &output) const
+void ConfigurationSpread::offer(Instant now, const std::string &peer,
+                                PeerOutput::List &output) const
 {
-    output.push_back({peer, PeerMessage::ConfigurationOffer{this->version(), {}}});
+    output.push_back({peer, PeerMessage::ConfigurationOffer{this->version(), this->age(now)}});
 }
 
-void ConfigurationSpread::hear(Instant now, const std::string &peer, std::uint64_t version,
+void ConfigurationSpread::hear(Instant now, const std::string &peer,
+                               const PeerMessage::ConfigurationOffer &offered,
                                PeerOutput::List &output)
 {
-    Peer &row = this->peers[peer];
-    row.version = std::max(row.version.value_or(0), version);
-    if (version > this->version() && now >= row.askAgain) {
-        row.askAgain = now + AskAgainPeriod;
+    const auto row = this->peers.find(peer);
+    if (row == this->peers.end())
+        return;
+    row->second.version = std::max(row->second.version.value_or(0), offered.version);
+    const auto offeredAge = std::clamp<std::chrono::milliseconds>(
+            offered.age, std::chrono::milliseconds(0), UnknownAge);
+    if (offered.version == this->version() && offeredAge < this->age(now))
+        this->confirmed = now - offeredAge;
+    // The first question goes to the peer that offers, so that not every process asks the same one.
+    if (!this->question.has_value() && offered.version > this->version()) {
+        this->question = Question{peer, now + AnswerTime};
         output.push_back({peer, PeerMessage::ConfigurationWanted{this->version()}});
+        return;
+    }
+    this->askNext(now, output);
+}
+
+void ConfigurationSpread::askNext(Instant now, PeerOutput::List &output)
+{
+    if (this->question.has_value() && now < this->question->deadline)
+        return;
+    const auto isAhead = [this](const auto &entry) {
+        return entry.second.version.value_or(0) > this->version();
+    };
+    const auto after = this->question.has_value() ? this->peers.upper_bound(this->question->peer)
+                                                  : this->peers.begin();
+    auto next = std::find_if(after, this->peers.end(), isAhead);
+    if (next == this->peers.end())
+        next = std::find_if(this->peers.begin(), after, isAhead);
+    if (next == this->peers.end() || !isAhead(*next)) {
+        this->question.reset();
+        return;
     }
+    this->question = Question{next->first, now + AnswerTime};
+    output.push_back({next->first, PeerMessage::ConfigurationWanted{this->version()}});
 }
 
 void ConfigurationSpread::dropSettledTakeOuts()
--- a/Source/Membership/CrashRecords.cpp
+++ b/Source/Membership/CrashRecords.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace Nutmegrill {
 
@@ -9,24 +10,42 @@
 
 constexpr std::chrono::minutes RecordLifetime(10);
 constexpr std::size_t QuarantineCrashes = 2;
+// Bounds of memory: more crashes of one fingerprint add nothing to a quarantine, and a crash makes
+// at most the requests of one backend server suspects.
+constexpr std::size_t MaxCrashIds = 8;
+constexpr std::size_t MaxRecords = 4096;
 
 } // namespace
 
 bool CrashRecords::add(Instant now, std::uint64_t fingerprint, const std::string &crashId)
 {
-    Record &record = this->records[fingerprint];
+    Record &record = this->open(now, fingerprint);
+    if (record.crashIds.count(crashId) != 0 || record.endedIds.count(crashId) != 0)
+        return false;
     record.deadline = std::max(record.deadline, now + RecordLifetime);
-    return record.crashIds.insert(crashId).second;
+    return record.crashIds.size() < MaxCrashIds && record.crashIds.insert(crashId).second;
 }
 
 bool CrashRecords::merge(Instant now, const PeerMessage::CrashNotice &notice)
 {
-    Record &record = this->records[notice.fingerprint];
-    const std::size_t before = record.crashIds.size();
-    record.crashIds.insert(notice.crashIds.begin(), notice.crashIds.end());
-    record.deadline = std::max(record.deadline,
-                               now + std::min<Instant::duration>(notice.remaining, RecordLifetime));
-    return record.crashIds.size() > before;
+    if (notice.crashIds.empty() || notice.remaining <= std::chrono::milliseconds(0))
+        return false;
+    Record &record = this->open(now, notice.fingerprint);
+    const bool isActive = !record.crashIds.empty();
+    const bool quarantines = notice.crashIds.size() >= QuarantineCrashes;
+    bool isNew = false;
+    for (const std::string &crashId : notice.crashIds) {
+        const bool ended = record.endedIds.count(crashId) != 0;
+        // A crash that was cleared here counts again when the peer has seen a second one, so that
+        // both ends agree on the quarantine.
+        if (record.crashIds.size() < MaxCrashIds && (!ended || (isActive && quarantines)))
+            isNew = record.crashIds.insert(crashId).second && !ended ? true : isNew;
+    }
+    if (isNew || !this->switches.fixedDeadline)
+        record.deadline = std::max(
+                record.deadline,
+                now + std::min<std::chrono::milliseconds>(notice.remaining, RecordLifetime));
+    return isNew;
 }
 
 bool CrashRecords::isSuspect(Instant now, std::uint64_t fingerprint) const
@@ -44,7 +63,7 @@
 {
     const auto found = this->records.find(fingerprint);
     if (found != this->records.end() && found->second.crashIds.size() < QuarantineCrashes)
-        this->records.erase(found);
+        this->end(found->second);
 }
 
 PeerMessage::CrashNotice CrashRecords::notice(Instant now, std::uint64_t fingerprint) const
@@ -61,13 +80,47 @@
 
 void CrashRecords::tick(Instant now)
 {
-    std::erase_if(this->records, [now](const auto &row) { return row.second.deadline <= now; });
+    const auto kept = this->switches.rememberEnded ? Instant::duration(RecordLifetime)
+                                                   : Instant::duration::zero();
+    std::erase_if(this->records,
+                  [now, kept](const auto &row) { return row.second.deadline + kept <= now; });
+}
+
+CrashRecords::Record &CrashRecords::open(Instant now, std::uint64_t fingerprint)
+{
+    if (this->records.size() >= MaxRecords && this->records.count(fingerprint) == 0)
+        this->makeRoom();
+    Record &record = this->records[fingerprint];
+    if (record.deadline <= now)
+        this->end(record);
+    return record;
+}
+
+void CrashRecords::end(Record &record) const
+{
+    if (this->switches.rememberEnded)
+        record.endedIds.merge(record.crashIds);
+    record.crashIds.clear();
+    while (record.endedIds.size() > MaxCrashIds)
+        record.endedIds.erase(record.endedIds.begin());
+}
+
+void CrashRecords::makeRoom()
+{
+    // Suspects go before quarantined fingerprints, older ones first.
+    const auto rank = [](const auto &row) {
+        return std::pair(row.second.crashIds.size() >= QuarantineCrashes, row.second.deadline);
+    };
+    this->records.erase(std::min_element(
+            this->records.begin(), this->records.end(),
+            [rank](const auto &left, const auto &right) { return rank(left) < rank(right); }));
 }
 
 const CrashRecords::Record *CrashRecords::find(Instant now, std::uint64_t fingerprint) const
 {
     const auto found = this->records.find(fingerprint);
-    if (found == this->records.end() || found->second.deadline <= now)
+    if (found == this->records.end() || found->second.deadline <= now
+        || found->second.crashIds.empty())
         return nullptr;
     return &found->second;
 }
