--- /dev/null
+++ b/Tests/Entry/EntryMechanismTest.cpp
@@ -0,0 +1,170 @@
+#include "EntryDriver.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+namespace {
+
+using Lines = std::vector<std::string>;
+
+const Lines startLines = {"0 config 1",
+                          "10 instances e1:north e2:north e3:south a1:north:model a2:south:model "
+                          "b1:north:ledger b2:south:ledger",
+                          "20 up a1 credits=9",
+                          "20 up a2 credits=9",
+                          "20 up b1 credits=9",
+                          "20 up b2 credits=9"};
+
+// Trace of the session after the start, with some mechanism turned off.
+Lines trace(const Lines &lines, bool EntrySwitches::*off)
+{
+    EntrySettings settings = EntryDriver::defaultSettings();
+    if (off != nullptr)
+        settings.switches.*off = false;
+    EntryDriver driver(settings);
+    driver.runAll(startLines);
+    return driver.runAll(lines);
+}
+
+// The proof holds with the mechanism and fails without it.
+void checkMechanism(const Lines &lines, bool EntrySwitches::*mechanism,
+                    const std::function<bool(const Lines &)> &proof)
+{
+    CPPUNIT_ASSERT(proof(trace(lines, nullptr)));
+    CPPUNIT_ASSERT(!proof(trace(lines, mechanism)));
+}
+
+std::function<bool(const Lines &)> has(int count, const std::string &text)
+{
+    return [=](const Lines &lines) { return countLines(lines, text) == count; };
+}
+
+} // namespace
+
+class EntryMechanismTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EntryMechanismTest);
+    CPPUNIT_TEST(noStartWithoutCredit);
+    CPPUNIT_TEST(noStartInFailureDomainThatIsOut);
+    CPPUNIT_TEST(noStartOnLeavingAgent);
+    CPPUNIT_TEST(brokenAnswerIsResumed);
+    CPPUNIT_TEST(brokenStreamContinuesElsewhere);
+    CPPUNIT_TEST(repeatedEventsAreDropped);
+    CPPUNIT_TEST(callIsNotSentAgain);
+    CPPUNIT_TEST(quarantinedRequestIsNotRun);
+    CPPUNIT_TEST(smallAccountIsServedAmongLargeOne);
+    CPPUNIT_TEST(slowReaderPausesStream);
+    CPPUNIT_TEST(stopWaitsForStreams);
+    CPPUNIT_TEST(credits);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against more work on a backend server than it granted.
+    void noStartWithoutCredit()
+    {
+        checkMechanism({"30 grant a1 1 ms=60000", "30 grant a2 0 ms=60000",
+                        "40 request 1 model small", "50 request 2 model small"},
+                       &EntrySwitches::credits, has(1, "start work"));
+    }
+
+    // Guards against new work in a failure domain that operators took out.
+    void noStartInFailureDomainThatIsOut()
+    {
+        checkMechanism({"30 config 2 out=south epoch=2", "40 request 1 model small",
+                        "50 request 2 model small"},
+                       &EntrySwitches::domainCheck, has(2, " a1 r"));
+    }
+
+    // Guards against new work on a backend server that begins leaving.
+    void noStartOnLeavingAgent()
+    {
+        checkMechanism(
+                {"30 status a2 leaving", "40 request 1 model small", "50 request 2 model small"},
+                &EntrySwitches::leavingCheck, has(2, " a1 r"));
+    }
+
+    // Guards against a lost recorded answer after a link loss.
+    void brokenAnswerIsResumed()
+    {
+        checkMechanism({"30 request 1 ledger small once", "40 lost b1 1", "50 up b1 credits=9",
+                        "60 head 2", "70 event 2 0 recorded", "80 end 2 1"},
+                       &EntrySwitches::resume, has(1, "end caller=1"));
+    }
+
+    // Guards against a cut stream when its agent dies.
+    void brokenStreamContinuesElsewhere()
+    {
+        checkMechanism({"30 request 1 model small", "40 event 1 0 Good", "50 lost a1 1",
+                        "60 down a1", "70 event 2 0 done", "80 end 2 1"},
+                       &EntrySwitches::continuation, has(1, "end caller=1"));
+    }
+
+    // Guards against repeated text in an answer.
+    void repeatedEventsAreDropped()
+    {
+        checkMechanism({"30 request 1 model small", "40 event 1 0 Good", "50 event 1 0 Good"},
+                       &EntrySwitches::dropDuplicates, has(1, "event caller=1 0"));
+    }
+
+    // Guards against a delivery record that is booked twice.
+    void callIsNotSentAgain()
+    {
+        checkMechanism({"30 request 1 ledger small once", "40 failure 1 unknown 502"},
+                       &EntrySwitches::atMostOnce, has(1, "start work"));
+    }
+
+    // Guards against a request that crashes one backend server after another.
+    void quarantinedRequestIsNotRun()
+    {
+        checkMechanism({"30 crash a1 7 x y", "40 request 1 model small fp=7"},
+                       &EntrySwitches::quarantine, has(0, "start work"));
+    }
+
+    // Guards against a small account that waits for the whole queue of a large one.
+    void smallAccountIsServedAmongLargeOne()
+    {
+        Lines lines = {"30 grant a1 0 ms=60000", "30 grant a2 0 ms=60000"};
+        for (int caller = 1; caller <= 10; ++caller)
+            lines.push_back("40 request " + std::to_string(caller) + " model large tokens=1000");
+        lines.push_back("50 request 11 model small tokens=1000");
+        lines.push_back("60 grant a1 3 ms=60000");
+        checkMechanism(lines, &EntrySwitches::fairShares, has(1, " r11 "));
+    }
+
+    // Guards against memory that grows with the number of slow readers.
+    void slowReaderPausesStream()
+    {
+        checkMechanism({"30 request 1 model small", "40 head 1", "50 buffered 1 300000"},
+                       &EntrySwitches::backpressure, has(1, "pause work=1"));
+    }
+
+    // Guards against a planned stop that cuts off requests.
+    void stopWaitsForStreams()
+    {
+        checkMechanism({"30 request 1 model small", "40 stop", "20000 tick"},
+                       &EntrySwitches::gracefulStop, [](const Lines &lines) {
+                           return std::count(lines.begin(), lines.end(), "stop") == 0;
+                       });
+    }
+
+    // Guards against starts on credits that have expired or that a lost link granted.
+    void credits()
+    {
+        const Lines lines = trace({"30 grant a1 2 ms=100", "30 grant a2 0 ms=60000",
+                                   "150 request 1 model small", "160 grant a1 1 ms=100",
+                                   "170 down a1", "180 open a1", "190 request 2 model small"},
+                                  nullptr);
+        CPPUNIT_ASSERT_EQUAL(1, countLines(lines, "start work"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryMechanismTest);
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Entry/FairQueueTest.cpp
@@ -0,0 +1,130 @@
+#include "Entry/FairQueue.h"
+#include "Entry/RetryBudget.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+#include <map>
+
+namespace Nutmegrill {
+
+class FairQueueTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FairQueueTest);
+    CPPUNIT_TEST(sharesFollowWeights);
+    CPPUNIT_TEST(sharesCountTokensNotRequests);
+    CPPUNIT_TEST(requestThatCannotStartHoldsUpNoOtherAccount);
+    CPPUNIT_TEST(expectedWaitFollowsMeasuredRate);
+    CPPUNIT_TEST(emptyQueueNeverRejects);
+    CPPUNIT_TEST(retriesAreTenthOfFirstAttempts);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against shares that ignore the declared weights.
+    void sharesFollowWeights()
+    {
+        FairQueue queue;
+        for (int item = 0; item < 400; ++item) {
+            queue.push("heavy", 3, item, 700);
+            queue.push("light", 1, 1000 + item, 700);
+        }
+        const auto tokens = serve(queue, 400, 700, 700);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, ratio(tokens), 0.2);
+    }
+
+    // Guards against an account that gets more by sending large requests.
+    void sharesCountTokensNotRequests()
+    {
+        FairQueue queue;
+        for (int item = 0; item < 400; ++item) {
+            queue.push("heavy", 1, item, 4000);
+            queue.push("light", 1, 1000 + item, 500);
+        }
+        const auto tokens = serve(queue, 200, 4000, 500);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, ratio(tokens), 0.1);
+    }
+
+    // Guards against head-of-line blocking by a request that fits no agent.
+    void requestThatCannotStartHoldsUpNoOtherAccount()
+    {
+        FairQueue queue;
+        queue.push("heavy", 1, 1, 100);
+        queue.push("light", 1, 2, 100);
+        FairQueue::CallerId started = 0;
+        const auto place = [&](FairQueue::CallerId caller) {
+            started = caller;
+            return caller != 1;
+        };
+        CPPUNIT_ASSERT(queue.take(place));
+        CPPUNIT_ASSERT_EQUAL(FairQueue::CallerId(2), started);
+        CPPUNIT_ASSERT(!queue.take(place));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), queue.size());
+    }
+
+    // Guards against admission of requests that will miss their deadline.
+    void expectedWaitFollowsMeasuredRate()
+    {
+        FairQueue queue;
+        for (int item = 0; item < 100; ++item)
+            queue.push("heavy", 1, item, 1000);
+        Instant now;
+        for (int window = 0; window < 4; ++window) {
+            queue.tick(now);
+            queue.take([](FairQueue::CallerId) { return true; });
+            now += std::chrono::milliseconds(500);
+        }
+        queue.tick(now);
+        // 2000 tokens a second; the small account waits for its own turn only.
+        CPPUNIT_ASSERT_EQUAL(48500L, long(queue.expectedWait("heavy", 1, 1000).count()));
+        CPPUNIT_ASSERT_EQUAL(1000L, long(queue.expectedWait("light", 1, 1000).count()));
+    }
+
+    // Guards against a queue that rejects everything after its rate was measured as zero.
+    void emptyQueueNeverRejects()
+    {
+        FairQueue queue;
+        queue.push("heavy", 1, 1, 1000);
+        queue.tick(Instant());
+        queue.tick(Instant(std::chrono::seconds(1)));
+        CPPUNIT_ASSERT(queue.expectedWait("heavy", 1, 1000) > std::chrono::seconds(100));
+        queue.remove("heavy", 1);
+        CPPUNIT_ASSERT_EQUAL(0L, long(queue.expectedWait("heavy", 1, 1000).count()));
+    }
+
+    // Guards against retries that multiply an overload.
+    void retriesAreTenthOfFirstAttempts()
+    {
+        RetryBudget budget;
+        while (budget.takeRetry()) {
+        }
+        int retries = 0;
+        for (int attempt = 0; attempt < 1000; ++attempt) {
+            budget.noteFirstAttempt();
+            retries += budget.takeRetry() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(100, retries);
+    }
+
+private:
+    using Tokens = std::map<bool, double>;
+
+    static Tokens serve(FairQueue &queue, int starts, double heavyCost, double lightCost)
+    {
+        Tokens tokens;
+        for (int start = 0; start < starts; ++start) {
+            queue.take([&](FairQueue::CallerId caller) {
+                const bool heavy = caller < 1000;
+                tokens[heavy] += heavy ? heavyCost : lightCost;
+                return true;
+            });
+        }
+        return tokens;
+    }
+
+    static double ratio(const Tokens &tokens) { return tokens.at(true) / tokens.at(false); }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FairQueueTest);
+
+} // namespace Nutmegrill
