Wait for slow readers in a planned stop and do less per tick

A planned stop waits until finished answers are read, up to the stall limit. Resumes pass the queue limits. Buffer budgets are looked up once per request and demand is compared at most every 50 ms unless a queue changes, because a tick follows each batch of answers.

--- a/Source/Entry/AdmissionSystem.cpp
+++ b/Source/Entry/AdmissionSystem.cpp
@@ -72,7 +72,7 @@
 }
 
 std::optional<WorkMessage::Failure> AdmissionSystem::rejection(const RequestTable::Row &row,
-                                                               bool ready)
+                                                               bool ready, bool resumes)
 {
     const WorkMessage::Request &request = row.request;
     if (this->tables.stopping && this->tables.settings.switches.gracefulStop
@@ -86,6 +86,8 @@
         && this->tables.crashes.isQuarantined(this->tables.now, request.fingerprint))
         return failure(RunState::NotRun, 422, "quarantined",
                        "this request crashed backend servers and is not run for some minutes");
+    if (resumes)
+        return std::nullopt;
     const FairQueue &queue = this->tables.service(request.service).queue;
     const ClientAccount *account = this->tables.spread.current()->findAccount(request.account);
     if (account != nullptr && queue.sizeOf(this->laneOf(row)) >= account->maxQueued)
@@ -110,12 +112,14 @@
     row.deadline = this->tables.now
                    + (event.timeLimit > milliseconds(0) ? event.timeLimit : DefaultTimeLimit);
     row.suspectLane = this->isSuspect(event.request);
-    if (const auto rejected = this->rejection(row, ready)) {
+    if (const auto rejected = this->rejection(row, ready, !event.resumeAgent.empty())) {
         this->fail(row, *rejected);
         return;
     }
     row.model = this->tables.spread.current()->findService(row.request.service)->kind
                 == ServiceDeclaration::Kind::Model;
+    if (const auto *account = this->tables.spread.current()->findAccount(row.request.account))
+        row.accountBufferBytes = account->bufferBytes;
     if (!event.resumeAgent.empty()) {
         this->resumeFrom(row, event.resumeAgent);
         return;
--- a/Source/Entry/AdmissionSystem.h
+++ b/Source/Entry/AdmissionSystem.h
@@ -34,7 +34,8 @@
 
 private:
     void checkQueued(RequestTable::Row &row);
-    std::optional<WorkMessage::Failure> rejection(const RequestTable::Row &row, bool ready);
+    std::optional<WorkMessage::Failure> rejection(const RequestTable::Row &row, bool ready,
+                                                  bool resumes);
     bool place(EntryEvent::CallerId caller);
     bool isSuspect(const WorkMessage::Request &request) const;
     std::string laneOf(const RequestTable::Row &row) const;
--- a/Source/Entry/CallerSystem.cpp
+++ b/Source/Entry/CallerSystem.cpp
@@ -21,13 +21,11 @@
 StreamBudget::Limits CallerSystem::limitsOf(const RequestTable::Row &row) const
 {
     const EntrySettings &settings = this->tables.settings;
-    const ClientAccount *account =
-            this->tables.spread.current() == nullptr
-                    ? nullptr
-                    : this->tables.spread.current()->findAccount(row.request.account);
-    return {settings.streamBufferBytes,
-            account == nullptr ? settings.processBufferBytes : account->bufferBytes,
-            settings.processBufferBytes};
+    const std::uint64_t account =
+            row.accountBufferBytes == 0 ? settings.processBufferBytes : row.accountBufferBytes;
+    // A stalled reader would hold up a planned stop, so that it is cut as in a shortage.
+    const std::uint64_t process = this->tables.stopping ? 0 : settings.processBufferBytes;
+    return {settings.streamBufferBytes, account, process};
 }
 
 void CallerSystem::buffered(const EntryEvent::CallerBuffered &event)
@@ -55,6 +53,8 @@
     std::vector<EntryEvent::CallerId> stalled;
     const Instant since = this->tables.now - this->tables.settings.stallLimit;
     for (auto &[caller, row] : this->tables.requests.all()) {
+        if (!row.paused && this->tables.buffers.bytesOf(caller) == 0)
+            continue;
         this->applyPause(row);
         if ((row.paused || row.phase == RequestTable::Phase::Done)
             && this->tables.buffers.isStalled(caller, since, this->limitsOf(row)))
--- a/Source/Entry/EntryNode.cpp
+++ b/Source/Entry/EntryNode.cpp
@@ -107,9 +107,12 @@
 {
     if (!this->tables.stopping || this->tables.stopped)
         return;
-    const bool busy = std::any_of(
-            this->tables.requests.all().begin(), this->tables.requests.all().end(),
-            [](const auto &row) { return row.second.phase != RequestTable::Phase::Done; });
+    const Instant stalled = this->tables.now - this->tables.settings.stallLimit;
+    const bool busy = std::any_of(this->tables.requests.all().begin(),
+                                  this->tables.requests.all().end(), [&](const auto &row) {
+                                      return row.second.phase != RequestTable::Phase::Done
+                                             || this->tables.buffers.isRead(row.first, stalled);
+                                  });
     const bool wait = busy || this->tables.now < this->tables.stopNotBefore;
     if (wait && this->tables.settings.switches.gracefulStop)
         return;
--- a/Source/Entry/LinkSystem.cpp
+++ b/Source/Entry/LinkSystem.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <set>
 
 namespace Nutmegrill {
@@ -14,6 +15,7 @@
 
 constexpr milliseconds FirstReopen(200);
 constexpr std::uint32_t LargestReopenShift = 4;
+constexpr milliseconds DemandCheckPeriod(50);
 // Demand is sent at once when it rises from nothing, else at this period.
 constexpr milliseconds DemandPeriod(200);
 
@@ -161,16 +163,24 @@
 
 void LinkSystem::sendDemand()
 {
+    std::size_t queued = 0;
+    for (const auto &[name, service] : this->tables.services)
+        queued += service.queue.size();
+    // Ticks follow each batch of answers; most of them change no queue.
+    if (queued == this->lastQueued && this->tables.now < this->nextDemandCheck)
+        return;
+    this->lastQueued = queued;
+    this->nextDemandCheck = this->tables.now + DemandCheckPeriod;
     for (auto &[agent, row] : this->tables.backends.all()) {
         if (!row.welcomed)
             continue;
-        const auto queued =
+        const auto waiting =
                 static_cast<std::uint32_t>(this->tables.service(row.service).queue.size());
-        if (queued == row.demandSent || (row.demandSent != 0 && this->tables.now < row.nextDemand))
+        if (waiting == row.demandSent || (row.demandSent != 0 && this->tables.now < row.nextDemand))
             continue;
-        row.demandSent = queued;
+        row.demandSent = waiting;
         row.nextDemand = this->tables.now + DemandPeriod;
-        this->tables.order(EntryOrder::SendPeer{agent, PeerMessage::Demand{queued}});
+        this->tables.order(EntryOrder::SendPeer{agent, PeerMessage::Demand{waiting}});
     }
 }
 
--- a/Source/Entry/LinkSystem.h
+++ b/Source/Entry/LinkSystem.h
@@ -2,6 +2,7 @@
 
 #include "Entry/EntryTables.h"
 
+#include <cstddef>
 #include <string>
 
 namespace Nutmegrill {
@@ -29,6 +30,8 @@
     void selectSubset();
 
     EntryTables &tables;
+    std::size_t lastQueued = 0;
+    Instant nextDemandCheck;
 };
 
 } // namespace Nutmegrill
--- a/Source/Entry/RequestTable.h
+++ b/Source/Entry/RequestTable.h
@@ -30,6 +30,8 @@
         CallerId caller = 0;
         WorkMessage::Request request;
         bool model = false;
+        /// Buffer budget of the client account when the request came.
+        std::uint64_t accountBufferBytes = 0;
         Phase phase = Phase::Queued;
         /// Queued as a suspect, apart from the other requests of the client account.
         bool suspectLane = false;
--- a/Source/Entry/StreamBudget.cpp
+++ b/Source/Entry/StreamBudget.cpp
@@ -52,6 +52,12 @@
     return row.bytes > (paused ? limit / 2 : limit);
 }
 
+bool StreamBudget::isRead(CallerId caller, Instant since) const
+{
+    const auto found = this->rows.find(caller);
+    return found != this->rows.end() && found->second.bytes > 0 && found->second.lastRead > since;
+}
+
 bool StreamBudget::isStalled(CallerId caller, Instant since, const Limits &limits) const
 {
     const auto found = this->rows.find(caller);
--- a/Source/Entry/StreamBudget.h
+++ b/Source/Entry/StreamBudget.h
@@ -32,6 +32,9 @@
     /// its buffer has fallen to half of its limit.
     bool wantsPause(CallerId caller, bool paused, const Limits &limits) const;
 
+    /// Whether bytes wait for a reader that has taken some after \a since.
+    bool isRead(CallerId caller, Instant since) const;
+
     /// Whether the reader has taken nothing since \a since or earlier while the process is short of
     /// buffer memory.
     bool isStalled(CallerId caller, Instant since, const Limits &limits) const;
