Prove the agent's mechanisms on random event sequences

Two agents share one store that loses answers or is down. The sequences showed that a repeat of a request id that had been handed over could be reported as not run; the agent now remembers handed over request ids for 10 minutes and reports such repeats as unknown.

--- a/Source/Agent/AgentState.cpp
+++ b/Source/Agent/AgentState.cpp
@@ -8,6 +8,12 @@
 
 using Status = PeerMessage::BackendStatus::State;
 
+namespace {
+
+constexpr std::chrono::minutes CalledMemory(10);
+
+} // namespace
+
 AgentState::AgentState(AgentSettings settings)
     : settings(std::move(settings)),
       claims(this->settings.name + "-" + std::to_string(this->settings.incarnation))
@@ -120,13 +126,24 @@
     turn.orders.emplace_back(AgentOrder::SendWork{work, std::move(message)});
 }
 
-void AgentState::fail(const AgentTurn &turn, AgentOrder::WorkId work,
+void AgentState::fail(const AgentTurn &turn, AgentOrder::WorkId work, const std::string &requestId,
                       WorkMessage::Failure failure) const
 {
+    if (failure.run == RunState::NotRun && this->called.count(requestId) != 0)
+        failure.run = RunState::Unknown;
     failure.configurationVersion = this->spread.version();
     this->send(turn, work, std::move(failure));
 }
 
+void AgentState::callBackend(const AgentTurn &turn, RequestRow &row)
+{
+    row.phase = RequestRow::Phase::Running;
+    row.startDeadline = NoDeadline;
+    row.wasCalledBefore = this->called.count(row.request.requestId) != 0;
+    this->called[row.request.requestId] = turn.now + CalledMemory;
+    turn.orders.emplace_back(AgentOrder::CallBackend{row.request});
+}
+
 void AgentState::failRequest(const AgentTurn &turn, const std::string &requestId,
                              const WorkMessage::Failure &failure)
 {
@@ -135,7 +152,7 @@
         return;
     if (found->second.work != 0) {
         this->works.erase(found->second.work);
-        this->fail(turn, found->second.work, failure);
+        this->fail(turn, found->second.work, requestId, failure);
     }
     this->requests.erase(found);
 }
--- a/Source/Agent/AgentState.h
+++ b/Source/Agent/AgentState.h
@@ -33,6 +33,8 @@
     ClaimTable claims;
     std::map<AgentOrder::LinkId, LinkRow> links;
     std::map<std::string, RequestRow> requests;
+    /// Requests handed to the backend server, until their repeats are over.
+    std::map<std::string, Instant> called;
     /// Request of each open work stream.
     std::map<AgentOrder::WorkId, std::string> works;
 
@@ -62,7 +64,12 @@
     LinkRow *findGreeted(AgentOrder::LinkId link);
 
     void send(const AgentTurn &turn, AgentOrder::WorkId work, WorkMessage::Any message) const;
-    void fail(const AgentTurn &turn, AgentOrder::WorkId work, WorkMessage::Failure failure) const;
+    /// A request that was handed over before is never reported as not run, whatever became of
+    /// this repeat.
+    void fail(const AgentTurn &turn, AgentOrder::WorkId work, const std::string &requestId,
+              WorkMessage::Failure failure) const;
+    /// Orders the hand-over to the backend server.
+    void callBackend(const AgentTurn &turn, RequestRow &row);
     /// Ends the row's stream with a failure, if it has one, and erases the row.
     void failRequest(const AgentTurn &turn, const std::string &requestId,
                      const WorkMessage::Failure &failure);
--- a/Source/Agent/AnswerFlow.cpp
+++ b/Source/Agent/AnswerFlow.cpp
@@ -153,6 +153,8 @@
         }
         entry = next;
     }
+    std::erase_if(this->state.called,
+                  [&turn](const auto &entry) { return entry.second <= turn.now; });
     this->limitTailBytes();
 }
 
--- a/Source/Agent/BackendWatch.cpp
+++ b/Source/Agent/BackendWatch.cpp
@@ -49,6 +49,8 @@
     if (event.kind == AgentEvent::BackendFailed::Kind::NotSent) {
         if (row->isClaimed())
             this->state.claims.withdraw(row->claimKey);
+        if (!row->wasCalledBefore)
+            this->state.called.erase(id);
         this->state.failRequest(turn, id,
                                 rejectNotRun("refused", "the backend server refused the call"));
         this->setDown(turn, "a connection was refused");
--- a/Source/Agent/ClaimKeeper.cpp
+++ b/Source/Agent/ClaimKeeper.cpp
@@ -140,10 +140,8 @@
         this->state.failRequest(turn, outcome.requestId, *failure);
         return;
     }
-    row->phase = RequestRow::Phase::Running;
-    row->startDeadline = NoDeadline;
     row->runDeadline = turn.now + this->state.claims.find(outcome.key)->record.runLimit;
-    turn.orders.emplace_back(AgentOrder::CallBackend{row->request});
+    this->state.callBackend(turn, *row);
 }
 
 std::optional<WorkMessage::Failure> ClaimKeeper::checkStart(const AgentTurn &turn,
--- a/Source/Agent/RequestRow.h
+++ b/Source/Agent/RequestRow.h
@@ -42,6 +42,8 @@
     bool hasTokens = false;
     /// The time since lastData is the engine's own pace.
     bool isPaceKnown = false;
+    /// It was handed over before under the same id.
+    bool wasCalledBefore = false;
     /// The backend server crashed while it ran this request, and the crash is recorded.
     bool hasCrashed = false;
 
--- a/Source/Agent/WorkAdmission.cpp
+++ b/Source/Agent/WorkAdmission.cpp
@@ -44,7 +44,7 @@
     }
     if (isResume(request)) {
         this->state.fail(
-                turn, event.work,
+                turn, event.work, request.requestId,
                 makeFailure(RunState::Unknown, 410, "tail_gone", "the answer is not kept here"));
         return;
     }
@@ -56,7 +56,7 @@
     if (!failure.has_value())
         failure = this->checkRoom(turn, request, hasCredit);
     if (failure.has_value())
-        this->state.fail(turn, event.work, *failure);
+        this->state.fail(turn, event.work, request.requestId, *failure);
     else
         this->admit(turn, event, fingerprintOf(request));
 }
@@ -117,21 +117,21 @@
                            || request.service != row.request.service
                            || (!isResume(request) && request.body != row.request.body);
     if (otherCall) {
-        this->state.fail(turn, event.work,
+        this->state.fail(turn, event.work, request.requestId,
                          makeFailure(RunState::NotRun, 422, "request_id_used",
                                      "the request id belongs to another call"));
         return;
     }
     if (!row.tail.reaches(request.firstEvent)
         || (!this->state.settings.mechanisms.tails && row.isStarted())) {
-        this->state.fail(turn, event.work,
+        this->state.fail(turn, event.work, request.requestId,
                          makeFailure(RunState::Unknown, 410, "tail_gone",
                                      "the answer is no longer kept from that event on"));
         return;
     }
     if (row.work != 0) {
         this->state.works.erase(row.work);
-        this->state.fail(turn, row.work,
+        this->state.fail(turn, row.work, request.requestId,
                          makeFailure(RunState::Running, 409, "taken_over",
                                      "another stream reads this answer"));
     }
@@ -222,9 +222,7 @@
         this->claims.begin(turn, row);
         return;
     }
-    row.phase = RequestRow::Phase::Running;
-    row.startDeadline = NoDeadline;
-    turn.orders.emplace_back(AgentOrder::CallBackend{row.request});
+    this->state.callBackend(turn, row);
 }
 
 } // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Agent/AgentPropertyTest.cpp
@@ -0,0 +1,82 @@
+#include "AgentScript.h"
+#include "AgentWorld.h"
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+/// Runs random event sequences with a fixed seed. Returns whether all invariants held; \a calls
+/// counts the backend calls of all sequences.
+bool holdsInRandomSequences(AgentMechanisms mechanisms, bool shrink, std::size_t &calls)
+{
+    rc::detail::TestParams parameters;
+    parameters.seed = 20261204;
+    parameters.maxSuccess = 2000;
+    parameters.maxSize = 400;
+    parameters.disableShrinking = !shrink;
+    const auto property = [mechanisms, &calls](const std::vector<std::uint32_t> &choices) {
+        AgentWorld world(mechanisms);
+        for (std::uint32_t choice : choices)
+            world.step(choice);
+        world.finish();
+        calls += world.calls();
+        if (!world.violation().empty())
+            RC_FAIL(world.violation());
+    };
+    const auto result = rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
+    rc::detail::SuccessResult success;
+    if (result.match(success))
+        return true;
+    if (shrink)
+        rc::detail::printResultMessage(result, std::cerr);
+    return false;
+}
+
+} // namespace
+
+class AgentPropertyTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AgentPropertyTest);
+    CPPUNIT_TEST(invariantsHold);
+    CPPUNIT_TEST(creditsNeedTheCheckOnArrival);
+    CPPUNIT_TEST(atMostOnceNeedsClaims);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against any sequence of events that starts work beyond the limit, runs a call twice,
+    // reports a call that ran as not run, leaves a work without an end or leaves a gap in an
+    // answer.
+    void invariantsHold()
+    {
+        std::size_t calls = 0;
+        CPPUNIT_ASSERT(holdsInRandomSequences({}, true, calls));
+        // Sequences that start nothing would hold without proving anything.
+        CPPUNIT_ASSERT_GREATER(std::size_t(8000), calls);
+    }
+
+    // Guards against an invariant that holds without its mechanism, so that it would prove nothing.
+    void creditsNeedTheCheckOnArrival()
+    {
+        AgentMechanisms mechanisms;
+        mechanisms.arrivalCheck = false;
+        std::size_t calls = 0;
+        CPPUNIT_ASSERT(!holdsInRandomSequences(mechanisms, false, calls));
+    }
+
+    // The same for claims.
+    void atMostOnceNeedsClaims()
+    {
+        AgentMechanisms mechanisms;
+        mechanisms.claims = false;
+        std::size_t calls = 0;
+        CPPUNIT_ASSERT(!holdsInRandomSequences(mechanisms, false, calls));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AgentPropertyTest);
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Agent/AgentWorld.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "Agent/AgentNode.h"
+#include "FakeStore.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// Two agents with one store, driven by random numbers. Checks after each step what must hold in
+/// every sequence of events; violation() names the first thing that did not.
+class AgentWorld
+{
+public:
+    explicit AgentWorld(AgentMechanisms mechanisms);
+
+    void step(std::uint32_t choice);
+
+    /// Lets everything come to its end, then checks that every work got its end.
+    void finish();
+
+    const std::string &violation() const { return this->firstViolation; }
+
+    /// Backend calls ordered, to show that a run was not empty.
+    std::size_t calls() const { return this->callCount; }
+
+private:
+    struct Link
+    {
+        std::uint64_t startsUpTo = 0;
+        std::uint64_t starts = 0;
+        Instant deadline;
+    };
+
+    struct Work
+    {
+        std::size_t agent = 0;
+        AgentOrder::LinkId link = 0;
+        std::string requestId;
+        std::uint64_t nextEvent = 0;
+        bool excused = false; ///< detached or cancelled
+        int ends = 0;
+    };
+
+    struct Agent
+    {
+        std::unique_ptr<AgentNode> node;
+        std::map<AgentOrder::LinkId, Link> links;
+        std::map<std::string, bool> running; ///< request id, whether data has come
+        std::set<std::string> called;
+        std::optional<AgentOrder::WriteClaims> batch;
+        std::uint32_t incarnation = 1;
+        bool granted = false;
+    };
+
+    using Action = void (AgentWorld::*)(std::size_t agent, std::uint32_t value);
+
+    void handle(std::size_t agent, const AgentEvent::Any &event);
+    void tick(std::size_t agent);
+    void observe(std::size_t agent, const AgentOrder::List &orders);
+    void observeWork(std::size_t agent, const AgentOrder::SendWork &order);
+    void observeCall(std::size_t agent, const WorkMessage::Request &request);
+    void checkCredits(std::size_t agent);
+    std::uint32_t limit(std::size_t agent) const;
+    void expect(bool holds, const std::string &what);
+
+    void openLink(std::size_t agent, AgentOrder::LinkId link);
+    void sendWork(std::size_t agent, std::uint32_t value, WorkMessage::Request request);
+    void startIdempotent(std::size_t agent, std::uint32_t value);
+    void startOnce(std::size_t agent, std::uint32_t value);
+    void repeatRequest(std::size_t agent, std::uint32_t value);
+    void giveData(std::size_t agent, std::uint32_t value);
+    void endCall(std::size_t agent, std::uint32_t value);
+    void failCall(std::size_t agent, std::uint32_t value);
+    void answerClaims(std::size_t agent, std::uint32_t value);
+    void switchStore(std::size_t agent, std::uint32_t value);
+    void demand(std::size_t agent, std::uint32_t value);
+    void report(std::size_t agent, std::uint32_t value);
+    void abandonWork(std::size_t agent, std::uint32_t value);
+    void acknowledge(std::size_t agent, std::uint32_t value);
+    void replaceLink(std::size_t agent, std::uint32_t value);
+    void moveDomain(std::size_t agent, std::uint32_t value);
+    const std::string *pickRunning(std::size_t agent, std::uint32_t value) const;
+
+    Instant now{std::chrono::seconds(1)};
+    FakeStore store;
+    std::array<Agent, 2> agents;
+    std::map<AgentOrder::WorkId, Work> works;
+    std::vector<WorkMessage::Request> sent;
+    std::map<std::string, int> callsOfKey;
+    std::set<std::string> notSent; ///< requests refused before a byte was written
+    std::uint64_t lastWork = 0;
+    std::uint64_t lastLink = 0;
+    std::uint64_t version = 1;
+    std::size_t callCount = 0;
+    std::string firstViolation;
+};
+
+} // namespace Nutmegrill
