--- a/Tests/StandIns/LoadCaller.cpp
+++ b/Tests/StandIns/LoadCaller.cpp
@@ -218,6 +218,10 @@
         exchange->deadline = now + milliseconds(this->settings.limitMs);
         ++this->perAccount[exchange->account].sent;
         ++this->open;
+        this->loop.after(milliseconds(this->settings.limitMs), [this, exchange] {
+            this->client.cancel(exchange->call);
+            this->finish(exchange, this->isRecords() ? &Summary::unknown : &Summary::broken);
+        });
         this->send(exchange);
     }
 
@@ -382,7 +386,10 @@
         ++(this->total.*counter);
         ++(this->perAccount[exchange->account].*counter);
         ++this->preferred;
-        this->loop.after(exchange->retryAfter, [this, exchange] { this->send(exchange); });
+        this->loop.after(exchange->retryAfter, [this, exchange] {
+            if (!exchange->ended)
+                this->send(exchange);
+        });
     }
 
     void finish(const ExchangePtr &exchange, std::uint64_t Summary::*outcome)
