--- a/Tests/StandIns/LoadCaller.cpp
+++ b/Tests/StandIns/LoadCaller.cpp
@@ -167,7 +167,7 @@
                            });
     }
 
-    // {"entries": [{"address": "IP:port"}, ...], "lifetime_seconds": 10}
+    // {"entries": [{"address": "IP:port"}, ...], "keep_seconds": 10}
     void takeEntries(const Json &answer)
     {
         std::vector<std::string> found;
@@ -178,14 +178,19 @@
             this->entries = std::move(found);
         this->ready = true;
         const milliseconds lifetime(
-                static_cast<std::int64_t>(answer.value("lifetime_seconds", 10.0) * 1000));
+                static_cast<std::int64_t>(answer.value("keep_seconds", 10.0) * 1000));
         this->loop.after(std::max(lifetime, milliseconds(100)), [this] { this->askForEntries(0); });
     }
 
     void startDue()
     {
         const Instant now = this->loop.now();
-        while (this->ready && now < this->stopAt && this->open < this->settings.concurrency
+        while (!this->open.empty() && this->open.begin()->second->deadline <= now) {
+            const ExchangePtr late = this->open.begin()->second;
+            this->client.cancel(late->call);
+            this->finish(late, this->isRecords() ? &Summary::unknown : &Summary::broken);
+        }
+        while (this->ready && now < this->stopAt && this->open.size() < this->settings.concurrency
                && (this->settings.count == 0 || this->total.sent < this->settings.count)
                && (this->settings.rate == 0 || this->nextStart <= now)) {
             if (this->settings.rate > 0) {
@@ -196,7 +201,7 @@
             this->begin(now);
         }
         const bool allSent = this->settings.count != 0 && this->total.sent >= this->settings.count;
-        if (this->open == 0 && (now >= this->stopAt || allSent))
+        if (this->open.empty() && (now >= this->stopAt || allSent))
             this->loop.stop();
     }
 
@@ -217,11 +222,7 @@
         exchange->start = now;
         exchange->deadline = now + milliseconds(this->settings.limitMs);
         ++this->perAccount[exchange->account].sent;
-        ++this->open;
-        this->loop.after(milliseconds(this->settings.limitMs), [this, exchange] {
-            this->client.cancel(exchange->call);
-            this->finish(exchange, this->isRecords() ? &Summary::unknown : &Summary::broken);
-        });
+        this->open[exchange->number] = exchange;
         this->send(exchange);
     }
 
@@ -398,7 +399,7 @@
             return;
         ++(this->total.*outcome);
         ++(this->perAccount[exchange->account].*outcome);
-        --this->open;
+        this->open.erase(exchange->number);
     }
 
     EventLoop &loop;
@@ -411,7 +412,8 @@
     std::string run;
     Instant stopAt;
     Instant nextStart;
-    std::size_t open = 0;
+    /// In the order of their deadlines.
+    std::map<std::uint64_t, ExchangePtr> open;
     Summary total;
     std::map<std::string, Summary> perAccount;
     std::unique_ptr<EventLoop::Timer> timer;
