--- a/Source/Membership/ConfigurationSpread.cpp
+++ b/Source/Membership/ConfigurationSpread.cpp
@@ -141,7 +141,6 @@
                           [](const auto &entry) { return entry.second.version.has_value(); }));
 }
 
-<<<<<<< HEAD
 std::uint64_t ConfigurationSpread::highestHeard() const
 {
     std::uint64_t highest = 0;
@@ -150,10 +149,7 @@
     return highest;
 }
 
-bool ConfigurationSpread::replace(const ConfigurationPtr &candidate, PeerOutput::List &output)
-=======
 std::chrono::milliseconds ConfigurationSpread::age(Instant now) const
->>>>>>> config
 {
     if (!this->confirmed.has_value())
         return UnknownAge;
