--- /dev/null
+++ b/Source/Experts/MapChangeOrder.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Experts/MapMessage.h"
+
+#include <cstdint>
+#include <variant>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// What the decision logic of a map change wants done.
+class MapChangeOrder
+{
+public:
+    struct Send
+    {
+        MapMessage::Peer to = 0;
+        MapMessage::Any message;
+    };
+
+    /// Loads the weights of a map beside those in use; answered by weightsStaged().
+    struct StageWeights
+    {
+        MapChangeId change;
+        ExpertMap map;
+    };
+
+    /// The engine runs \a step and all later steps with \a map.
+    struct UseMap
+    {
+        ExpertMap map;
+        std::uint64_t step = 0;
+    };
+
+    using Any = std::variant<Send, StageWeights, UseMap>;
+    using List = std::vector<Any>;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Experts/MapChangeOwner.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "Core/Time.h"
+#include "Experts/MapChangeOrder.h"
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// Drives map changes of one model group for as long as its process holds the owner lease. It keeps
+/// nothing that the ranks do not know: its death at any point leaves a change that the ranks or the
+/// next owner finish.
+///
+/// Each change begins with a survey of all ranks, which makes them refuse earlier owners, finishes
+/// a change that an earlier owner left open, founds a group without a map, and measures the message
+/// time from which the step of the change is chosen.
+class MapChangeOwner
+{
+public:
+    using Peer = MapMessage::Peer;
+    using Orders = MapChangeOrder::List;
+
+    enum class Result {
+        None,      ///< no change has ended yet
+        Committed, ///< all ranks armed
+        Aborted,   ///< a rank refused
+        Outdated,  ///< the ranks run another map than the one that the plan is based on
+        TimedOut,  ///< a rank did not stage in time; nothing was armed
+        Deposed    ///< the ranks have heard a later owner
+    };
+
+    /// \a fence is the store revision of the lease, \a initial the map for a group that has none.
+    MapChangeOwner(std::uint32_t ranks, std::uint64_t fence, ExpertMap initial);
+
+    /// Surveys the ranks and then changes to \a plan, whose epoch is that of the map that it is
+    /// based on plus one. Ignored while a change is running.
+    void propose(Instant now, ExpertMap plan, Orders &orders);
+
+    /// Surveys the ranks, which also finishes open changes and founds the group.
+    void survey(Instant now, Orders &orders);
+
+    void handle(Instant now, Peer from, const MapMessage::Any &message, Orders &orders);
+    void tick(Instant now, Orders &orders);
+
+    bool isIdle() const { return this->phase == Phase::Idle; }
+    bool isArming() const { return this->phase == Phase::Arming; }
+    Result lastResult() const { return this->result; }
+
+    /// Map of the ranks after the last survey or commit; epoch 0 before.
+    const ExpertMap &currentMap() const { return this->current; }
+
+private:
+    enum class Phase { Idle, Survey, Staging, Arming, Settling };
+
+    struct Rank
+    {
+        std::optional<MapMessage::MapInfo> info;
+        std::uint64_t incarnation = 0;
+        bool staged = false;
+        MapMessage::Answer vote = MapMessage::Answer::Unknown;
+        /// Where the rank was when it was last heard, for the measured step time.
+        std::uint64_t step = 0;
+        Instant stepAt;
+    };
+
+    void receive(Instant now, Peer from, const MapMessage::MapInfo &message, Orders &orders);
+    void receive(Instant now, Peer from, const MapMessage::Staged &message, Orders &orders);
+    void receive(Instant now, Peer from, const MapMessage::Armed &message, Orders &orders);
+    void receive(Instant now, Peer from, const MapMessage::Refused &message, Orders &orders);
+    void receive(Instant now, Peer from, const MapMessage::Vote &message, Orders &orders);
+    // The other messages are for ranks.
+    template <typename Other>
+    void receive(Instant, Peer, const Other &, Orders &)
+    {}
+
+    void enter(Instant now, Phase next, Orders &orders);
+    void sendPhase(Instant now, Orders &orders) const;
+    bool hasAnswered(const Rank &row) const;
+    MapMessage::Any question(Instant now) const;
+    void endSurvey(Instant now, Orders &orders);
+    void found(Orders &orders) const;
+    void count(Instant now, Peer from, const MapChangeId &change, std::uint64_t incarnation,
+               MapMessage::Answer vote, Orders &orders);
+    void settle(Instant now, bool commit, Orders &orders);
+    void finish(Result how);
+    void noteStep(Instant now, Rank &row, std::uint64_t step);
+    std::uint64_t chooseStep(Instant now) const;
+    std::vector<std::uint64_t> incarnations() const;
+
+    std::uint32_t ranks;
+    std::uint64_t fence;
+    ExpertMap initial;
+    ExpertMap current;
+    std::optional<ExpertMap> plan;
+    Phase phase = Phase::Idle;
+    Result result = Result::None;
+    /// The own change, or in the phase Settling that of an earlier owner.
+    MapChangeId change;
+    std::uint64_t changes = 0;
+    std::uint64_t surveys = 0;
+    std::uint64_t step = 0;
+    std::vector<Rank> rows;
+    std::chrono::microseconds messageTime{0};
+    std::chrono::microseconds stepTime;
+    Instant phaseStart;
+    Instant resendAt;
+    Instant phaseDeadline = NoDeadline;
+};
+
+} // namespace Nutmegrill
