--- a/Source/Net/EventLoop.cpp
+++ b/Source/Net/EventLoop.cpp
@@ -37,13 +37,6 @@
     event *source;
 };
 
-void runOnce(evutil_socket_t, short, void *argument)
-{
-    const std::unique_ptr<std::function<void()>> callback(
-            static_cast<std::function<void()> *>(argument));
-    (*callback)();
-}
-
 } // namespace
 
 EventLoop::EventLoop() : loop(event_base_new()), start(std::chrono::steady_clock::now())
@@ -54,6 +47,8 @@
 
 EventLoop::~EventLoop()
 {
+    // Callbacks that never ran may hold connections of this loop.
+    this->once.clear();
     event_base_free(this->loop);
 }
 
@@ -94,9 +89,17 @@
 
 void EventLoop::after(std::chrono::milliseconds delay, std::function<void()> callback)
 {
+    const std::uint64_t id = this->nextOnce++;
+    auto timer = std::make_unique<EventTimer>(this->loop, -1, 0,
+                                              [this, id, callback = std::move(callback)] {
+                                                  // The timer is kept until its callback has
+                                                  // returned.
+                                                  const auto running = this->once.extract(id);
+                                                  callback();
+                                              });
     const timeval span = toTimeval(delay);
-    event_base_once(this->loop, -1, EV_TIMEOUT, &runOnce,
-                    new std::function<void()>(std::move(callback)), &span);
+    timer->add(&span);
+    this->once.emplace(id, std::move(timer));
 }
 
 std::unique_ptr<EventLoop::Timer> EventLoop::onSignal(int signal, std::function<void()> callback)
--- a/Source/Net/EventLoop.h
+++ b/Source/Net/EventLoop.h
@@ -3,7 +3,9 @@
 #include "Core/Time.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 
 struct event_base;
@@ -50,6 +52,8 @@
 
 private:
     event_base *loop;
+    std::map<std::uint64_t, std::unique_ptr<Timer>> once;
+    std::uint64_t nextOnce = 1;
     std::chrono::steady_clock::time_point start;
 };
 
--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -8,6 +8,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
@@ -106,10 +107,23 @@
                    TCP_NODELAY, &on, sizeof on);
         evhttp_connection_set_timeout(connection, BusyTimeoutSeconds);
         evhttp_connection_set_closecb(connection, &Callbacks::closed, server);
+        noticeClose(evhttp_connection_get_bufferevent(connection));
         server->open[parsed.id] = Open{request, false};
         server->handler(parsed);
     }
 
+    // evhttp stops reading until the answer begins, and would not notice a caller that leaves
+    // before. Without a read callback, bytes of a next request wait in the buffer.
+    static void noticeClose(bufferevent *stream)
+    {
+        bufferevent_data_cb writeCallback = nullptr;
+        bufferevent_event_cb eventCallback = nullptr;
+        void *context = nullptr;
+        bufferevent_getcb(stream, nullptr, &writeCallback, &eventCallback, &context);
+        bufferevent_setcb(stream, nullptr, writeCallback, eventCallback, context);
+        bufferevent_enable(stream, EV_READ);
+    }
+
     static void closed(evhttp_connection *, void *argument)
     {
         // evhttp has taken the connection away from the request that was being answered on it.
@@ -120,9 +134,10 @@
                 gone.push_back(id);
         }
         for (RequestId id : gone) {
-            evhttp_request_free(server->open[id].request);
+            const Open row = server->open[id];
+            evhttp_request_free(row.request);
             server->open.erase(id);
-            if (server->goneHandler)
+            if (!row.aborted && server->goneHandler)
                 server->goneHandler(id);
         }
     }
@@ -232,12 +247,10 @@
     const auto found = this->open.find(request);
     if (found == this->open.end())
         return;
+    // evhttp frees the connection when it reads the end; it may be inside a callback of it now.
+    found->second.aborted = true;
     evhttp_connection *connection = evhttp_request_get_connection(found->second.request);
-    this->open.erase(found);
-    evhttp_connection_set_closecb(connection, nullptr, nullptr);
-    // From the loop: evhttp may be inside a callback of this connection.
-    this->loop.after(std::chrono::milliseconds(0),
-                     [connection] { evhttp_connection_free(connection); });
+    ::shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)), SHUT_RDWR);
 }
 
 std::size_t HttpServer::pendingBytes(RequestId request) const
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -89,6 +89,7 @@
     {
         evhttp_request *request = nullptr;
         bool streaming = false;
+        bool aborted = false;
     };
     struct Callbacks;
 
--- a/Source/Programs/CallerGateway.cpp
+++ b/Source/Programs/CallerGateway.cpp
@@ -43,10 +43,10 @@
 bool isRequestId(std::string_view text)
 {
     return !text.empty() && text.size() <= LongestRequestId
-            && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
-                   return std::isalnum(letter) != 0 || letter == '-' || letter == '_'
-                           || letter == '.';
-               });
+           && std::all_of(text.begin(), text.end(), [](unsigned char letter) {
+                  return std::isalnum(letter) != 0 || letter == '-' || letter == '_'
+                         || letter == '.';
+              });
 }
 
 // "agent:index" of the last event that the caller received.
@@ -65,7 +65,7 @@
 bool mayUse(const ClientAccount &account, const std::string &service)
 {
     return std::find(account.services.begin(), account.services.end(), service)
-            != account.services.end();
+           != account.services.end();
 }
 
 bool isSafeMethod(const std::string &method)
@@ -79,7 +79,7 @@
     const ServiceDeclaration::Call *best = nullptr;
     for (const ServiceDeclaration::Call &call : service.calls) {
         const bool matches = call.method == method
-                && path.compare(0, call.pathPrefix.size(), call.pathPrefix) == 0;
+                             && path.compare(0, call.pathPrefix.size(), call.pathPrefix) == 0;
         if (matches && (best == nullptr || call.pathPrefix.size() > best->pathPrefix.size()))
             best = &call;
     }
@@ -121,7 +121,7 @@
         return refusal(400, "bad_request_id",
                        "X-Request-Id must be 1 to 96 letters, digits, '-', '_' or '.'");
     const std::string id = given.empty() ? this->entryName + "-" + std::to_string(this->start) + "-"
-                    + std::to_string(this->nextRequest++)
+                                                   + std::to_string(this->nextRequest++)
                                          : std::string(given);
     // The account is part of the id, so that nobody resumes another account's answer.
     parsed.request.requestId = account->name + "/" + id;
@@ -198,8 +198,8 @@
                        "this call is not idempotent and needs an Idempotency-Key header");
     if (parsed.request.idempotent)
         parsed.request.idempotencyKey.clear();
-    parsed.request.fingerprint = hash64(parsed.request.account + '\n' + name + '\n'
-                                        + request.method + ' ' + path + '\n' + request.body);
+    parsed.request.fingerprint = hash64(parsed.request.account + '\n' + name + '\n' + request.method
+                                        + ' ' + path + '\n' + request.body);
     parsed.timeLimit = ServiceTimeLimit;
     return parsed;
 }
@@ -221,7 +221,8 @@
     Json data = Json::array();
     for (const ServiceDeclaration &service : configuration.services) {
         if (service.kind == ServiceDeclaration::Kind::Model && mayUse(account, service.name))
-            data.push_back({{"id", service.model}, {"object", "model"}, {"owned_by", "nutmegrill"}});
+            data.push_back(
+                    {{"id", service.model}, {"object", "model"}, {"owned_by", "nutmegrill"}});
     }
     return Json({{"object", "list"}, {"data", data}}).dump();
 }
--- a/Source/Programs/CallerGateway.h
+++ b/Source/Programs/CallerGateway.h
@@ -10,8 +10,8 @@
 
 namespace Nutmegrill {
 
-/// Turns a caller's HTTP request into a request of the entry's decision logic: authentication, limits,
-/// endpoints, parsing. It keeps no state but the number of the next generated request id.
+/// Turns a caller's HTTP request into a request of the entry's decision logic: authentication,
+/// limits, endpoints, parsing. It keeps no state but the number of the next generated request id.
 class CallerGateway
 {
 public:
--- a/Source/Programs/ConfigurationReader.h
+++ b/Source/Programs/ConfigurationReader.h
@@ -22,7 +22,8 @@
 
     void read(const Done &done);
 
-    /// Reads now and after each change of the head until the watch breaks; then \a done gets null once.
+    /// Reads now and after each change of the head until the watch breaks; then \a done gets null
+    /// once.
     void watch(const Done &done);
 
     bool isWatching() const { return this->watching; }
--- a/Source/Programs/EntryShell.cpp
+++ b/Source/Programs/EntryShell.cpp
@@ -49,14 +49,11 @@
 } // namespace
 
 EntryShell::EntryShell(EventLoop &loop, const Options &options)
-    : loop(loop),
-      options(options),
-      node(options.node),
+    : loop(loop), options(options), node(options.node),
       callerServer(loop, options.listenAddress, callerLimits(),
                    [this](const HttpServer::Request &request) { this->serve(request); }),
       control(loop, options.controlAddress, options.node.deploymentKey, this->metrics),
-      store(loop, options.storeAddress, StoreAnswerLimit),
-      configurations(loop, this->store),
+      store(loop, options.storeAddress, StoreAnswerLimit), configurations(loop, this->store),
       gateway(options.node.name, options.node.seed),
       instances(loop, options.instancesAddress,
                 [this](const std::vector<InstanceRecord> &rows) {
@@ -109,9 +106,9 @@
         takeOut.changeId = document.value("changeId", "");
     }
     const ConfigurationPtr configuration = this->node.configuration();
-    const FailureDomainState *domain = configuration == nullptr
-            ? nullptr
-            : configuration->findFailureDomain(takeOut.failureDomain);
+    const FailureDomainState *domain =
+            configuration == nullptr ? nullptr
+                                     : configuration->findFailureDomain(takeOut.failureDomain);
     if (domain == nullptr || takeOut.changeId.empty())
         return {400, "application/json",
                 R"({"error":{"code":"unknown_failure_domain","message":"no such failure domain"}})"};
@@ -215,7 +212,8 @@
 {
     const auto lifetime = this->node.addressLifetime();
     nlohmann::json rows = nlohmann::json::array();
-    for (const EntryNode::Address &entry : this->node.entriesFor(request.peerAddress + request.query))
+    for (const EntryNode::Address &entry :
+         this->node.entriesFor(request.peerAddress + request.query))
         rows.push_back({{"address", entry.address}, {"failure_domain", entry.failureDomain}});
     const nlohmann::json body = {{"entries", rows}, {"keep_seconds", lifetime.count()}};
     this->callerServer.reply(request.id, 200,
@@ -389,15 +387,14 @@
         this->replyFailure(order.caller, row.requestId, order.failure);
         return;
     }
-    // The status has left already: the stream says what happened and ends without its last chunk, so
-    // that no caller takes it for a whole answer.
+    // The status has left already: the stream says what happened and ends without its last chunk,
+    // so that no caller takes it for a whole answer.
     this->metrics.add("nutmegrill_entry_failures_total", {{"code", order.failure.code}});
     this->callerServer.sendChunk(order.caller,
                                  "event: error\ndata: "
                                          + CallerGateway::failureBody(order.failure, row.requestId)
                                          + "\n\n");
-    this->loop.after(ExitDelay,
-                     [this, id = order.caller] { this->callerServer.abort(id); });
+    this->loop.after(ExitDelay, [this, id = order.caller] { this->callerServer.abort(id); });
 }
 
 void EntryShell::execute(const EntryOrder::ReadStore &order)
@@ -480,8 +477,8 @@
     const EntryOrder::WorkId work = found->second;
     this->workOfStream.erase(found);
     this->works.erase(work);
-    this->handle(EntryEvent::WorkClosed{
-            work, end == StreamEnd::NotProcessed ? RunState::NotRun : RunState::Unknown});
+    this->handle(EntryEvent::WorkClosed{work, end == StreamEnd::NotProcessed ? RunState::NotRun
+                                                                             : RunState::Unknown});
 }
 
 void EntryShell::peerDisconnected(PeerSession &session)
--- a/Source/Programs/OperatorCommands.cpp
+++ b/Source/Programs/OperatorCommands.cpp
@@ -85,8 +85,7 @@
 
 OperatorCommands::OperatorCommands(EventLoop &loop, const Settings &settings)
     : loop(loop), settings(settings)
-{
-}
+{}
 
 OperatorCommands::Result OperatorCommands::run()
 {
@@ -183,8 +182,8 @@
         return fail(Kind::OutcomeUnknown, "the store did not answer in time; see status");
     if (const auto *conflict = std::get_if<PublishOrder::Conflict>(&*outcome))
         return fail(Kind::Conflict, "version " + std::to_string(conflict->version) + " by "
-                            + conflict->author + " (change " + conflict->changeId
-                            + ") came first; read it with diff and apply again");
+                                            + conflict->author + " (change " + conflict->changeId
+                                            + ") came first; read it with diff and apply again");
     if (const auto *failed = std::get_if<PublishOrder::Failed>(&*outcome))
         return fail(kindOf(failed->error), failed->text);
     if (const auto *unknown = std::get_if<PublishOrder::OutcomeUnknown>(&*outcome))
@@ -311,8 +310,7 @@
                 if (row.dump().find(id) == std::string::npos)
                     continue;
                 found = true;
-                std::cout << processName(state) << " " << table << ": " << row.dump()
-                          << "\n";
+                std::cout << processName(state) << " " << table << ": " << row.dump() << "\n";
             }
         }
     }
@@ -343,7 +341,7 @@
 {
     std::random_device device;
     return this->settings.text("author") + "-" + std::to_string(device())
-            + std::to_string(device());
+           + std::to_string(device());
 }
 
 } // namespace Nutmegrill
--- a/Source/Programs/OperatorError.h
+++ b/Source/Programs/OperatorError.h
@@ -8,13 +8,13 @@
 struct OperatorError
 {
     enum class Kind {
-        Usage, ///< wrong words or flags
+        Usage,        ///< wrong words or flags
         Declarations, ///< the declarations have errors; nothing was published
         StoreUnreachable,
-        Conflict, ///< another operator's change came first
+        Conflict,       ///< another operator's change came first
         OutcomeUnknown, ///< the change may have been published
-        NoAnswer, ///< a process did not answer
-        Refused ///< the change cannot be made
+        NoAnswer,       ///< a process did not answer
+        Refused         ///< the change cannot be made
     };
 
     Kind kind = Kind::Usage;
--- a/Source/Programs/PublishRunner.cpp
+++ b/Source/Programs/PublishRunner.cpp
@@ -56,13 +56,12 @@
 PublishRunner::PublishRunner(EventLoop &loop, StoreClient &store, ConfigurationChange change,
                              Done done)
     : loop(loop), store(store), publisher(std::move(change)), done(std::move(done))
-{
-}
+{}
 
 void PublishRunner::handle(const PublishEvent::Any &event)
 {
     const bool failed = std::holds_alternative<PublishEvent::AnswerLost>(event)
-            || std::holds_alternative<PublishEvent::StoreUnreachable>(event);
+                        || std::holds_alternative<PublishEvent::StoreUnreachable>(event);
     PublishOrder::List orders;
     this->publisher.handle(event, orders);
     if (!failed) {
@@ -138,13 +137,12 @@
 {
     StoreTransaction transaction;
     const auto revision = order.expectedRevision == 0
-            ? std::optional<std::int64_t>()
-            : std::optional<std::int64_t>(static_cast<std::int64_t>(order.expectedRevision));
+                                  ? std::optional<std::int64_t>()
+                                  : std::optional<std::int64_t>(
+                                          static_cast<std::int64_t>(order.expectedRevision));
     // Without value and revision the comparison asks for an absent key.
-    transaction.compares.push_back(
-            {std::string(ConfigurationHead::Key), std::nullopt, revision});
-    transaction.onSuccess.push_back(
-            putOperation(std::string(ConfigurationHead::Key), order.head));
+    transaction.compares.push_back({std::string(ConfigurationHead::Key), std::nullopt, revision});
+    transaction.onSuccess.push_back(putOperation(std::string(ConfigurationHead::Key), order.head));
     for (const std::string &hash : order.retiredChunks) {
         StoreTransaction::Operation operation;
         operation.kind = StoreTransaction::Operation::Kind::Delete;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -15,7 +15,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr const char *Address = "127.0.0.1:39160";
+constexpr const char *Address = "127.0.0.1:21160";
 
 } // namespace
 
--- a/Tests/Net/PeerSessionTest.cpp
+++ b/Tests/Net/PeerSessionTest.cpp
@@ -16,7 +16,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr const char *Address = "127.0.0.1:39150";
+constexpr const char *Address = "127.0.0.1:21150";
 
 class Recorder : public PeerObserver
 {
--- a/Tests/Store/StoreStandInTest.cpp
+++ b/Tests/Store/StoreStandInTest.cpp
@@ -19,7 +19,7 @@
 using namespace std::chrono_literals;
 using Json = StandIn::Json;
 
-constexpr const char *Address = "127.0.0.1:39301";
+constexpr const char *Address = "127.0.0.1:21301";
 
 Json putRequest(const std::string &key, const std::string &value)
 {
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -3,7 +3,7 @@
 # Sourced by scripts/quickstart and by the process tests.
 
 BIN=${BIN:-build/default}
-BASE=${BASE:-39500}
+BASE=${BASE:-21500}
 KEY=quickstart-deployment-key
 WORK=$(mktemp -d)
 declare -A PID=()
