--- a/Source/Entry/ConfigurationSystem.cpp
+++ b/Source/Entry/ConfigurationSystem.cpp
@@ -1,5 +1,6 @@
 #include "Entry/ConfigurationSystem.h"
 
+#include "Config/ConfigurationCodec.h"
 #include "Entry/EntryLog.h"
 #include "Membership/RelaySelector.h"
 
@@ -30,7 +31,16 @@
         this->nextRead = NoDeadline;
     }
     PeerOutput::List output;
-    this->tables.spread.accept(this->tables.now, event.configuration, output);
+    if (event.fromStore) {
+        this->tables.spread.accept(this->tables.now, event.configuration, output);
+    } else if (event.configuration != nullptr) {
+        // It says nothing about what the store holds now, so that it is taken like a peer's.
+        this->tables.spread.receive(
+                this->tables.now, {},
+                PeerMessage::ConfigurationData{event.configuration->version,
+                                               encodeConfiguration(*event.configuration)},
+                output);
+    }
     this->tables.send(output);
     this->checkReady();
 }
