--- a/Source/Programs/PublishRunner.cpp
+++ b/Source/Programs/PublishRunner.cpp
@@ -145,6 +145,12 @@
             {std::string(ConfigurationHead::Key), std::nullopt, revision});
     transaction.onSuccess.push_back(
             putOperation(std::string(ConfigurationHead::Key), order.head));
+    for (const std::string &hash : order.retiredChunks) {
+        StoreTransaction::Operation operation;
+        operation.kind = StoreTransaction::Operation::Kind::Delete;
+        operation.key = chunkKey(hash);
+        transaction.onSuccess.push_back(std::move(operation));
+    }
     this->store.transact(transaction, [self = this->shared_from_this()](const StoreResult &result) {
         const auto failure = failureOf(result);
         self->handle(failure.value_or(PublishEvent::SwapAnswered{result.succeeded}));
