Use the same names in all dumps and explain finished requests

The agent's dump named the version 'configuration', so that status showed version 0 for agents, and no dump listed pending take-outs, so that bring-back could not see them. A control request with a JSON field of the wrong type ended the process.

--- a/Source/Agent/AgentNode.cpp
+++ b/Source/Agent/AgentNode.cpp
@@ -9,6 +9,7 @@
 #include "Agent/PeerControl.h"
 #include "Agent/StreamFlow.h"
 #include "Agent/WorkAdmission.h"
+#include "Membership/StateDump.h"
 
 #include <array>
 #include <utility>
@@ -148,28 +149,34 @@
 {
     static constexpr std::array StatusNames = {"down", "cold", "warm", "leaving", "out"};
     static constexpr std::array PhaseNames = {"alone", "claiming", "running", "ended"};
-    nlohmann::ordered_json document;
-    document["agent"] = this->state->settings.name;
-    document["configuration"] = this->state->spread.version();
-    document["status"] = StatusNames[static_cast<std::size_t>(this->state->status())];
-    document["limit"] = this->state->limit();
-    document["running"] = this->state->running();
-    document["credits"] = this->state->credits.outstanding(now);
-    document["suspects"] = this->state->suspects;
-    document["claimsOpen"] = this->state->claims.size();
-    document["links"] = nlohmann::ordered_json::array();
-    for (const auto &[link, row] : this->state->links)
+    using Json = nlohmann::ordered_json;
+    const State &state = *this->state;
+    Json document = {{"agent", state.settings.name},
+                     {"service", state.settings.service},
+                     {"failure_domain", state.settings.failureDomain},
+                     {"configuration_version", state.spread.version()},
+                     {"pending_take_outs", StateDump<Json>::pendingTakeOuts(state.spread)},
+                     {"state", StatusNames[static_cast<std::size_t>(state.status())]},
+                     {"limit", state.limit()},
+                     {"running", state.running()},
+                     {"credits", state.credits.outstanding(now)},
+                     {"suspects", state.suspects},
+                     {"open_claims", state.claims.size()},
+                     {"links", Json::array()},
+                     {"requests", Json::array()},
+                     {"recent", StateDump<Json>::recent(state.recent)}};
+    for (const auto &[link, row] : state.links)
         document["links"].push_back({{"link", link}, {"process", row.process}});
-    document["requests"] = nlohmann::ordered_json::array();
-    for (const auto &[id, row] : this->state->requests) {
-        document["requests"].push_back({{"id", id},
+    for (const auto &[id, row] : state.requests) {
+        document["requests"].push_back({{"request_id", id},
+                                        {"account", row.request.account},
+                                        {"service", row.request.service},
                                         {"phase", PhaseNames[static_cast<std::size_t>(row.phase)]},
-                                        {"work", row.work},
-                                        {"nextEvent", row.tail.nextEvent()},
-                                        {"tailBytes", row.tail.bytes()},
+                                        {"next_event", row.tail.nextEvent()},
+                                        {"tail_bytes", row.tail.bytes()},
                                         {"paused", row.paused}});
     }
-    return document.dump(2, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    return document.dump(2, ' ', false, Json::error_handler_t::replace);
 }
 
 } // namespace Nutmegrill
--- a/Source/Agent/AgentState.cpp
+++ b/Source/Agent/AgentState.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <utility>
+#include <vector>
 
 namespace Nutmegrill {
 
@@ -129,12 +130,25 @@
 void AgentState::fail(const AgentTurn &turn, AgentOrder::WorkId work, const std::string &requestId,
                       WorkMessage::Failure failure) const
 {
-    if (failure.run == RunState::NotRun && this->called.count(requestId) != 0)
-        failure.run = RunState::Unknown;
+    failure.run = this->knownRun(requestId, failure.run);
     failure.configurationVersion = this->spread.version();
     this->send(turn, work, std::move(failure));
 }
 
+RunState AgentState::knownRun(const std::string &requestId, RunState run) const
+{
+    return run == RunState::NotRun && this->called.count(requestId) != 0 ? RunState::Unknown : run;
+}
+
+void AgentState::remember(const WorkMessage::Request &request, const std::string &code,
+                          RunState run)
+{
+    std::vector<std::string> starts;
+    if (this->called.count(request.requestId) != 0)
+        starts.push_back(this->settings.name);
+    this->recent.add(request, std::move(starts), code, this->knownRun(request.requestId, run));
+}
+
 void AgentState::callBackend(const AgentTurn &turn, RequestRow &row)
 {
     row.phase = RequestRow::Phase::Running;
@@ -150,6 +164,7 @@
     const auto found = this->requests.find(requestId);
     if (found == this->requests.end())
         return;
+    this->remember(found->second.request, failure.code, failure.run);
     if (found->second.work != 0) {
         this->works.erase(found->second.work);
         this->fail(turn, found->second.work, requestId, failure);
--- a/Source/Agent/AgentState.h
+++ b/Source/Agent/AgentState.h
@@ -9,6 +9,7 @@
 #include "Agent/RequestRow.h"
 #include "Membership/ConfigurationSpread.h"
 #include "Membership/CrashRecords.h"
+#include "Membership/RecentRequests.h"
 
 #include <cstdint>
 #include <map>
@@ -37,6 +38,7 @@
     std::map<std::string, Instant> called;
     /// Request of each open work stream.
     std::map<AgentOrder::WorkId, std::string> works;
+    RecentRequests recent;
 
     /// Declaration of the agent's service; null when there is none.
     const ServiceDeclaration *service() const;
@@ -68,6 +70,8 @@
     /// this repeat.
     void fail(const AgentTurn &turn, AgentOrder::WorkId work, const std::string &requestId,
               WorkMessage::Failure failure) const;
+    /// Adds the request to the recent ones; \a run is corrected as in fail().
+    void remember(const WorkMessage::Request &request, const std::string &code, RunState run);
     /// Orders the hand-over to the backend server.
     void callBackend(const AgentTurn &turn, RequestRow &row);
     /// Ends the row's stream with a failure, if it has one, and erases the row.
@@ -78,6 +82,10 @@
                    AgentOrder::LinkId except = 0) const;
     void log(const AgentTurn &turn, std::uint32_t number, LogRecord::Level level,
              std::string text) const;
+
+private:
+    /// A request that was handed over before counts as run or unknown.
+    RunState knownRun(const std::string &requestId, RunState run) const;
 };
 
 } // namespace Nutmegrill
--- a/Source/Agent/AnswerFlow.cpp
+++ b/Source/Agent/AnswerFlow.cpp
@@ -50,6 +50,7 @@
         return;
     row->phase = RequestRow::Phase::Ended;
     row->runDeadline = NoDeadline;
+    this->state.remember(row->request, RecentRequests::Ok, RunState::Completed);
     if (!row->head.has_value())
         row->head = WorkMessage::Head{502, {}};
     // A call that ended long after its link died is still kept for a while.
@@ -147,6 +148,7 @@
         // A claimed call goes on without a reader, because its answer is still to be recorded.
         if (expired && row.phase == RequestRow::Phase::Running && !row.isClaimed()) {
             turn.orders.emplace_back(AgentOrder::CancelBackend{entry->first});
+            this->state.remember(row.request, "abandoned", RunState::Unknown);
             this->state.requests.erase(entry);
         } else if (expired && row.phase == RequestRow::Phase::Ended) {
             this->state.requests.erase(entry);
--- a/Source/Agent/ClaimKeeper.cpp
+++ b/Source/Agent/ClaimKeeper.cpp
@@ -177,6 +177,7 @@
         failure = otherBody();
     } else if (record->state == ClaimRecord::State::Completed && record->hasBody) {
         this->replay(turn, *row, *record);
+        this->state.remember(row->request, "recorded_answer", RunState::Completed);
         this->state.works.erase(row->work);
         this->state.requests.erase(outcome.requestId);
         return;
--- a/Source/Agent/WorkAdmission.cpp
+++ b/Source/Agent/WorkAdmission.cpp
@@ -55,10 +55,12 @@
         failure = this->claims.check(turn, request);
     if (!failure.has_value())
         failure = this->checkRoom(turn, request, hasCredit);
-    if (failure.has_value())
-        this->state.fail(turn, event.work, request.requestId, *failure);
-    else
+    if (!failure.has_value()) {
         this->admit(turn, event, fingerprintOf(request));
+        return;
+    }
+    this->state.remember(request, failure->code, failure->run);
+    this->state.fail(turn, event.work, request.requestId, *failure);
 }
 
 void WorkAdmission::cancel(const AgentTurn &turn, const AgentEvent::WorkCancelled &event)
@@ -72,6 +74,8 @@
         return;
     }
     this->state.works.erase(event.work);
+    this->state.remember(row->request, "cancelled",
+                         row->isStarted() ? RunState::Unknown : RunState::NotRun);
     if (row->phase == RequestRow::Phase::Running)
         turn.orders.emplace_back(AgentOrder::CancelBackend{row->request.requestId});
     if (row->phase == RequestRow::Phase::Claiming)
--- a/Source/Entry/AdmissionSystem.cpp
+++ b/Source/Entry/AdmissionSystem.cpp
@@ -46,6 +46,7 @@
         this->tables.log(EntryLog::Quarantined, LogRecord::Level::Warning,
                          row.request.requestId + ": quarantined, not run again");
     this->tables.order(EntryOrder::ReplyFailure{row.caller, failure});
+    this->tables.recent.add(row.request, row.starts, failure.code, failure.run);
     this->tables.buffers.remove(row.caller);
     this->tables.requests.erase(row.caller);
 }
@@ -218,6 +219,7 @@
         ++backend.ownRunning;
     } else {
         ++row.attempts;
+        row.starts.push_back(backend.agent);
         backend.takeCredit(Router::kvBytes(request, this->tables.spread));
     }
     const auto work = this->tables.requests.startWork(row);
--- a/Source/Entry/AnswerSystem.cpp
+++ b/Source/Entry/AnswerSystem.cpp
@@ -117,6 +117,7 @@
 void AnswerSystem::finish(RequestTable::Row &row)
 {
     this->tables.order(EntryOrder::ReplyEnd{row.caller});
+    this->tables.recent.add(row.request, row.starts, RecentRequests::Ok, RunState::Completed);
     this->tables.crashes.clearSuspect(row.request.fingerprint);
     row.phase = RequestTable::Phase::Done;
     row.text = std::string();
--- a/Source/Entry/CallerSystem.cpp
+++ b/Source/Entry/CallerSystem.cpp
@@ -104,6 +104,10 @@
         return;
     if (row->phase == RequestTable::Phase::Queued)
         this->admission.leaveQueue(*row);
+    if (row->phase != RequestTable::Phase::Done)
+        this->tables.recent.add(row->request, row->starts, "caller_gone",
+                                row->starts.empty() && !row->handedOver ? RunState::NotRun
+                                                                        : RunState::Unknown);
     // A stream can be resumed; a call that must not be repeated runs on, so that its outcome is
     // recorded.
     if (row->work != 0 && row->request.stream)
--- a/Source/Entry/EntryDump.cpp
+++ b/Source/Entry/EntryDump.cpp
@@ -1,6 +1,7 @@
 #include "Entry/EntryDump.h"
 
 #include "Entry/EntryTables.h"
+#include "Membership/StateDump.h"
 
 #include <nlohmann/json.hpp>
 
@@ -52,7 +53,8 @@
             {"phase", nameOf(row.phase)},
             {"agent", row.agent},
             {"next_event", row.nextEvent},
-            {"attempts", row.attempts},
+            {"agents", StateDump<Json>::agents(row.starts)},
+            {"starts", row.starts.size()},
             {"paused", row.paused}};
 }
 
@@ -64,18 +66,21 @@
                  {"ready", ready},
                  {"relay", relay},
                  {"stopping", tables.stopping},
+                 {"failure_domain", tables.settings.failureDomain},
                  {"configuration_version", tables.spread.version()},
+                 {"pending_take_outs", StateDump<Json>::pendingTakeOuts(tables.spread)},
                  {"buffered_bytes", tables.buffers.processBytes()},
                  {"agents", Json::object()},
                  {"queues", Json::object()},
-                 {"requests", Json::array()}};
+                 {"requests", Json::array()},
+                 {"recent", StateDump<Json>::recent(tables.recent)}};
     for (const auto &[agent, row] : tables.backends.all())
         dump["agents"][agent] = backendOf(now, row);
     for (const auto &[name, service] : tables.services)
         dump["queues"][name] = service.queue.size();
     for (const auto &[caller, row] : tables.requests.all())
         dump["requests"].push_back(requestOf(row));
-    return dump.dump(2);
+    return dump.dump(2, ' ', false, Json::error_handler_t::replace);
 }
 
 } // namespace Nutmegrill
--- a/Source/Entry/EntryTables.h
+++ b/Source/Entry/EntryTables.h
@@ -13,6 +13,7 @@
 #include "Entry/StreamBudget.h"
 #include "Membership/ConfigurationSpread.h"
 #include "Membership/CrashRecords.h"
+#include "Membership/RecentRequests.h"
 
 #include <map>
 #include <string>
@@ -64,6 +65,7 @@
     BackendTable backends;
     RequestTable requests;
     std::map<std::string, ServiceRow> services;
+    RecentRequests recent;
     StreamBudget buffers;
     AddressAdvisor advisor;
     Router router;
--- a/Source/Entry/RequestTable.h
+++ b/Source/Entry/RequestTable.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace Nutmegrill {
 
@@ -48,6 +49,8 @@
         /// A start of this request may have run, so that a non-idempotent call is not sent again.
         bool handedOver = false;
         std::uint32_t attempts = 0;
+        /// Agent of each start.
+        std::vector<std::string> starts;
         std::uint32_t resumes = 0;
         std::uint32_t continuations = 0;
         Instant resumeUntil;
--- a/Source/Programs/ControlServer.cpp
+++ b/Source/Programs/ControlServer.cpp
@@ -4,12 +4,27 @@
 
 #include <utility>
 
+#include <nlohmann/json.hpp>
+
 namespace Nutmegrill {
 
 namespace {
 
 constexpr const char *HealthPath = "GET /health";
 
+// A handler takes fields of a JSON body by type; another type is the fault of the sender and must
+// not end the process.
+ControlServer::Answer call(const ControlServer::Handler &handler,
+                           const HttpServer::Request &request)
+{
+    try {
+        return handler(request);
+    } catch (const nlohmann::json::exception &) {
+        return {400, "application/json",
+                R"({"error":{"code":"malformed_request","message":"a field has the wrong type"}})"};
+    }
+}
+
 } // namespace
 
 ControlServer::ControlServer(EventLoop &loop, const std::string &address, std::string deploymentKey,
@@ -40,7 +55,7 @@
         answer = {404, "application/json",
                   R"({"error":{"code":"not_found","message":"no such control path"}})"};
     else
-        answer = found->second(request);
+        answer = call(found->second, request);
     this->server.reply(request.id, answer.status, {{"Content-Type", answer.contentType}},
                        answer.body);
 }
--- a/Source/Programs/OperatorCommands.cpp
+++ b/Source/Programs/OperatorCommands.cpp
@@ -8,6 +8,7 @@
 #include "Programs/ConfigurationReader.h"
 #include "Programs/OperatorError.h"
 #include "Programs/PublishRunner.h"
+#include "Programs/RequestExplanation.h"
 #include "Programs/Settings.h"
 
 #include <algorithm>
@@ -301,17 +302,10 @@
     const std::string &id = this->settings.words()[1];
     bool found = false;
     for (const std::string &address : this->settings.list("processes")) {
-        const auto state = nlohmann::json::parse(this->fetchControl(address, "GET", "/dump", {}),
-                                                 nullptr, false);
-        if (!state.is_object())
-            continue;
-        for (const char *table : {"requests", "recent"}) {
-            for (const auto &row : state.value(table, nlohmann::json::array())) {
-                if (row.dump().find(id) == std::string::npos)
-                    continue;
-                found = true;
-                std::cout << processName(state) << " " << table << ": " << row.dump() << "\n";
-            }
+        for (const std::string &line :
+             RequestExplanation::linesOf(this->fetchControl(address, "GET", "/dump", {}), id)) {
+            found = true;
+            std::cout << line << "\n";
         }
     }
     if (!found)
--- /dev/null
+++ b/Source/Programs/RequestExplanation.cpp
@@ -0,0 +1,79 @@
+#include "Programs/RequestExplanation.h"
+
+#include <cstdint>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// A continuation on another agent runs under the same id with "~" and a number.
+bool isAbout(const std::string &full, const std::string &requestId)
+{
+    const std::string id = full.substr(0, full.find('~'));
+    const std::size_t slash = id.find('/');
+    return id == requestId
+           || (slash != std::string::npos
+               && id.compare(slash + 1, std::string::npos, requestId) == 0);
+}
+
+std::string startsOf(const Json &row)
+{
+    std::string names;
+    for (const Json &agent : row.value("agents", Json::array()))
+        names += (names.empty() ? " on " : ", ") + agent.get<std::string>();
+    const auto starts = row.value("starts", std::uint64_t(0));
+    return std::to_string(starts) + (starts == 1 ? " start" : " starts") + names;
+}
+
+std::string headOf(const Json &row)
+{
+    return row.value("request_id", "") + ", account " + row.value("account", "") + ", service "
+           + row.value("service", "") + ": ";
+}
+
+std::string openLine(const Json &row)
+{
+    std::string line = headOf(row) + row.value("phase", "") + ", next event "
+                       + std::to_string(row.value("next_event", std::uint64_t(0)));
+    if (row.contains("starts"))
+        line += ", " + startsOf(row);
+    if (row.contains("tail_bytes"))
+        line += ", " + std::to_string(row.value("tail_bytes", std::uint64_t(0)))
+                + " bytes of the answer kept";
+    if (row.value("paused", false))
+        line += ", paused for a slow reader";
+    return line;
+}
+
+std::string finishedLine(const Json &row)
+{
+    return headOf(row) + "finished with " + row.value("code", "") + ", run " + row.value("run", "")
+           + ", " + startsOf(row);
+}
+
+} // namespace
+
+std::vector<std::string> RequestExplanation::linesOf(const std::string &dump,
+                                                     const std::string &requestId)
+{
+    std::vector<std::string> lines;
+    const Json state = Json::parse(dump, nullptr, false);
+    if (!state.is_object())
+        return lines;
+    const std::string process = state.value("entry", state.value("agent", ""));
+    for (const Json &row : state.value("requests", Json::array())) {
+        if (isAbout(row.value("request_id", ""), requestId))
+            lines.push_back(process + ": " + openLine(row));
+    }
+    for (const Json &row : state.value("recent", Json::array())) {
+        if (isAbout(row.value("request_id", ""), requestId))
+            lines.push_back(process + ": " + finishedLine(row));
+    }
+    return lines;
+}
+
+} // namespace Nutmegrill
