Share the start code of entry and agent and check settings fully

Words that are no flags, a subset size of 0 and numbers that do not fit were taken silently; an empty number in the environment ended the process with an exception.

--- a/Source/Programs/OperatorMain.cpp
+++ b/Source/Programs/OperatorMain.cpp
@@ -13,13 +13,14 @@
     Settings settings("nutmegrill",
                       "checks and publishes declarations, moves failure domains, shows state\n"
                               + OperatorCommands::help());
+    settings.allowWords();
     settings.allow("store", Settings::Format::Address, "127.0.0.1:2379",
                    "address of the key-value service");
     settings.allow("processes", Settings::Format::AddressList, "",
                    "control addresses of entries and agents, separated by commas");
     settings.allow("deployment-key", Settings::Format::Text, "", "key shared by the deployment");
     settings.allow("author", Settings::Format::Text, "operator", "name kept with each change");
-    settings.allow("pending", Settings::Format::Text, "no",
+    settings.allow("pending", Settings::Format::YesNo, "no",
                    "yes: take-out goes to the entries, for use while the store is down");
     if (!settings.read(argc, argv))
         return settings.exitCode();
@@ -28,7 +29,8 @@
     OperatorCommands commands(loop, settings);
     return boost::leaf::try_handle_all(
             [&commands]() -> boost::leaf::result<int> {
-                BOOST_LEAF_CHECK(commands.run());
+                if (auto result = commands.run(); !result)
+                    return result.error();
                 return Settings::ExitOk;
             },
             [](const OperatorError &error) {
--- /dev/null
+++ b/Source/Programs/ProcessStart.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Net/EventLog.h"
+#include "Net/EventLoop.h"
+#include "Programs/Settings.h"
+
+#include <cstdint>
+#include <iostream>
+#include <string>
+
+namespace Nutmegrill {
+
+/// Start of an entry or an agent: the settings that both have, and the run of the shell.
+class ProcessStart
+{
+public:
+    ProcessStart(std::string program, std::string summary, const std::string &callers);
+
+    /// Settings that only one kind of process has are declared here before read().
+    Settings &settings() { return this->declared; }
+
+    /// Returns false when the process has to exit with exitCode().
+    bool read(int argc, const char *const *argv) { return this->declared.read(argc, argv); }
+    int exitCode() const { return this->declared.exitCode(); }
+
+    /// The part of the shell's options that entries and agents share.
+    template <typename Options>
+    Options options() const
+    {
+        Options options;
+        options.node.name = this->declared.text("name");
+        options.node.failureDomain = this->declared.text("failure-domain");
+        options.node.deploymentKey = this->declared.text("deployment-key");
+        options.listenAddress = this->declared.text("listen");
+        options.controlAddress = this->declared.text("control-listen");
+        options.storeAddress = this->declared.text("store");
+        options.instancesAddress = this->declared.text("instances");
+        return options;
+    }
+
+    /// Runs the shell until its node has stopped. Returns the exit code.
+    template <typename Shell>
+    int run(const typename Shell::Options &options) const
+    {
+        EventLog::open(options.node.name);
+        EventLoop loop;
+        Shell shell(loop, options);
+        if (const std::string error = shell.startError(); !error.empty()) {
+            std::cerr << this->program << ": " << error << "\n";
+            return Settings::ExitCannotListen;
+        }
+        shell.run();
+        return Settings::ExitOk;
+    }
+
+    /// Number that differs from one start of a process to the next.
+    static std::uint64_t timeOfDay();
+
+private:
+    std::string program;
+    Settings declared;
+};
+
+} // namespace Nutmegrill
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <iostream>
+#include <limits>
 #include <map>
 #include <sstream>
 #include <utility>
@@ -43,10 +44,11 @@
 
 bool isNumber(const std::string &text)
 {
-    static constexpr std::size_t MaxDigits = 18;
+    static constexpr std::size_t MaxDigits = 10;
     return !text.empty() && text.size() <= MaxDigits
            && std::all_of(text.begin(), text.end(),
-                          [](unsigned char letter) { return std::isdigit(letter) != 0; });
+                          [](unsigned char letter) { return std::isdigit(letter) != 0; })
+           && std::stoull(text) <= std::numeric_limits<std::uint32_t>::max();
 }
 
 std::vector<std::string> splitList(const std::string &text)
@@ -58,6 +60,22 @@
     return parts;
 }
 
+struct FormatRule
+{
+    bool (*accepts)(const std::string &text);
+    const char *description;
+};
+
+// In the order of Settings::Format.
+constexpr FormatRule Rules[] = {
+        {[](const std::string &) { return true; }, "a text"},
+        {isAddress, "of the form IP:port"},
+        {isAddress, "of the form IP:port"},
+        {isNumber, "a number from 0 to 4294967295"},
+        {[](const std::string &text) { return isNumber(text) && std::stoull(text) > 0; },
+         "a number from 1 to 4294967295"},
+        {[](const std::string &text) { return text == "yes" || text == "no"; }, "yes or no"}};
+
 } // namespace
 
 struct Settings::Parser
@@ -132,6 +150,10 @@
     }
     if (parsed.count("words") != 0)
         this->positional = parsed["words"].as<std::vector<std::string>>();
+    if (!this->wordsAllowed) {
+        for (const std::string &word : this->positional)
+            faults.push_back("unexpected word '" + word + "'");
+    }
     if (faults.empty())
         this->checkValues(faults);
     for (const std::string &fault : faults)
@@ -150,19 +172,17 @@
     }
     for (const auto &[name, format] : this->parser->formats) {
         const auto found = this->parser->values.find(name);
-        if (found == this->parser->values.end() || found->second.empty())
+        if (found == this->parser->values.end())
             continue;
         const std::string &value = found->second;
-        if (format == Format::Number && !isNumber(value))
-            faults.push_back("--" + name + ": '" + value + "' is not a number");
-        std::vector<std::string> addresses;
-        if (format == Format::Address)
-            addresses = {value};
-        else if (format == Format::AddressList)
-            addresses = splitList(value);
-        for (const std::string &address : addresses) {
-            if (!isAddress(address))
-                faults.push_back("--" + name + ": '" + address + "' is not of the form IP:port");
+        // Texts and addresses may be left empty; a missing one is reported above.
+        if (value.empty() && format <= Format::AddressList)
+            continue;
+        const FormatRule &rule = Rules[static_cast<std::size_t>(format)];
+        for (const std::string &part :
+             format == Format::AddressList ? splitList(value) : std::vector{value}) {
+            if (!rule.accepts(part))
+                faults.push_back("--" + name + ": '" + part + "' is not " + rule.description);
         }
     }
 }
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -14,7 +14,7 @@
 class Settings
 {
 public:
-    enum class Format { Text, Address, AddressList, Number };
+    enum class Format { Text, Address, AddressList, Number, PositiveNumber, YesNo };
 
     /// Exit codes of every program.
     static constexpr int ExitOk = 0;
@@ -34,9 +34,11 @@
     void allow(const std::string &name, Format format, const std::string &defaultValue,
                const std::string &help);
 
-    /// Reads flags and environment; words that are no flags are kept in order. Returns false when
-    /// the process has to exit with exitCode(): --help and --version were answered, or messages
-    /// written.
+    /// Words that are no flags are kept in order; without this they are faults.
+    void allowWords() { this->wordsAllowed = true; }
+
+    /// Reads flags and environment. Returns false when the process has to exit with exitCode():
+    /// --help and --version were answered, or messages written.
     bool read(int argc, const char *const *argv);
 
     int exitCode() const { return this->code; }
@@ -54,6 +56,7 @@
     std::unique_ptr<Parser> parser;
     std::string program;
     int code = ExitOk;
+    bool wordsAllowed = false;
     std::vector<std::string> positional;
 };
 
