Add link and store metrics and the measurement of real processes; make unknown faults fail their test

The process tests set three faults under names that the stand-ins did not know, so that three cases ran without their fault. A fault that is not accepted now fails the case.

--- a/Source/Programs/AgentShell.cpp
+++ b/Source/Programs/AgentShell.cpp
@@ -108,8 +108,15 @@
 void AgentShell::watchLinks()
 {
     this->peers.removeClosed();
-    for (const auto &session : this->peers.sessions())
+    std::uint64_t bytes = 0;
+    for (const auto &session : this->peers.sessions()) {
         session->checkLiveness(this->loop.now(), LinkSilenceLimit);
+        bytes += session->bytesSent() + session->bytesReceived();
+    }
+    this->metrics.set("nutmegrill_open_link_bytes", {}, static_cast<double>(bytes));
+    this->metrics.set("nutmegrill_open_links", {},
+                      static_cast<double>(this->peers.sessions().size()));
+    this->metrics.set("nutmegrill_store_calls", {}, static_cast<double>(this->store.callCount()));
 }
 
 void AgentShell::execute(const AgentOrder::List &orders)
--- a/Source/Programs/EntryShell.cpp
+++ b/Source/Programs/EntryShell.cpp
@@ -168,8 +168,14 @@
 
 void EntryShell::watchLinks()
 {
-    for (auto &[agent, link] : this->links)
+    std::uint64_t bytes = 0;
+    for (auto &[agent, link] : this->links) {
         link.session->checkLiveness(this->loop.now(), LinkSilenceLimit);
+        bytes += link.session->bytesSent() + link.session->bytesReceived();
+    }
+    this->metrics.set("nutmegrill_open_link_bytes", {}, static_cast<double>(bytes));
+    this->metrics.set("nutmegrill_open_links", {}, static_cast<double>(this->links.size()));
+    this->metrics.set("nutmegrill_store_calls", {}, static_cast<double>(this->store.callCount()));
 }
 
 // Callers
--- a/Tests/Process/process-test.sh
+++ b/Tests/Process/process-test.sh
@@ -34,7 +34,12 @@
   wait_ready
 }
 
-store_fault() { curl -s -X POST "http://$STORE/faults" -d "$1" > /dev/null; }
+# A fault that a stand-in does not know would make its case pass without the fault.
+set_fault() { # address, JSON
+  curl -sf -X POST "http://$1/faults" -d "$2" > /dev/null || fail "fault $2"
+}
+
+store_fault() { set_fault "$STORE" "$1"; }
 
 record() { # entry number, key, body
   curl -s --max-time 20 "http://${CALLER[entry-$1]}/v1/services/ledger/records" -H "Idempotency-Key: $2" \
@@ -81,7 +86,7 @@
 
 # G7: a leaving backend server gets no new work within 3 s, though the instance list lags.
 case_leaving_backend_server_gets_no_work() {
-  curl -s -X POST "http://$INSTANCES/faults" -d '{"lag-ms":1000}' > /dev/null
+  set_fault "$INSTANCES" '{"lagMs":1000}'
   start_load 8
   sleep 2
   curl -s -X PUT "http://$INSTANCES/instances/writer-north" -d "{\"role\":\"agent\",\"address\":\"${PEER[writer-north]}\",\"failureDomain\":\"north\",\"service\":\"writer\",\"leaving\":true}" > /dev/null
@@ -118,8 +123,8 @@
 
 # G6: a record repeated while it runs, at another entry, after it ran, runs once.
 case_record_repeated_everywhere_runs_once() {
-  curl -s -X POST "http://${BACKEND[ledger-north]}/faults" -d '{"delay-ms":1500}' > /dev/null
-  curl -s -X POST "http://${BACKEND[ledger-south]}/faults" -d '{"delay-ms":1500}' > /dev/null
+  set_fault "${BACKEND[ledger-north]}" '{"delayMs":1500}'
+  set_fault "${BACKEND[ledger-south]}" '{"delayMs":1500}'
   local number calls=()
   for number in 1 2 3 1 2 3; do
     record "$number" key-1 '{"round":1}' > "$WORK/answer-$number-${#calls[@]}" &
@@ -154,7 +159,7 @@
 case_agent_killed_while_a_record_runs() {
   local name answer
   for name in ledger-north ledger-south; do
-    curl -s -X POST "http://${BACKEND[$name]}/faults" -d '{"delay-ms":1500}' > /dev/null
+    set_fault "${BACKEND[$name]}" '{"delayMs":1500}'
   done
   record 1 key-3 '{"round":3}' > "$WORK/first" &
   sleep 0.7
@@ -219,8 +224,8 @@
 
 # M8: a request that crashes its backend server, sent again and again, crashes at most two of them.
 case_crashing_request_is_quarantined() {
-  curl -s -X POST "http://${BACKEND[writer-north]}/faults" -d '{"fall-ms":500}' > /dev/null
-  curl -s -X POST "http://${BACKEND[writer-south]}/faults" -d '{"fall-ms":500}' > /dev/null
+  set_fault "${BACKEND[writer-north]}" '{"fallMs":500}'
+  set_fault "${BACKEND[writer-south]}" '{"fallMs":500}'
   start_load 10
   sleep 1
   local attempt answer=
@@ -230,6 +235,8 @@
     sleep 0.3
   done
   echo "$answer"
+  # A fallen engine answers nothing for half a second.
+  sleep 1
   local falls=$(($(counter writer-north falls) + $(counter writer-south falls)))
   expect "the request crashed $falls backend servers" [ "$falls" -ge 1 -a "$falls" -le 2 ]
   expect "the last repeat was refused, not: $answer" grep -q '"run":"not_run"' <<< "$answer"
