Bound the batches of claims to what the store takes

Cause: a batch carried every claim that was due. The store rejects transactions of more than 128 operations and requests above 1.5 MB, and a rejected batch is repeated as it is, so a burst of records would have held up every later claim of the agent. Found by reading the limits of the gateway against ClaimTable::nextBatch. Change: at most 100 writes and 512 KiB a batch, taken in turn from where the last batch ended.

--- a/Source/Agent/ClaimTable.cpp
+++ b/Source/Agent/ClaimTable.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr std::chrono::seconds BatchTimeout(2);
+// The store takes 128 operations in a transaction, the enclosing one included, and 1.5 MB in a
+// request; base64 adds a third, and a write carries the expected record besides the new one.
+constexpr std::size_t MostWritesInBatch = 100;
+constexpr std::size_t MostBytesInBatch = 512U << 10U;
 constexpr std::chrono::milliseconds FirstRetryPause(250);
 constexpr std::chrono::seconds LongestRetryPause(1);
 
@@ -64,11 +68,26 @@
     if (this->batchOpen || now < this->retryAt)
         return std::nullopt;
     AgentOrder::WriteClaims batch;
-    for (auto &[key, row] : this->rows) {
-        row.attempt = this->nextWrite(key, row);
-        row.inBatch = row.attempt.has_value();
-        if (row.inBatch)
-            batch.writes.push_back(*row.attempt);
+    std::size_t bytes = 0;
+    // Starts behind the last batch, so that a full batch does not always leave out the same keys.
+    auto next = this->rows.upper_bound(this->lastKey);
+    for (std::size_t visited = 0; visited < this->rows.size(); ++visited, ++next) {
+        if (next == this->rows.end())
+            next = this->rows.begin();
+        auto &[key, row] = *next;
+        auto write = this->nextWrite(key, row);
+        if (!write.has_value())
+            continue;
+        const std::size_t size = write->expected.size() + write->record.size();
+        const bool fits =
+                batch.writes.size() < MostWritesInBatch && bytes + size <= MostBytesInBatch;
+        if (!fits && !batch.writes.empty())
+            break;
+        bytes += size;
+        this->lastKey = key;
+        row.inBatch = true;
+        row.attempt = write;
+        batch.writes.push_back(std::move(*write));
     }
     if (batch.writes.empty())
         return std::nullopt;
--- a/Source/Agent/ClaimTable.h
+++ b/Source/Agent/ClaimTable.h
@@ -75,6 +75,8 @@
     std::string claimIdPrefix;
     std::uint64_t lastClaim = 0;
     std::uint64_t lastBatch = 0;
+    /// Last key of the last batch.
+    std::string lastKey;
     bool batchOpen = false;
     Instant batchDeadline;
     Instant retryAt;
