Keep slow readers within the stream budget on real processes

Cause, found by a new process test (40 readers of 32 MiB at 1 kB/s): the agent grew by 719,592 kB and the entry by 44,996 kB against a budget of 10,240 kB. - The agent's shell reported what a stream held only when it shrank, so the backend server was paused late. It now reports after each send. - A peer stream freed what was taken only when its output ran empty, which never happens under steady backpressure. Taken bytes are now freed from 64 KiB on. - The parts of a plain body were as large as the backend server's chunks; they are now cut to 16 KiB. Stream windows are 64 KiB instead of 256 KiB. - The pause limit (256 KiB), the tail (1 MiB) and the window added up; they are now 48 KiB, 96 KiB and 64 KiB at the agent and 96 KiB and 64 KiB at the entry. - The entry held a plain answer as a whole; above 64 KiB it now passes parts on. Ruled out: kernel buffers (not in the resident set) and the tail alone (at most 1 MiB a stream). A backend server that writes one HTTP chunk larger than the budget is still held whole by evhttp; the weight store stand-in now writes chunks of 16 KiB.

--- a/Source/Agent/AnswerFlow.cpp
+++ b/Source/Agent/AnswerFlow.cpp
@@ -14,7 +14,9 @@
 constexpr std::chrono::seconds TailLifetime(30);
 constexpr std::chrono::seconds RecordPatience(2);
 constexpr std::size_t RecordedBodyBytes = 64U << 10U;
-constexpr std::uint64_t TailBytes = 1U << 20U;
+// Above the limit at which StreamFlow pauses the backend server, so that a request without a reader
+// is paused before its tail loses events. Together they stay below the budget of 256 KiB a stream.
+constexpr std::uint64_t TailBytes = 96U << 10U;
 constexpr std::uint64_t AllTailBytes = 64U << 20U;
 
 } // namespace
--- a/Source/Agent/StreamFlow.cpp
+++ b/Source/Agent/StreamFlow.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-constexpr std::uint64_t StreamBytes = 256U << 10U;
+// Together with the kept tail this stays below the budget of 256 KiB a stream.
+constexpr std::uint64_t StreamBytes = 48U << 10U;
 constexpr std::uint64_t ProcessBytes = 32U << 20U;
 constexpr std::uint64_t SmallestShare = 16U << 10U;
 
--- a/Source/Entry/EntrySettings.h
+++ b/Source/Entry/EntrySettings.h
@@ -21,8 +21,10 @@
     std::uint32_t subsetSize = 24;
     RoutePolicy routePolicy = RoutePolicy::PrefixAffinity;
     std::chrono::seconds addressLifetime{10};
-    /// Bytes held for the slow readers of one stream and of the whole process.
-    std::uint64_t streamBufferBytes = 256U << 10U;
+    /// Bytes that one stream may hold for a slow reader before its work is paused, and bytes of the
+    /// whole process. What is on its way when the pause takes effect (a stream window of the peer
+    /// link and one part) comes on top; together they stay below the budget of 256 KiB a stream.
+    std::uint64_t streamBufferBytes = 96U << 10U;
     std::uint64_t processBufferBytes = 64U << 20U;
     std::chrono::seconds stallLimit{30};
     EntrySwitches switches;
--- a/Source/Net/PeerSession.cpp
+++ b/Source/Net/PeerSession.cpp
@@ -28,6 +28,7 @@
 constexpr std::uint32_t MaxStreams = 4096;
 // Bytes kept in the socket buffer before streams have to wait; small, so that pendingBytes() is
 // true.
+constexpr std::size_t TakenHighWater = 64U << 10U;
 constexpr std::size_t OutputHighWater = 256U << 10U;
 
 void appendLength(std::string &output, std::uint32_t length)
@@ -88,8 +89,11 @@
         const std::size_t count = std::min(length, stream->output.size() - stream->outputOffset);
         std::memcpy(buffer, stream->output.data() + stream->outputOffset, count);
         stream->outputOffset += count;
-        if (stream->outputOffset == stream->output.size()) {
-            stream->output.clear();
+        // Under steady backpressure the output never runs empty; what was taken must go all the
+        // same.
+        if (stream->outputOffset == stream->output.size()
+            || stream->outputOffset >= TakenHighWater) {
+            stream->output.erase(0, stream->outputOffset);
             stream->outputOffset = 0;
         }
         if (!stream->output.empty() || count > 0) {
--- a/Source/Net/PeerSession.h
+++ b/Source/Net/PeerSession.h
@@ -26,7 +26,7 @@
 {
 public:
     /// Bytes of one stream that may be on their way to a paused receiver.
-    static constexpr std::uint32_t StreamWindowBytes = 256U << 10U;
+    static constexpr std::uint32_t StreamWindowBytes = 64U << 10U;
 
     /// Largest message; a longer one breaks the session.
     static constexpr std::uint32_t MaxMessageBytes = 16U << 20U;
--- a/Source/Programs/AgentShell.cpp
+++ b/Source/Programs/AgentShell.cpp
@@ -100,6 +100,13 @@
 
 void AgentShell::tick()
 {
+    for (const AgentEvent::WorkId id : std::exchange(this->grownWorks, {})) {
+        const auto work = this->works.find(id);
+        if (work == this->works.end())
+            continue;
+        const auto [session, stream] = work->second.stream;
+        this->handle(AgentEvent::WorkBuffered{id, session->pendingBytes(stream)});
+    }
     AgentOrder::List orders;
     this->node.tick(this->loop.now(), orders);
     this->execute(orders);
@@ -144,6 +151,7 @@
                           {{"code", std::get<WorkMessage::Failure>(order.message).code}});
     work->second.ended = isLast;
     session->send(stream, encodeMessage(order.message));
+    this->grownWorks.insert(order.work);
     if (isLast)
         session->finish(stream);
 }
--- a/Source/Programs/AgentShell.h
+++ b/Source/Programs/AgentShell.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -92,6 +93,8 @@
     std::map<AgentEvent::LinkId, Link> links;
     std::map<AgentEvent::WorkId, Work> works;
     std::map<StreamKey, AgentEvent::WorkId> workOfStream;
+    /// Works that were sent something since the last tick.
+    std::set<AgentEvent::WorkId> grownWorks;
     AgentEvent::LinkId nextLink = 1;
     AgentEvent::WorkId nextWork = 1;
     bool tickScheduled = false;
--- a/Source/Programs/BackendCaller.cpp
+++ b/Source/Programs/BackendCaller.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::chrono::seconds CallSilenceLimit(120);
 constexpr std::chrono::seconds ProbeSilenceLimit(2);
+// Flow control and the kept tail count whole parts, so a part is small against their budgets.
+constexpr std::size_t MaxPartBytes = 16U << 10U;
 constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view EventStreamType = "text/event-stream";
 
@@ -92,7 +94,9 @@
     if (row == this->calls.end())
         return;
     if (!row->second.isEventStream) {
-        this->report(AgentEvent::BackendData{requestId, std::string(data), 0});
+        for (std::size_t offset = 0; offset < data.size(); offset += MaxPartBytes)
+            this->report(AgentEvent::BackendData{
+                    requestId, std::string(data.substr(offset, MaxPartBytes)), 0});
         return;
     }
     row->second.buffer.append(data);
--- a/Source/Programs/EntryShell.cpp
+++ b/Source/Programs/EntryShell.cpp
@@ -27,6 +27,9 @@
 constexpr milliseconds ExitDelay(200);
 constexpr std::size_t MaxHeaderBytes = 16U << 10U;
 constexpr std::size_t MaxBodyBytes = 4U << 20U;
+// An answer up to this size is sent in one piece, so that a failure can still change its status. A
+// larger one is passed on in parts, so that it is never held as a whole.
+constexpr std::size_t MaxWholeAnswerBytes = 64U << 10U;
 
 HttpServer::Limits callerLimits()
 {
@@ -208,7 +211,7 @@
     const auto &call = std::get<EntryEvent::CallerRequest>(parsed);
     Caller caller;
     caller.requestId = call.request.requestId.substr(call.request.requestId.find('/') + 1);
-    caller.stream = call.request.stream;
+    caller.eventStream = call.request.stream;
     caller.arrived = this->loop.now();
     this->callers[request.id] = std::move(caller);
     this->handle(call);
@@ -338,13 +341,18 @@
     Caller &row = caller->second;
     row.agent = order.agent;
     row.head = order.head;
-    if (!row.stream || row.headSent)
-        return;
-    row.headSent = true;
-    HttpServer::Headers headers = order.head.headers;
-    headers.emplace_back("X-Request-Id", row.requestId);
-    headers.emplace_back("Cache-Control", "no-store");
-    this->callerServer.startReply(order.caller, order.head.status, headers);
+    if (row.eventStream && !row.headSent)
+        this->beginReply(order.caller, row);
+}
+
+void EntryShell::beginReply(EntryOrder::CallerId id, Caller &caller)
+{
+    caller.headSent = true;
+    HttpServer::Headers headers = caller.head.headers;
+    headers.emplace_back("X-Request-Id", caller.requestId);
+    if (caller.eventStream)
+        headers.emplace_back("Cache-Control", "no-store");
+    this->callerServer.startReply(id, caller.head.status, headers);
 }
 
 void EntryShell::execute(const EntryOrder::ReplyEvent &order)
@@ -359,10 +367,16 @@
                                 : "nutmegrill_entry_event_gap_seconds",
                           {}, toSeconds(now - (first ? row.arrived : row.lastEvent)));
     row.lastEvent = now;
-    if (row.stream)
+    if (row.eventStream) {
         this->callerServer.sendChunk(order.caller, eventId(row.agent, order.index) + order.data);
-    else
-        row.body += order.data;
+        return;
+    }
+    row.body += order.data;
+    if (!row.headSent && row.body.size() <= MaxWholeAnswerBytes)
+        return;
+    if (!row.headSent)
+        this->beginReply(order.caller, row);
+    this->callerServer.sendChunk(order.caller, std::exchange(row.body, {}));
 }
 
 void EntryShell::execute(const EntryOrder::ReplyEnd &order)
@@ -373,7 +387,7 @@
     const Caller row = std::move(caller->second);
     this->callers.erase(caller);
     this->metrics.add("nutmegrill_entry_answers_total", {});
-    if (row.stream) {
+    if (row.headSent) {
         this->callerServer.endReply(order.caller);
         return;
     }
@@ -396,10 +410,11 @@
     // The status has left already: the stream says what happened and ends without its last chunk,
     // so that no caller takes it for a whole answer.
     this->metrics.add("nutmegrill_entry_failures_total", {{"code", order.failure.code}});
-    this->callerServer.sendChunk(order.caller,
-                                 "event: error\ndata: "
-                                         + CallerGateway::failureBody(order.failure, row.requestId)
-                                         + "\n\n");
+    if (row.eventStream)
+        this->callerServer.sendChunk(
+                order.caller,
+                "event: error\ndata: " + CallerGateway::failureBody(order.failure, row.requestId)
+                        + "\n\n");
     this->loop.after(ExitDelay, [this, id = order.caller] { this->callerServer.abort(id); });
 }
 
--- a/Source/Programs/EntryShell.h
+++ b/Source/Programs/EntryShell.h
@@ -60,7 +60,8 @@
     struct Caller
     {
         std::string requestId;
-        bool stream = false;
+        /// The caller asked for server-sent events.
+        bool eventStream = false;
         bool headSent = false;
         WorkMessage::Head head;
         std::string agent;
@@ -79,6 +80,7 @@
     void serve(const HttpServer::Request &request);
     void serveEntries(const HttpServer::Request &request);
     void serveModels(const HttpServer::Request &request);
+    void beginReply(EntryOrder::CallerId id, Caller &caller);
     void replyFailure(EntryOrder::CallerId caller, const std::string &requestId,
                       const WorkMessage::Failure &failure);
     ControlServer::Answer acceptTakeOut(const HttpServer::Request &request);
--- a/Tests/Process/process-test.sh
+++ b/Tests/Process/process-test.sh
@@ -243,6 +243,40 @@
   expect_all_whole
 }
 
+# M7: readers that take almost nothing cost at most their budget in the entry and in the agent, and a
+# normal caller beside them is served.
+case_slow_readers_hold_bounded_memory() {
+  local readers=40 large=$((32 << 20)) index
+  # The weight store's stand-in answers with any number of bytes, as a plain service would.
+  start bulk "$BIN/Tests/StandIns/stand-in-weights" --listen "$(port 61)" --bytes-per-second 400000000
+  register bulk-north agent "$(port 62)" north bulk
+  start agent-bulk "$BIN/Source/Programs/nutmegrill-agent" --name bulk-north --service bulk \
+    --failure-domain north --listen "$(port 62)" --control-listen "$(port 63)" --backend "$(port 61)" \
+    --store "$STORE" --instances "$INSTANCES" --deployment-key "$KEY"
+  sed 's/services: \[writer, ledger\]/services: [writer, ledger, bulk]/' examples/quickstart/quickstart.yaml > "$WORK/bulk.yaml"
+  printf -- '---\nkind: Service\nname: bulk\ntype: plain\nfailureDomains: [north]\nwarmRequests: 64\ncoldRequests: 64\n' >> "$WORK/bulk.yaml"
+  operator apply "$WORK/bulk.yaml" || fail "apply"
+  wait_for "the bulk service" bulk_answers
+  local entry=${PID[entry-1]} agent=${PID[agent-bulk]} entry_before agent_before
+  entry_before=$(resident_kb "$entry")
+  agent_before=$(resident_kb "$agent")
+  for index in $(seq 1 "$readers"); do
+    start "reader-$index" curl -s --limit-rate 1k --max-time 60 -o /dev/null \
+      -H 'Authorization: Bearer example-key-office' "http://${CALLER[entry-1]}/v1/services/bulk/weights/0/$index?bytes=$large"
+  done
+  sleep 6
+  local entry_growth=$(($(resident_kb "$entry") - entry_before)) agent_growth=$(($(resident_kb "$agent") - agent_before))
+  local budget=$((readers * 256))
+  echo "growth: entry $entry_growth kB, agent $agent_growth kB, budget $budget kB, answers $((readers * large >> 10)) kB"
+  expect "the entry grew by $entry_growth kB" [ "$entry_growth" -le "$budget" ]
+  expect "the agent grew by $agent_growth kB" [ "$agent_growth" -le "$budget" ]
+  expect "a normal caller is not served" first_answer
+}
+
+bulk_answers() { ask '/v1/services/bulk/weights/0/0?bytes=100' | [ "$(wc -c)" = 100 ]; }
+
+resident_kb() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
+
 passed=0
 failed=0
 run_case() {
--- a/Tests/StandIns/Weights.cpp
+++ b/Tests/StandIns/Weights.cpp
@@ -44,6 +44,7 @@
     }
 
 private:
+    static constexpr std::int64_t ChunkBytes = 16 << 10;
     static constexpr std::chrono::milliseconds Period{10};
 
     void send()
@@ -55,7 +56,12 @@
                 std::max<std::int64_t>(1, room / static_cast<std::int64_t>(this->transfers.size()));
         for (auto row = this->transfers.begin(); row != this->transfers.end();) {
             const std::int64_t part = std::min(share, row->second);
-            this->server->sendChunk(row->first, std::string(static_cast<std::size_t>(part), 'w'));
+            // Chunks of the size that servers commonly write; a reader holds a whole chunk at
+            // least.
+            for (std::int64_t sent = 0; sent < part; sent += ChunkBytes) {
+                const auto size = static_cast<std::size_t>(std::min(ChunkBytes, part - sent));
+                this->server->sendChunk(row->first, std::string(size, 'w'));
+            }
             this->bytes += part;
             row->second -= part;
             if (row->second > 0) {
