--- a/Source/Net/PeerSession.cpp
+++ b/Source/Net/PeerSession.cpp
@@ -50,6 +50,13 @@
             value.size(), NGHTTP2_NV_FLAG_NONE};
 }
 
+// A token must not wait for the acknowledgement of the one before it.
+void disableNagle(bufferevent *connection)
+{
+    const int on = 1;
+    setsockopt(bufferevent_getfd(connection), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 } // namespace
 
 // nghttp2 and libevent call plain functions; these turn them into member calls.
@@ -166,6 +173,7 @@
         PeerSession *session = self(userData);
         if ((what & BEV_EVENT_CONNECTED) != 0) {
             session->connected = true;
+            disableNagle(session->connection);
             session->lastReceived = session->loop.now();
             session->observer.peerConnected(*session);
             session->flush();
@@ -208,6 +216,7 @@
     std::unique_ptr<PeerSession> session(new PeerSession(loop, observer, true));
     session->connected = true;
     session->start(bufferevent_socket_new(loop.base(), fd, BEV_OPT_CLOSE_ON_FREE));
+    disableNagle(session->connection);
     session->flush();
     return session;
 }
@@ -387,7 +396,10 @@
     std::vector<std::uint8_t> bytes(evbuffer_get_length(input));
     evbuffer_remove(input, bytes.data(), bytes.size());
     this->receivedBytes += bytes.size();
-    if (nghttp2_session_mem_recv(this->session, bytes.data(), bytes.size()) < 0) {
+    this->insideLibrary = true;
+    const ssize_t result = nghttp2_session_mem_recv(this->session, bytes.data(), bytes.size());
+    this->insideLibrary = false;
+    if (result < 0) {
         this->fail();
         return;
     }
@@ -398,15 +410,26 @@
 {
     if (!this->open || !this->connected)
         return;
+    // nghttp2 must not be entered again from its own callbacks; the outer call flushes.
+    if (this->insideLibrary) {
+        this->flushAgain = true;
+        return;
+    }
     std::vector<std::pair<std::int32_t, std::size_t>> waiting;
     for (const auto &[id, stream] : this->streams) {
         if (!stream.output.empty())
             waiting.emplace_back(id, stream.output.size() - stream.outputOffset);
     }
-    if (nghttp2_session_send(this->session) != 0) {
-        this->fail();
-        return;
-    }
+    do {
+        this->flushAgain = false;
+        this->insideLibrary = true;
+        const int result = nghttp2_session_send(this->session);
+        this->insideLibrary = false;
+        if (result != 0) {
+            this->fail();
+            return;
+        }
+    } while (this->flushAgain);
     for (const auto &[id, before] : waiting) {
         if (this->find(id) != nullptr && this->pendingBytes(id) < before)
             this->observer.peerStreamDrained(*this, id);
