--- a/Tests/Measure/ExpertMeasure.cpp
+++ b/Tests/Measure/ExpertMeasure.cpp
@@ -57,8 +57,7 @@
 
 enum class Policy { Static, Always, Nutmegrill, Optimum };
 
-// The search of the optimum starts from the best of the previous optimum and the even placement,
-// with the interval's own tokens, and moves for free.
+// The optimum is searched from the map of the interval before, with the interval's own tokens.
 ExpertMap decide(Policy policy, PlacementPlanner &planner, const PlacementPlanner &eager,
                  Instant now, const ExpertMap &map, const ExpertLoad::Tokens &smoothed,
                  const ExpertLoad::Tokens &observed)
