--- a/Source/Programs/AgentShell.cpp
+++ b/Source/Programs/AgentShell.cpp
@@ -100,6 +100,13 @@
 
 void AgentShell::tick()
 {
+    for (const AgentEvent::WorkId id : std::exchange(this->grownWorks, {})) {
+        const auto work = this->works.find(id);
+        if (work == this->works.end())
+            continue;
+        const auto [session, stream] = work->second.stream;
+        this->handle(AgentEvent::WorkBuffered{id, session->pendingBytes(stream)});
+    }
     AgentOrder::List orders;
     this->node.tick(this->loop.now(), orders);
     this->execute(orders);
@@ -108,8 +115,15 @@
 void AgentShell::watchLinks()
 {
     this->peers.removeClosed();
-    for (const auto &session : this->peers.sessions())
+    std::uint64_t bytes = 0;
+    for (const auto &session : this->peers.sessions()) {
         session->checkLiveness(this->loop.now(), LinkSilenceLimit);
+        bytes += session->bytesSent() + session->bytesReceived();
+    }
+    this->metrics.set("nutmegrill_open_link_bytes", {}, static_cast<double>(bytes));
+    this->metrics.set("nutmegrill_open_links", {},
+                      static_cast<double>(this->peers.sessions().size()));
+    this->metrics.set("nutmegrill_store_calls", {}, static_cast<double>(this->store.callCount()));
 }
 
 void AgentShell::execute(const AgentOrder::List &orders)
@@ -137,6 +151,7 @@
                           {{"code", std::get<WorkMessage::Failure>(order.message).code}});
     work->second.ended = isLast;
     session->send(stream, encodeMessage(order.message));
+    this->grownWorks.insert(order.work);
     if (isLast)
         session->finish(stream);
 }
--- a/Tests/Process/process-test.sh
+++ b/Tests/Process/process-test.sh
@@ -34,7 +34,12 @@
   wait_ready
 }
 
-store_fault() { curl -s -X POST "http://$STORE/faults" -d "$1" > /dev/null; }
+# A fault that a stand-in does not know would make its case pass without the fault.
+set_fault() { # address, JSON
+  curl -sf -X POST "http://$1/faults" -d "$2" > /dev/null || fail "fault $2"
+}
+
+store_fault() { set_fault "$STORE" "$1"; }
 
 record() { # entry number, key, body
   curl -s --max-time 20 "http://${CALLER[entry-$1]}/v1/services/ledger/records" -H "Idempotency-Key: $2" \
@@ -81,7 +86,7 @@
 
 # G7: a leaving backend server gets no new work within 3 s, though the instance list lags.
 case_leaving_backend_server_gets_no_work() {
-  curl -s -X POST "http://$INSTANCES/faults" -d '{"lag-ms":1000}' > /dev/null
+  set_fault "$INSTANCES" '{"lagMs":1000}'
   start_load 8
   sleep 2
   curl -s -X PUT "http://$INSTANCES/instances/writer-north" -d "{\"role\":\"agent\",\"address\":\"${PEER[writer-north]}\",\"failureDomain\":\"north\",\"service\":\"writer\",\"leaving\":true}" > /dev/null
@@ -118,8 +123,8 @@
 
 # G6: a record repeated while it runs, at another entry, after it ran, runs once.
 case_record_repeated_everywhere_runs_once() {
-  curl -s -X POST "http://${BACKEND[ledger-north]}/faults" -d '{"delay-ms":1500}' > /dev/null
-  curl -s -X POST "http://${BACKEND[ledger-south]}/faults" -d '{"delay-ms":1500}' > /dev/null
+  set_fault "${BACKEND[ledger-north]}" '{"delayMs":1500}'
+  set_fault "${BACKEND[ledger-south]}" '{"delayMs":1500}'
   local number calls=()
   for number in 1 2 3 1 2 3; do
     record "$number" key-1 '{"round":1}' > "$WORK/answer-$number-${#calls[@]}" &
@@ -154,7 +159,7 @@
 case_agent_killed_while_a_record_runs() {
   local name answer
   for name in ledger-north ledger-south; do
-    curl -s -X POST "http://${BACKEND[$name]}/faults" -d '{"delay-ms":1500}' > /dev/null
+    set_fault "${BACKEND[$name]}" '{"delayMs":1500}'
   done
   record 1 key-3 '{"round":3}' > "$WORK/first" &
   sleep 0.7
@@ -219,8 +224,8 @@
 
 # M8: a request that crashes its backend server, sent again and again, crashes at most two of them.
 case_crashing_request_is_quarantined() {
-  curl -s -X POST "http://${BACKEND[writer-north]}/faults" -d '{"fall-ms":500}' > /dev/null
-  curl -s -X POST "http://${BACKEND[writer-south]}/faults" -d '{"fall-ms":500}' > /dev/null
+  set_fault "${BACKEND[writer-north]}" '{"fallMs":500}'
+  set_fault "${BACKEND[writer-south]}" '{"fallMs":500}'
   start_load 10
   sleep 1
   local attempt answer=
@@ -230,12 +235,48 @@
     sleep 0.3
   done
   echo "$answer"
+  # A fallen engine answers nothing for half a second.
+  sleep 1
   local falls=$(($(counter writer-north falls) + $(counter writer-south falls)))
   expect "the request crashed $falls backend servers" [ "$falls" -ge 1 -a "$falls" -le 2 ]
   expect "the last repeat was refused, not: $answer" grep -q '"run":"not_run"' <<< "$answer"
   expect_all_whole
 }
 
+# M7: readers that take almost nothing cost at most their budget in the entry and in the agent, and a
+# normal caller beside them is served.
+case_slow_readers_hold_bounded_memory() {
+  local readers=40 large=$((32 << 20)) index
+  # The weight store's stand-in answers with any number of bytes, as a plain service would.
+  start bulk "$BIN/Tests/StandIns/stand-in-weights" --listen "$(port 61)" --bytes-per-second 400000000
+  register bulk-north agent "$(port 62)" north bulk
+  start agent-bulk "$BIN/Source/Programs/nutmegrill-agent" --name bulk-north --service bulk \
+    --failure-domain north --listen "$(port 62)" --control-listen "$(port 63)" --backend "$(port 61)" \
+    --store "$STORE" --instances "$INSTANCES" --deployment-key "$KEY"
+  sed 's/services: \[writer, ledger\]/services: [writer, ledger, bulk]/' examples/quickstart/quickstart.yaml > "$WORK/bulk.yaml"
+  printf -- '---\nkind: Service\nname: bulk\ntype: plain\nfailureDomains: [north]\nwarmRequests: 64\ncoldRequests: 64\n' >> "$WORK/bulk.yaml"
+  operator apply "$WORK/bulk.yaml" || fail "apply"
+  wait_for "the bulk service" bulk_answers
+  local entry=${PID[entry-1]} agent=${PID[agent-bulk]} entry_before agent_before
+  entry_before=$(resident_kb "$entry")
+  agent_before=$(resident_kb "$agent")
+  for index in $(seq 1 "$readers"); do
+    start "reader-$index" curl -s --limit-rate 1k --max-time 60 -o /dev/null \
+      -H 'Authorization: Bearer example-key-office' "http://${CALLER[entry-1]}/v1/services/bulk/weights/0/$index?bytes=$large"
+  done
+  sleep 6
+  local entry_growth=$(($(resident_kb "$entry") - entry_before)) agent_growth=$(($(resident_kb "$agent") - agent_before))
+  local budget=$((readers * 256))
+  echo "growth: entry $entry_growth kB, agent $agent_growth kB, budget $budget kB, answers $((readers * large >> 10)) kB"
+  expect "the entry grew by $entry_growth kB" [ "$entry_growth" -le "$budget" ]
+  expect "the agent grew by $agent_growth kB" [ "$agent_growth" -le "$budget" ]
+  expect "a normal caller is not served" first_answer
+}
+
+bulk_answers() { ask '/v1/services/bulk/weights/0/0?bytes=100' | [ "$(wc -c)" = 100 ]; }
+
+resident_kb() { awk '/^VmRSS/ {print $2}' "/proc/$1/status"; }
+
 passed=0
 failed=0
 run_case() {
