Write no file at start; test what the dumps say about finished requests

easylogging++ created myeasylog.log in the working directory of every process, and a copy of it was in the repository.

--- a/Source/Programs/OperatorCommands.cpp
+++ b/Source/Programs/OperatorCommands.cpp
@@ -257,9 +257,7 @@
         std::cout << address << ": ";
         if (state.is_object())
             std::cout << processName(state) << " version "
-                      << state.value("configuration_version",
-                                     state.value("configuration", std::uint64_t(0)))
-                      << "\n";
+                      << state.value("configuration_version", std::uint64_t(0)) << "\n";
         else
             std::cout << "no answer\n";
     }
--- a/Tests/Agent/AgentScript.h
+++ b/Tests/Agent/AgentScript.h
@@ -22,6 +22,8 @@
     /// Runs several lines and returns all trace lines joined by line ends.
     std::string runAll(const std::vector<std::string> &lines);
 
+    std::string dump() const { return this->node.dump(Instant()); }
+
     /// A configuration of one place with the failure domains "north" and "south" and the service
     /// "ledger" (cold 2, warm 6 unless given).
     static ConfigurationPtr configuration(std::map<std::string, std::string> values);
--- a/Tests/Process/interface-test.sh
+++ b/Tests/Process/interface-test.sh
@@ -137,6 +137,17 @@
   expect_exit 0 '*' 'explain REQUEST' operator_alone --help
 }
 
+# Instances have no disks: a process must write no file, not even one of the logging library.
+case_no_file_is_written() {
+  local programs files
+  programs=$(realpath "$PROGRAMS")
+  mkdir "$WORK/empty"
+  (cd "$WORK/empty" && PROGRAMS=$programs && LIMIT='timeout 1' probe agent store="$(port 99)")
+  (cd "$WORK/empty" && "$programs/nutmegrill" status --store "$STORE" --processes "${CONTROL[entry-1]}" --deployment-key "$KEY")
+  files=$(ls -A "$WORK/empty")
+  expect "written: $files" [ -z "$files" ]
+}
+
 # Scripts tell an outage from a fault of the declarations by the exit code.
 case_unreachable_store() {
   local verb
