--- /dev/null
+++ b/Tests/Measure/FakeEngine.cpp
@@ -0,0 +1,176 @@
+#include "Measure/FakeEngine.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::microseconds;
+
+constexpr microseconds StepBase(8000);
+constexpr microseconds StepPerSequence(750);
+constexpr microseconds PrefillPerToken(50);
+// Chunked prefill: a long prompt is spread over several steps.
+constexpr std::uint64_t PrefillChunk = 256;
+constexpr std::uint64_t PrefixTokens = 200;
+constexpr std::size_t PrefixesHeld = 4;
+constexpr std::chrono::seconds ColdLength(8);
+constexpr std::chrono::seconds RestartLength(3);
+constexpr double FallFactor = 2;
+
+std::string prefixOf(const WorkMessage::Request &request)
+{
+    return request.account;
+}
+
+} // namespace
+
+void FakeEngine::start(const WorkMessage::Request &request)
+{
+    this->waiting.push_back(request);
+}
+
+void FakeEngine::cancel(const std::string &requestId)
+{
+    this->rows.erase(requestId);
+    std::erase_if(this->waiting,
+                  [&](const auto &request) { return request.requestId == requestId; });
+}
+
+void FakeEngine::pause(const std::string &requestId, bool paused)
+{
+    if (const auto row = this->rows.find(requestId); row != this->rows.end())
+        row->second.paused = paused;
+}
+
+void FakeEngine::turnCold(Instant now)
+{
+    this->coldSince = now;
+    this->prefixes.clear();
+}
+
+bool FakeEngine::isCold(Instant now) const
+{
+    return now < this->coldSince + ColdLength;
+}
+
+double FakeEngine::bears(Instant now) const
+{
+    if (!this->isCold(now))
+        return LargestBatch;
+    const double part = std::chrono::duration<double>(now - this->coldSince) / ColdLength;
+    return ColdBatch + (WarmBatch - ColdBatch) * part;
+}
+
+std::uint64_t FakeEngine::memoryUsed() const
+{
+    std::uint64_t sum = 0;
+    for (const auto &[id, row] : this->rows)
+        sum += row.request.promptTokens + row.generated;
+    return sum;
+}
+
+void FakeEngine::readPrefix(Row &row)
+{
+    const std::string prefix = prefixOf(row.request);
+    const auto found = std::find(this->prefixes.begin(), this->prefixes.end(), prefix);
+    row.prefillLeft = row.request.promptTokens;
+    if (found != this->prefixes.end()) {
+        row.prefillLeft -= std::min(row.prefillLeft, PrefixTokens);
+        this->prefixes.erase(found);
+    }
+    this->prefixes.push_front(prefix);
+    if (this->prefixes.size() > PrefixesHeld)
+        this->prefixes.pop_back();
+}
+
+Instant::duration FakeEngine::beginStep(Instant now)
+{
+    while (!this->waiting.empty() && this->rows.size() < LargestBatch) {
+        Row row;
+        row.request = this->waiting.front();
+        this->waiting.pop_front();
+        this->readPrefix(row);
+        this->rows[row.request.requestId] = std::move(row);
+    }
+    std::uint64_t chunk = PrefillChunk;
+    std::int64_t decoding = 0;
+    for (auto &[id, row] : this->rows) {
+        const std::uint64_t read = std::min(chunk, row.prefillLeft);
+        row.prefillLeft -= read;
+        chunk -= read;
+        decoding += row.paused ? 0 : 1;
+    }
+    const Instant::duration step =
+            StepBase + decoding * StepPerSequence
+            + static_cast<std::int64_t>(PrefillChunk - chunk) * PrefillPerToken;
+    const double load = static_cast<double>(this->rows.size()) / this->bears(now);
+    if (this->isCold(now))
+        this->worstColdLoad = std::max(this->worstColdLoad, load);
+    const double slowdown = std::max(1.0, load * load);
+    return std::chrono::duration_cast<Instant::duration>(step * slowdown);
+}
+
+std::vector<AgentEvent::Any> FakeEngine::endStep(Instant now)
+{
+    std::vector<AgentEvent::Any> events;
+    const bool overloaded = static_cast<double>(this->rows.size()) > FallFactor * this->bears(now);
+    if (overloaded || this->memoryUsed() > MemoryTokens) {
+        this->fall(now, events);
+        return events;
+    }
+    for (auto entry = this->rows.begin(); entry != this->rows.end();) {
+        auto &[id, row] = *entry;
+        if (row.paused || row.prefillLeft > 0) {
+            ++entry;
+            continue;
+        }
+        if (!row.headSent)
+            events.emplace_back(AgentEvent::BackendHead{id, {200, {}}});
+        row.headSent = true;
+        events.emplace_back(AgentEvent::BackendData{id, tokenOf(row), 1});
+        ++row.generated;
+        ++this->tokens;
+        if (row.generated < row.request.maxTokens) {
+            ++entry;
+            continue;
+        }
+        events.emplace_back(AgentEvent::BackendEnd{id});
+        entry = this->rows.erase(entry);
+    }
+    return events;
+}
+
+// The request id ends with the token limit of the whole answer, so that a continuation on another
+// engine goes on with the right token. Path holds the size of one event.
+std::string FakeEngine::tokenOf(const Row &row)
+{
+    const std::string &id = row.request.requestId;
+    const std::uint64_t whole = std::stoull(id.substr(id.find('-') + 1));
+    const std::uint64_t index = whole - row.request.maxTokens + row.generated;
+    std::string text =
+            R"(data: {"choices":[{"text":"t)" + std::to_string(index) + R"( "}]})" + "\n\n";
+    const std::uint64_t size = std::stoull(row.request.path);
+    if (text.size() < size)
+        text.insert(text.size() - 6, size - text.size(), ' ');
+    return text;
+}
+
+void FakeEngine::fall(Instant now, std::vector<AgentEvent::Any> &events)
+{
+    for (const auto &[id, row] : this->rows)
+        events.emplace_back(AgentEvent::BackendFailed{id, AgentEvent::BackendFailed::Kind::Broken});
+    for (const auto &request : this->waiting)
+        events.emplace_back(AgentEvent::BackendFailed{request.requestId,
+                                                      AgentEvent::BackendFailed::Kind::Broken});
+    this->rows.clear();
+    this->waiting.clear();
+    ++this->falls;
+    ++this->starts;
+    this->downUntil = now + RestartLength;
+    this->turnCold(this->downUntil);
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Measure/FakeEngine.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "Agent/AgentOrder.h"
+#include "Core/Time.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// A model engine with continuous batching in virtual time. The step time grows with the batch; a
+/// cold engine bears a small batch that widens with time, is slow beyond it, and fails under full
+/// load. It also fails when the sequences that it holds outgrow its memory.
+class FakeEngine
+{
+public:
+    static constexpr std::uint32_t LargestBatch = 24;
+    static constexpr std::uint32_t ColdBatch = 4;
+    static constexpr std::uint32_t WarmBatch = 16;
+    static constexpr std::uint64_t MemoryTokens = 16 * 1024;
+
+    void start(const WorkMessage::Request &request);
+    void cancel(const std::string &requestId);
+    void pause(const std::string &requestId, bool paused);
+
+    /// Begins a cold start.
+    void turnCold(Instant now);
+    /// Makes the engine warm at once, for the start of a run.
+    void turnWarm() { this->coldSince = Instant(std::chrono::hours(-1)); }
+
+    bool isUp(Instant now) const { return now >= this->downUntil; }
+    bool isIdle() const { return this->rows.empty() && this->waiting.empty(); }
+    std::string incarnation() const { return std::to_string(this->starts); }
+    std::uint32_t running() const { return static_cast<std::uint32_t>(this->rows.size()); }
+
+    /// Length of the step that begins now.
+    Instant::duration beginStep(Instant now);
+    /// Events of the step that ends now.
+    std::vector<AgentEvent::Any> endStep(Instant now);
+
+    std::uint32_t falls = 0;
+    std::uint64_t tokens = 0;
+    /// Largest batch during a cold start relative to what the engine bore at that time.
+    double worstColdLoad = 0;
+
+private:
+    struct Row
+    {
+        WorkMessage::Request request;
+        std::uint64_t prefillLeft = 0;
+        std::uint64_t generated = 0;
+        bool headSent = false;
+        bool paused = false;
+    };
+
+    double bears(Instant now) const;
+    bool isCold(Instant now) const;
+    std::uint64_t memoryUsed() const;
+    void readPrefix(Row &row);
+    void fall(Instant now, std::vector<AgentEvent::Any> &events);
+    static std::string tokenOf(const Row &row);
+
+    std::map<std::string, Row> rows;
+    std::deque<WorkMessage::Request> waiting;
+    std::deque<std::string> prefixes;
+    Instant coldSince;
+    Instant downUntil;
+    std::uint32_t starts = 1;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Measure/ServiceWorld.cpp
@@ -0,0 +1,605 @@
+#include "Measure/ServiceWorld.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr microseconds ClientLatency(1000);
+constexpr microseconds LocalLatency(200);
+constexpr milliseconds StoreLatency(5);
+constexpr milliseconds RecordLength(20);
+constexpr milliseconds TickPeriod(50);
+constexpr milliseconds ProbePeriod(200);
+constexpr milliseconds TimeLimit(2000);
+constexpr std::size_t Accounts = 10;
+// Window of one stream, as in PeerSession.
+constexpr std::uint64_t StreamWindowBytes = 256U << 10U;
+constexpr std::uint64_t SlowEventBytes = 4096;
+constexpr std::uint32_t SlowEvents = 250;
+constexpr std::uint32_t WorkBits = 40;
+
+std::string domainFor(const Scenario &scenario, std::size_t index)
+{
+    return scenario.domains[index % scenario.domains.size()];
+}
+
+} // namespace
+
+ServiceWorld::ServiceWorld(Scenario scenario)
+    : scenario(std::move(scenario)), end(this->scenario.length), random(this->scenario.seed),
+      // A few large client accounts and seven small ones.
+      accountShares{0.25 * this->scenario.firstAccountFactor, 0.2, 0.15}
+{
+    this->accountShares.resize(Accounts, 0.4 / (Accounts - 3));
+    this->build();
+}
+
+void ServiceWorld::at(Instant instant, Action action)
+{
+    this->events.push({instant, ++this->lastOrder, std::move(action)});
+}
+
+void ServiceWorld::after(Instant::duration delay, Action action)
+{
+    this->at(this->now + delay, std::move(action));
+}
+
+void ServiceWorld::every(Instant::duration period, const Action &action)
+{
+    this->after(period, [this, period, action] {
+        action();
+        this->every(period, action);
+    });
+}
+
+void ServiceWorld::build()
+{
+    this->configuration = std::make_shared<Configuration>();
+    this->configuration->version = 1;
+    Place place;
+    place.name = "region";
+    for (const std::string &domain : this->scenario.domains)
+        place.failureDomains.push_back({domain, false, 1});
+    this->configuration->places = {place};
+    ServiceDeclaration model;
+    model.name = "model";
+    model.kind = ServiceDeclaration::Kind::Model;
+    model.model = "model";
+    model.warmRequests = FakeEngine::WarmBatch;
+    model.coldRequests = FakeEngine::ColdBatch;
+    model.kvBytes = FakeEngine::MemoryTokens;
+    model.kvBytesPerToken = 1;
+    ServiceDeclaration ledger;
+    ledger.name = "ledger";
+    this->configuration->services = {model, ledger};
+    for (std::size_t index = 0; index < Accounts; ++index) {
+        ClientAccount account;
+        account.name = "account" + std::to_string(index);
+        account.weight = index < 3 ? 4 : 1;
+        this->configuration->clientAccounts.push_back(account);
+    }
+
+    this->agents.resize(Agents);
+    this->entries.resize(Entries);
+    for (std::size_t index = 0; index < Entries; ++index) {
+        EntrySettings settings;
+        settings.name = "e" + std::to_string(index);
+        settings.failureDomain = domainFor(this->scenario, index);
+        settings.seed = this->scenario.seed + index;
+        settings.routePolicy = this->scenario.policy;
+        settings.switches.credits = this->scenario.credits;
+        // Crashes from overload would quarantine innocent requests of the baselines.
+        settings.switches.quarantine = this->scenario.credits;
+        settings.switches.backpressure = this->scenario.backpressure;
+        settings.switches.fairShares = this->scenario.fairShares;
+        this->instances.push_back({settings.name, InstanceRecord::Role::Entry, settings.name,
+                                   settings.failureDomain, "", false});
+        this->entries[index].domain = settings.failureDomain;
+        this->entries[index].node = std::make_unique<EntryNode>(settings);
+    }
+    for (std::size_t index = 0; index < Agents; ++index) {
+        Agent &agent = this->agents[index];
+        agent.model = index < Models;
+        agent.name = "a" + std::to_string(index);
+        agent.domain = domainFor(this->scenario, index);
+        AgentSettings settings;
+        settings.name = agent.name;
+        settings.service = agent.model ? "model" : "ledger";
+        settings.failureDomain = agent.domain;
+        settings.mechanisms.arrivalCheck = this->scenario.credits;
+        settings.mechanisms.warmup = this->scenario.credits;
+        settings.mechanisms.crashIsolation = this->scenario.credits;
+        settings.mechanisms.pauses = this->scenario.backpressure;
+        agent.node = std::make_unique<AgentNode>(settings);
+        agent.engine.turnWarm();
+        this->instances.push_back({agent.name, InstanceRecord::Role::Agent, agent.name,
+                                   agent.domain, settings.service, false});
+    }
+}
+
+void ServiceWorld::run()
+{
+    for (std::size_t index = 0; index < Agents; ++index) {
+        this->at(Instant(milliseconds(3 * index)), [this, index] {
+            this->probe(index);
+            this->every(TickPeriod, [this, index] { this->tickAgent(index); });
+            this->every(ProbePeriod, [this, index] { this->probe(index); });
+        });
+    }
+    for (std::size_t index = 0; index < Entries; ++index) {
+        this->at(Instant(milliseconds(7 * index)), [this, index] {
+            this->tellEntry(index, EntryEvent::InstancesRead{this->instances});
+            this->every(TickPeriod, [this, index] { this->tickEntry(index); });
+        });
+    }
+    this->after(std::chrono::seconds(1), [this] {
+        this->scheduleRequests(this->scenario.requestsPerSecond, false);
+        this->scheduleRequests(this->scenario.recordsPerSecond, true);
+    });
+    constexpr std::chrono::seconds SlowFrom(5);
+    constexpr std::chrono::seconds SlowSpan(30);
+    for (std::uint32_t index = 0; index < this->scenario.slowReaders; ++index)
+        this->at(Instant(SlowFrom) + microseconds(SlowSpan) * index / this->scenario.slowReaders,
+                 [this] { this->sendRequest(false, true); });
+    if (this->scenario.takeOut.count() > 0) {
+        this->at(Instant(this->scenario.takeOut), [this] { this->moveDomain(true); });
+        this->at(Instant(this->scenario.bringBack), [this] { this->moveDomain(false); });
+    }
+    this->every(milliseconds(1000), [this] {
+        this->sampleMemory();
+        this->sampleShare();
+    });
+    while (!this->events.empty() && this->events.top().at <= this->end) {
+        const Event event = this->events.top();
+        this->events.pop();
+        this->now = event.at;
+        event.run();
+    }
+    for (const Agent &agent : this->agents) {
+        this->falls += agent.engine.falls;
+        this->worstColdLoad = std::max(this->worstColdLoad, agent.engine.worstColdLoad);
+    }
+}
+
+Instant::duration ServiceWorld::delay(std::size_t entry, std::size_t agent) const
+{
+    return this->entries[entry].domain == this->agents[agent].domain ? LocalLatency
+                                                                     : this->scenario.latency;
+}
+
+std::size_t ServiceWorld::agentIndex(const std::string &name) const
+{
+    return std::stoul(name.substr(1));
+}
+
+void ServiceWorld::tellEntry(std::size_t entry, const EntryEvent::Any &event)
+{
+    EntryOrder::List orders;
+    this->entries[entry].node->handle(this->now, event, orders);
+    this->apply(entry, orders);
+    if (std::exchange(this->entries[entry].tickScheduled, true))
+        return;
+    this->after({}, [this, entry] {
+        this->entries[entry].tickScheduled = false;
+        this->tickEntry(entry);
+    });
+}
+
+void ServiceWorld::tickEntry(std::size_t entry)
+{
+    EntryOrder::List orders;
+    this->entries[entry].node->tick(this->now, orders);
+    this->apply(entry, orders);
+}
+
+void ServiceWorld::apply(std::size_t entry, const EntryOrder::List &orders)
+{
+    for (const EntryOrder::Any &order : orders)
+        std::visit([this, entry](const auto &body) { this->on(entry, body); }, order);
+}
+
+void ServiceWorld::on(std::size_t entry, const EntryOrder::OpenLink &order)
+{
+    const std::size_t agent = this->agentIndex(order.agent);
+    this->after(this->delay(entry, agent), [this, entry, agent] {
+        this->tellAgent(agent, AgentEvent::LinkOpened{entry + 1});
+    });
+    this->after(2 * this->delay(entry, agent), [this, entry, name = order.agent] {
+        this->tellEntry(entry, EntryEvent::LinkOpened{name});
+    });
+}
+
+void ServiceWorld::on(std::size_t entry, const EntryOrder::SendPeer &order)
+{
+    const std::size_t agent = this->agentIndex(order.agent);
+    this->after(this->delay(entry, agent), [this, entry, agent, message = order.message] {
+        this->tellAgent(agent, AgentEvent::PeerReceived{entry + 1, message});
+    });
+}
+
+void ServiceWorld::on(std::size_t entry, const EntryOrder::StartWork &order)
+{
+    const std::size_t agent = this->agentIndex(order.agent);
+    const std::uint64_t work = ((entry + 1) << WorkBits) + order.work;
+    const std::uint64_t number = std::stoull(order.request.requestId.substr(1));
+    Call &call = this->calls[number];
+    if (call.starts++ == 0)
+        call.placed = this->now;
+    this->works[work] = {entry, agent, order.work, number, false, {}, 0};
+    this->after(this->delay(entry, agent), [this, entry, agent, work, request = order.request] {
+        this->tellAgent(agent, AgentEvent::WorkArrived{work, entry + 1, request});
+    });
+}
+
+void ServiceWorld::on(std::size_t entry, const EntryOrder::CancelWork &order)
+{
+    const std::uint64_t work = ((entry + 1) << WorkBits) + order.work;
+    const auto found = this->works.find(work);
+    if (found == this->works.end())
+        return;
+    const std::size_t agent = found->second.agent;
+    this->works.erase(found);
+    this->after(this->delay(entry, agent),
+                [this, agent, work] { this->tellAgent(agent, AgentEvent::WorkCancelled{work}); });
+}
+
+void ServiceWorld::on(std::size_t entry, const EntryOrder::PauseWork &order)
+{
+    const std::uint64_t work = ((entry + 1) << WorkBits) + order.work;
+    const auto found = this->works.find(work);
+    if (found == this->works.end())
+        return;
+    found->second.paused = order.paused;
+    if (!order.paused)
+        this->after(this->delay(entry, found->second.agent), [this, work] { this->deliver(work); });
+}
+
+void ServiceWorld::on(std::size_t entry, const EntryOrder::ReplyEvent &order)
+{
+    Call &call = this->calls[order.caller];
+    const std::string expected = "\"t" + std::to_string(call.events) + " ";
+    call.wrong = call.wrong || order.index != call.events
+                 || (!call.record && order.data.find(expected) == std::string::npos);
+    ++call.events;
+    const Instant arrival = this->now + ClientLatency;
+    if (call.first == Instant())
+        call.first = arrival;
+    else if (!call.slow && !call.record)
+        this->gaps.push_back(
+                std::chrono::duration<double, std::milli>(arrival - call.last).count());
+    call.last = arrival;
+    if (!call.slow)
+        return;
+    call.unread += order.data.size();
+    this->after({}, [this, entry, caller = order.caller] {
+        this->tellEntry(entry, EntryEvent::CallerBuffered{caller, this->calls[caller].unread});
+    });
+}
+
+void ServiceWorld::on(std::size_t, const EntryOrder::ReplyEnd &order)
+{
+    Call &call = this->calls[order.caller];
+    call.ended = true;
+    call.wrong = call.wrong || (!call.record && call.events != call.maxTokens);
+}
+
+void ServiceWorld::on(std::size_t, const EntryOrder::ReplyFailure &order)
+{
+    Call &call = this->calls[order.caller];
+    call.failure = order.failure.code;
+    call.run = order.failure.run;
+    call.last = this->now;
+    call.unread = 0;
+}
+
+void ServiceWorld::on(std::size_t entry, const EntryOrder::ReadStore &)
+{
+    this->after(StoreLatency, [this, entry] {
+        this->tellEntry(entry, EntryEvent::ConfigurationRead{this->configuration, true});
+    });
+}
+
+void ServiceWorld::tellAgent(std::size_t agent, const AgentEvent::Any &event)
+{
+    AgentOrder::List orders;
+    this->agents[agent].node->handle(this->now, event, orders);
+    this->applyAgent(agent, orders);
+    if (std::exchange(this->agents[agent].tickScheduled, true))
+        return;
+    this->after({}, [this, agent] {
+        this->agents[agent].tickScheduled = false;
+        this->tickAgent(agent);
+    });
+}
+
+void ServiceWorld::tickAgent(std::size_t agent)
+{
+    AgentOrder::List orders;
+    this->agents[agent].node->tick(this->now, orders);
+    this->applyAgent(agent, orders);
+}
+
+void ServiceWorld::applyAgent(std::size_t agent, const AgentOrder::List &orders)
+{
+    for (const AgentOrder::Any &order : orders)
+        std::visit([this, agent](const auto &body) { this->onAgent(agent, body); }, order);
+}
+
+void ServiceWorld::onAgent(std::size_t agent, const AgentOrder::SendPeer &order)
+{
+    const std::size_t entry = order.link - 1;
+    this->after(this->delay(entry, agent), [this, entry, agent, message = order.message] {
+        this->tellEntry(entry, EntryEvent::PeerReceived{this->agents[agent].name, message});
+    });
+}
+
+void ServiceWorld::onAgent(std::size_t agent, const AgentOrder::SendWork &order)
+{
+    const auto found = this->works.find(order.work);
+    if (found == this->works.end())
+        return;
+    Work &work = found->second;
+    if (const auto *event = std::get_if<WorkMessage::Event>(&order.message))
+        work.heldBytes += event->data.size();
+    work.held.push_back(order.message);
+    this->after(this->delay(work.entry, agent), [this, id = order.work] { this->deliver(id); });
+    if (work.paused)
+        this->after({}, [this, id = order.work] { this->reportHeld(id); });
+}
+
+void ServiceWorld::deliver(std::uint64_t id)
+{
+    const auto found = this->works.find(id);
+    if (found == this->works.end() || found->second.paused || found->second.held.empty())
+        return;
+    Work &work = found->second;
+    const WorkMessage::Any message = std::move(work.held.front());
+    work.held.pop_front();
+    if (const auto *event = std::get_if<WorkMessage::Event>(&message))
+        work.heldBytes -= event->data.size();
+    const bool ends = std::holds_alternative<WorkMessage::End>(message)
+                      || std::holds_alternative<WorkMessage::Failure>(message);
+    const std::size_t entry = work.entry;
+    const EntryEvent::WorkId entryWork = work.id;
+    const bool slow = this->calls[work.call].slow;
+    const bool more = !work.held.empty();
+    if (ends)
+        this->works.erase(found);
+    this->tellEntry(entry, EntryEvent::WorkReceived{entryWork, message});
+    if (!slow || ends)
+        return;
+    this->reportHeld(id);
+    if (more)
+        this->after({}, [this, id] { this->deliver(id); });
+}
+
+void ServiceWorld::reportHeld(std::uint64_t id)
+{
+    const auto found = this->works.find(id);
+    if (found == this->works.end())
+        return;
+    const std::uint64_t bytes = found->second.heldBytes;
+    this->tellAgent(found->second.agent,
+                    AgentEvent::WorkBuffered{id, bytes - std::min(bytes, StreamWindowBytes)});
+}
+
+void ServiceWorld::onAgent(std::size_t agent, const AgentOrder::CallBackend &order)
+{
+    Call &call = this->calls[std::stoull(order.request.requestId.substr(1))];
+    if (call.called == Instant())
+        call.called = this->now;
+    if (this->out && this->agents[agent].domain == this->scenario.domains.front())
+        this->lastWorkInDomain = this->now;
+    if (!this->agents[agent].model) {
+        this->runRecord(agent, order.request);
+        return;
+    }
+    if (!this->agents[agent].engine.isUp(this->now)) {
+        this->after({}, [this, agent, id = order.request.requestId] {
+            this->tellAgent(
+                    agent, AgentEvent::BackendFailed{id, AgentEvent::BackendFailed::Kind::NotSent});
+        });
+        return;
+    }
+    this->agents[agent].engine.start(order.request);
+    this->step(agent);
+}
+
+void ServiceWorld::onAgent(std::size_t agent, const AgentOrder::CancelBackend &order)
+{
+    this->agents[agent].engine.cancel(order.requestId);
+}
+
+void ServiceWorld::onAgent(std::size_t agent, const AgentOrder::PauseBackend &order)
+{
+    this->agents[agent].engine.pause(order.requestId, order.paused);
+}
+
+void ServiceWorld::onAgent(std::size_t agent, const AgentOrder::WriteClaims &order)
+{
+    const AgentEvent::ClaimsAnswered answer = this->store.run(order);
+    this->after(StoreLatency, [this, agent, answer] { this->tellAgent(agent, answer); });
+}
+
+void ServiceWorld::step(std::size_t agent)
+{
+    Agent &row = this->agents[agent];
+    if (row.stepping || row.engine.isIdle())
+        return;
+    row.stepping = true;
+    this->after(row.engine.beginStep(this->now), [this, agent] {
+        this->agents[agent].stepping = false;
+        for (const AgentEvent::Any &event : this->agents[agent].engine.endStep(this->now))
+            this->tellAgent(agent, event);
+        this->step(agent);
+    });
+}
+
+void ServiceWorld::runRecord(std::size_t agent, const WorkMessage::Request &request)
+{
+    if (!this->recordsRun.insert(request.idempotencyKey).second)
+        ++this->duplicateRecords;
+    this->after(RecordLength, [this, agent, id = request.requestId] {
+        this->tellAgent(agent, AgentEvent::BackendHead{id, {200, {}}});
+        this->tellAgent(agent, AgentEvent::BackendData{id, "booked", 0});
+        this->tellAgent(agent, AgentEvent::BackendEnd{id});
+    });
+}
+
+void ServiceWorld::probe(std::size_t agent)
+{
+    FakeEngine &engine = this->agents[agent].engine;
+    this->tellAgent(agent, AgentEvent::BackendReport{engine.isUp(this->now), engine.incarnation(),
+                                                     engine.running(), 0});
+}
+
+std::size_t ServiceWorld::pickAccount()
+{
+    double sum = 0;
+    for (const double share : this->accountShares)
+        sum += share;
+    double point = this->random.unit() * sum;
+    for (std::size_t index = 0; index + 1 < Accounts; ++index) {
+        point -= this->accountShares[index];
+        if (point < 0)
+            return index;
+    }
+    return Accounts - 1;
+}
+
+void ServiceWorld::scheduleRequests(double perSecond, bool record)
+{
+    const double wait = -std::log(1 - this->random.unit()) / perSecond;
+    this->after(microseconds(static_cast<std::int64_t>(wait * 1e6)), [this, perSecond, record] {
+        // Answers that begin near the end of the run could not be judged.
+        if (this->now > this->end - std::chrono::seconds(5))
+            return;
+        this->sendRequest(record, false);
+        this->scheduleRequests(perSecond, record);
+    });
+}
+
+void ServiceWorld::sendRequest(bool record, bool slow)
+{
+    Call call;
+    const std::size_t account = slow ? this->calls.size() % Accounts : this->pickAccount();
+    call.account = "account" + std::to_string(account);
+    call.record = record;
+    call.slow = slow;
+    call.maxTokens = slow ? SlowEvents : static_cast<std::uint32_t>(20 + this->random.below(80));
+    call.sent = this->now;
+    EntryEvent::CallerRequest event;
+    event.caller = this->calls.size();
+    event.timeLimit = TimeLimit;
+    event.request.requestId =
+            "r" + std::to_string(event.caller) + "-" + std::to_string(call.maxTokens);
+    event.request.account = call.account;
+    event.request.service = record ? "ledger" : "model";
+    event.request.path = slow ? std::to_string(SlowEventBytes) : "1";
+    event.request.stream = !record;
+    event.request.idempotent = !record;
+    event.request.idempotencyKey = record ? event.request.requestId : "";
+    event.request.promptTokens = 100 + this->random.below(600);
+    event.request.maxTokens = call.maxTokens;
+    event.request.body = R"({"prompt":"system prompt of )" + call.account + std::string(256, '.')
+                         + event.request.requestId + R"("})";
+    event.request.fingerprint = event.caller + 1;
+    this->calls.push_back(call);
+    // Callers keep the addresses of entries for a while, so that entries of a failure domain that
+    // is out are still asked.
+    const std::size_t entry = this->random.below(Entries);
+    this->calls.back().entry = entry;
+    this->after(ClientLatency, [this, entry, event] { this->tellEntry(entry, event); });
+}
+
+void ServiceWorld::moveDomain(bool out)
+{
+    this->out = out;
+    auto next = std::make_shared<Configuration>(*this->configuration);
+    ++next->version;
+    FailureDomainState &domain = next->places.front().failureDomains.front();
+    domain.out = out;
+    ++domain.epoch;
+    this->configuration = next;
+    // With two relays for each failure domain, every entry watches the store.
+    for (std::size_t entry = 0; entry < Entries; ++entry)
+        this->after(StoreLatency, [this, entry, next] {
+            this->tellEntry(entry, EntryEvent::ConfigurationRead{next, true});
+        });
+    if (out)
+        return;
+    for (Agent &agent : this->agents) {
+        if (agent.domain == domain.name)
+            agent.engine.turnCold(this->now);
+    }
+}
+
+void ServiceWorld::sampleMemory()
+{
+    if (this->scenario.slowReaders == 0)
+        return;
+    std::map<std::uint64_t, std::uint64_t> readers;
+    std::vector<std::uint64_t> processes(Entries + Agents);
+    for (const auto &[id, work] : this->works) {
+        if (!this->calls[work.call].slow)
+            continue;
+        const std::uint64_t received = std::min(work.heldBytes, StreamWindowBytes);
+        processes[work.entry] += received;
+        processes[Entries + work.agent] += work.heldBytes - received;
+        readers[work.call] += work.heldBytes;
+    }
+    for (std::size_t caller = 0; caller < this->calls.size(); ++caller) {
+        if (this->calls[caller].unread == 0)
+            continue;
+        // Every second slow reader reads a byte a second, the others nothing.
+        if (caller % 2 == 0)
+            this->tellEntry(this->calls[caller].entry,
+                            EntryEvent::CallerBuffered{caller, --this->calls[caller].unread});
+        processes[this->calls[caller].entry] += this->calls[caller].unread;
+        readers[caller] += this->calls[caller].unread;
+    }
+    for (std::size_t agent = 0; agent < Agents; ++agent) {
+        const auto dump = nlohmann::json::parse(this->agents[agent].node->dump(this->now));
+        for (const auto &request : dump["requests"]) {
+            const std::uint64_t caller = std::stoull(request["id"].get<std::string>().substr(1));
+            if (!this->calls[caller].slow)
+                continue;
+            processes[Entries + agent] += request["tailBytes"].get<std::uint64_t>();
+            readers[caller] += request["tailBytes"].get<std::uint64_t>();
+        }
+    }
+    for (const std::uint64_t bytes : processes)
+        this->mostProcessBytes = std::max(this->mostProcessBytes, bytes);
+    for (const auto &[caller, bytes] : readers)
+        this->mostReaderBytes = std::max(this->mostReaderBytes, bytes);
+}
+
+void ServiceWorld::sampleShare()
+{
+    std::uint64_t all = 0;
+    std::uint64_t inDomain = 0;
+    for (const Agent &agent : this->agents) {
+        all += agent.engine.tokens;
+        if (agent.domain == this->scenario.domains.front())
+            inDomain += agent.engine.tokens;
+    }
+    const std::uint64_t newTokens = all - std::exchange(this->tokensBefore, all);
+    const std::uint64_t newInDomain = inDomain - std::exchange(this->domainTokensBefore, inDomain);
+    const bool returned =
+            this->scenario.bringBack.count() > 0 && this->now > Instant(this->scenario.bringBack);
+    const double share = static_cast<double>(newInDomain * this->scenario.domains.size());
+    if (returned && this->fullShareAt == Instant() && share >= 0.9 * static_cast<double>(newTokens))
+        this->fullShareAt = this->now;
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Measure/ServiceWorld.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include "Agent/AgentNode.h"
+#include "Agent/FakeStore.h"
+#include "Core/RandomSource.h"
+#include "Entry/EntryNode.h"
+#include "Measure/FakeEngine.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// What one run of ServiceWorld does.
+struct Scenario
+{
+    std::vector<std::string> domains;
+    std::chrono::microseconds latency{1500}; ///< one way between failure domains
+    double requestsPerSecond = 45;
+    double recordsPerSecond = 4;
+    /// Factor on the requests of the first client account.
+    double firstAccountFactor = 1;
+    std::uint64_t seed = 1;
+    std::chrono::seconds length{60};
+    std::chrono::seconds takeOut{0}; ///< 0: never
+    std::chrono::seconds bringBack{0};
+    EntrySettings::RoutePolicy policy = EntrySettings::RoutePolicy::PrefixAffinity;
+    bool credits = true;
+    bool backpressure = true;
+    bool fairShares = true;
+    /// Callers with long answers that read at most a byte a second.
+    std::uint32_t slowReaders = 0;
+};
+
+/// One caller's request and what came back.
+struct Call
+{
+    std::string account;
+    std::uint32_t maxTokens = 0;
+    bool record = false;
+    bool slow = false;
+    std::size_t entry = 0;
+    std::uint64_t unread = 0;
+    Instant sent;
+    Instant placed; ///< handed to an agent for the first time
+    Instant called; ///< handed to the engine for the first time
+    Instant first;
+    Instant last;
+    std::uint32_t events = 0;
+    std::uint32_t starts = 0;
+    bool wrong = false; ///< an event was missing, repeated or of another request
+    bool ended = false;
+    std::string failure;
+    RunState run = RunState::Unknown;
+};
+
+/// A deployment in virtual time: real entry and agent decision logic, and fakes of the engines, the
+/// plain service, the store and the callers. One scenario and seed give one sequence of decisions.
+class ServiceWorld
+{
+public:
+    explicit ServiceWorld(Scenario scenario);
+
+    void run();
+
+    std::vector<Call> calls;
+    std::vector<double> gaps; ///< milliseconds between two tokens at a normal caller
+    Instant lastWorkInDomain; ///< last work handed to a backend server of the failure domain while
+                              ///< out
+    Instant fullShareAt;      ///< first second with 90% of its part of the tokens after its return
+    std::uint64_t mostProcessBytes = 0; ///< most held for slow readers in one process
+    std::uint64_t mostReaderBytes = 0;  ///< most held for one slow reader in all processes
+    std::uint32_t duplicateRecords = 0;
+    std::uint32_t falls = 0;
+    double worstColdLoad = 0;
+
+private:
+    static constexpr std::size_t Entries = 6;
+    static constexpr std::size_t Models = 12;
+    static constexpr std::size_t Agents = 15;
+
+    struct Entry
+    {
+        std::unique_ptr<EntryNode> node;
+        std::string domain;
+        bool tickScheduled = false;
+    };
+
+    struct Agent
+    {
+        std::unique_ptr<AgentNode> node;
+        std::string name;
+        std::string domain;
+        bool model = false;
+        bool tickScheduled = false;
+        bool stepping = false;
+        FakeEngine engine;
+    };
+
+    /// A work stream with HTTP/2 flow control.
+    struct Work
+    {
+        std::size_t entry = 0;
+        std::size_t agent = 0;
+        EntryEvent::WorkId id = 0;
+        std::uint64_t call = 0;
+        bool paused = false;
+        std::deque<WorkMessage::Any> held;
+        std::uint64_t heldBytes = 0;
+    };
+
+    struct Event
+    {
+        Instant at;
+        std::uint64_t order = 0;
+        std::function<void()> run;
+        bool operator<(const Event &other) const
+        {
+            return this->at != other.at ? this->at > other.at : this->order > other.order;
+        }
+    };
+
+    using Action = std::function<void()>;
+
+    void at(Instant instant, Action action);
+    void after(Instant::duration delay, Action action);
+    void build();
+    void every(Instant::duration period, const Action &action);
+    Instant::duration delay(std::size_t entry, std::size_t agent) const;
+    std::size_t agentIndex(const std::string &name) const;
+
+    void tellEntry(std::size_t entry, const EntryEvent::Any &event);
+    void tickEntry(std::size_t entry);
+    void apply(std::size_t entry, const EntryOrder::List &orders);
+    void on(std::size_t entry, const EntryOrder::OpenLink &order);
+    void on(std::size_t entry, const EntryOrder::SendPeer &order);
+    void on(std::size_t entry, const EntryOrder::StartWork &order);
+    void on(std::size_t entry, const EntryOrder::CancelWork &order);
+    void on(std::size_t entry, const EntryOrder::PauseWork &order);
+    void on(std::size_t entry, const EntryOrder::ReplyEvent &order);
+    void on(std::size_t entry, const EntryOrder::ReplyEnd &order);
+    void on(std::size_t entry, const EntryOrder::ReplyFailure &order);
+    void on(std::size_t entry, const EntryOrder::ReadStore &order);
+    template <typename Order>
+    void on(std::size_t, const Order &)
+    {}
+
+    void tellAgent(std::size_t agent, const AgentEvent::Any &event);
+    void tickAgent(std::size_t agent);
+    void applyAgent(std::size_t agent, const AgentOrder::List &orders);
+    void onAgent(std::size_t agent, const AgentOrder::SendPeer &order);
+    void onAgent(std::size_t agent, const AgentOrder::SendWork &order);
+    void onAgent(std::size_t agent, const AgentOrder::CallBackend &order);
+    void onAgent(std::size_t agent, const AgentOrder::CancelBackend &order);
+    void onAgent(std::size_t agent, const AgentOrder::PauseBackend &order);
+    void onAgent(std::size_t agent, const AgentOrder::WriteClaims &order);
+    template <typename Order>
+    void onAgent(std::size_t, const Order &)
+    {}
+
+    void step(std::size_t agent);
+    void runRecord(std::size_t agent, const WorkMessage::Request &request);
+    void probe(std::size_t agent);
+    void deliver(std::uint64_t work);
+    void reportHeld(std::uint64_t work);
+    void sendRequest(bool record, bool slow);
+    void scheduleRequests(double perSecond, bool record);
+    std::size_t pickAccount();
+    void moveDomain(bool out);
+    void sampleMemory();
+    void sampleShare();
+
+    Scenario scenario;
+    Instant now;
+    Instant end;
+    std::uint64_t lastOrder = 0;
+    std::priority_queue<Event> events;
+    RandomSource random;
+    FakeStore store;
+    std::shared_ptr<Configuration> configuration;
+    std::vector<Entry> entries;
+    std::vector<Agent> agents;
+    std::map<std::uint64_t, Work> works; ///< by the agents' work id
+    std::vector<double> accountShares;
+    std::vector<InstanceRecord> instances;
+    std::set<std::string> recordsRun;
+    std::uint64_t tokensBefore = 0;
+    std::uint64_t domainTokensBefore = 0;
+    bool out = false;
+};
+
+} // namespace Nutmegrill
