Bound what slow readers hold in memory and at the backend servers

Cause: the bytes that a slow reader leaves were held four times over (entry buffer, stream window, agent buffer, and all of them again in the agent's tail): 1544 KiB per reader against a budget of 256 KiB. Its paused answer kept a place in the batch, so that with 300 slow readers 38% of the normal requests and with 1000 69% of them were refused. Ruled out: the process budgets of the entries; they bound the memory and not the places. Change: the agent pauses an answer by the bytes that no entry has acknowledged, at half the stream budget, because the entry holds the same bytes. The entry cuts the answer of a caller that has a backlog of a quarter of the budget and took less than 2 KiB in 2 s, but only while other requests of the service wait, one in each tick. The total still grows with the readers whose answers are complete.

--- a/Source/Agent/StreamFlow.cpp
+++ b/Source/Agent/StreamFlow.cpp
@@ -6,17 +6,20 @@
 
 namespace {
 
-constexpr std::uint64_t StreamBytes = 256U << 10U;
+// Half of the budget of a stream: the bytes that a caller has not read are held at the entry, and
+// here as the tail of the answer.
+constexpr std::uint64_t StreamBytes = 128U << 10U;
 constexpr std::uint64_t ProcessBytes = 32U << 20U;
 constexpr std::uint64_t SmallestShare = 16U << 10U;
 
-// Bytes of the answer that no reader has taken. A claimed call without a reader goes on, because
-// its end is still to be recorded; its tail has a budget of its own.
+// Bytes of the answer that no reader has taken: those that the entry has not acknowledged, wherever
+// they are on the way. A claimed call goes on without a reader, because its end is still to be
+// recorded; its tail has a budget of its own.
 std::uint64_t heldBytes(const RequestRow &row)
 {
-    if (row.work != 0)
-        return row.buffered;
-    return row.isClaimed() ? 0 : row.tail.bytes();
+    if (row.isClaimed())
+        return row.work == 0 ? 0 : row.buffered;
+    return std::max(row.buffered, row.tail.bytes());
 }
 
 } // namespace
--- a/Source/Entry/CallerSystem.cpp
+++ b/Source/Entry/CallerSystem.cpp
@@ -15,6 +15,12 @@
 constexpr std::chrono::seconds AckPeriod(1);
 // A caller whose connection broke comes back within this time or not at all.
 constexpr std::chrono::seconds ParkedLifetime(10);
+// A caller with a backlog that takes less than this in one window gives its place at the backend
+// server up when others wait. A slow mobile connection takes several times as much.
+constexpr std::chrono::seconds BacklogWindow(2);
+constexpr std::uint64_t LeastTaken = 2048;
+// Part of the stream budget from which on unread bytes are a backlog.
+constexpr std::uint64_t BacklogDivisor = 4;
 
 } // namespace
 
@@ -48,8 +54,50 @@
     this->tables.order(EntryOrder::PauseWork{row.work, pause});
 }
 
+bool CallerSystem::isTooSlow(RequestTable::Row &row) const
+{
+    const std::uint64_t held = this->tables.buffers.bytesOf(row.caller);
+    if (held < this->tables.settings.streamBufferBytes / BacklogDivisor) {
+        row.backlogSince = NoDeadline;
+        return false;
+    }
+    const std::uint64_t taken = row.sentBytes - std::min(row.sentBytes, held);
+    const bool first = row.backlogSince == NoDeadline;
+    if (!first && this->tables.now < row.backlogSince + BacklogWindow)
+        return false;
+    if (!first && taken < row.takenBefore + LeastTaken)
+        return true;
+    row.backlogSince = this->tables.now;
+    row.takenBefore = taken;
+    return false;
+}
+
+// The place of a paused answer at its backend server is lost to the others. One is cut in each
+// tick, so that no more are cut than the queue needs.
+void CallerSystem::cutSlowReader()
+{
+    if (!this->tables.settings.switches.backpressure)
+        return;
+    for (auto &[caller, row] : this->tables.requests.all()) {
+        if (row.phase != RequestTable::Phase::Running || row.work == 0 || !row.model
+            || !row.request.idempotent || !this->isTooSlow(row)
+            || !this->tables.service(row.request.service).queue.isBacklogged())
+            continue;
+        this->tables.log(EntryLog::ReaderCut, LogRecord::Level::Warning,
+                         row.request.requestId
+                                 + ": the caller read too slowly while others waited");
+        this->tables.order(EntryOrder::CancelWork{row.work});
+        this->releaseWork(row);
+        this->admission.fail(
+                row, AdmissionSystem::failure(RunState::Unknown, 503, "reader_too_slow",
+                                              "the caller read too slowly while others waited"));
+        return;
+    }
+}
+
 void CallerSystem::limitBuffers()
 {
+    this->cutSlowReader();
     std::vector<EntryEvent::CallerId> stalled;
     const Instant since = this->tables.now - this->tables.settings.stallLimit;
     for (auto &[caller, row] : this->tables.requests.all()) {
--- a/Source/Entry/CallerSystem.h
+++ b/Source/Entry/CallerSystem.h
@@ -24,6 +24,8 @@
 private:
     StreamBudget::Limits limitsOf(const RequestTable::Row &row) const;
     void applyPause(RequestTable::Row &row);
+    bool isTooSlow(RequestTable::Row &row) const;
+    void cutSlowReader();
     void park(RequestTable::Row &row);
     void releaseWork(RequestTable::Row &row);
     void acknowledge(RequestTable::Row &row);
--- a/Source/Entry/FairQueue.h
+++ b/Source/Entry/FairQueue.h
@@ -35,6 +35,8 @@
     bool take(const std::function<bool(CallerId)> &place);
 
     std::size_t size() const { return this->count; }
+    /// Requests have waited throughout the present window of the rate.
+    bool isBacklogged() const { return this->waitedThroughout && this->count > 0; }
     std::size_t sizeOf(const std::string &account) const;
 
     /// Expected wait of a further request; zero while the rate is unknown or nothing waits.
--- a/Source/Entry/RequestTable.h
+++ b/Source/Entry/RequestTable.h
@@ -73,6 +73,9 @@
         std::uint64_t ackNext = 0;
         Instant nextAck;
         bool paused = false;
+        /// Since when the caller has had much to read, and what it had taken by then.
+        Instant backlogSince = NoDeadline;
+        std::uint64_t takenBefore = 0;
     };
 
     using Rows = std::map<CallerId, Row>;
