--- a/Tests/Measure/FakeEngine.cpp
+++ b/Tests/Measure/FakeEngine.cpp
@@ -9,8 +9,6 @@
 
 using std::chrono::microseconds;
 
-constexpr microseconds StepBase(8000);
-constexpr microseconds StepPerSequence(750);
 constexpr microseconds PrefillPerToken(50);
 // Chunked prefill: a long prompt is spread over several steps.
 constexpr std::uint64_t PrefillChunk = 256;
@@ -61,7 +59,7 @@
     if (!this->isCold(now))
         return LargestBatch;
     const double part = std::chrono::duration<double>(now - this->coldSince) / ColdLength;
-    return ColdBatch + (WarmBatch - ColdBatch) * part;
+    return this->coldBatch + (WarmBatch - this->coldBatch) * part;
 }
 
 std::uint64_t FakeEngine::memoryUsed() const
@@ -104,7 +102,7 @@
         decoding += row.paused ? 0 : 1;
     }
     const Instant::duration step =
-            StepBase + decoding * StepPerSequence
+            this->stepBase + decoding * this->stepPerSequence
             + static_cast<std::int64_t>(PrefillChunk - chunk) * PrefillPerToken;
     const double load = static_cast<double>(this->rows.size()) / this->bears(now);
     if (this->isCold(now))
--- a/Tests/Measure/FakeEngine.h
+++ b/Tests/Measure/FakeEngine.h
@@ -3,6 +3,7 @@
 #include "Agent/AgentOrder.h"
 #include "Core/Time.h"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -41,6 +42,10 @@
     /// Events of the step that ends now.
     std::vector<AgentEvent::Any> endStep(Instant now);
 
+    std::chrono::microseconds stepBase{8000};
+    std::chrono::microseconds stepPerSequence{750};
+    std::uint32_t coldBatch = ColdBatch;
+
     std::uint32_t falls = 0;
     std::uint64_t tokens = 0;
     /// Largest batch during a cold start relative to what the engine bore at that time.
--- a/Tests/Measure/ServiceMeasure.cpp
+++ b/Tests/Measure/ServiceMeasure.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <future>
 #include <iostream>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -57,6 +58,25 @@
     row[name + "P99"] = rounded(percentile(values, 0.99));
 }
 
+// For each second of the run: p95 of the time to first token and of the wait at the entry.
+Json timeline(const std::vector<Call> &calls)
+{
+    std::map<std::int64_t, std::pair<std::vector<double>, std::vector<double>>> seconds;
+    for (const Call &call : calls) {
+        if (call.slow || call.record || call.first == Instant())
+            continue;
+        auto &[first, wait] = seconds
+                [std::chrono::floor<std::chrono::seconds>(call.sent).time_since_epoch().count()];
+        first.push_back(milli(call.first - call.sent));
+        wait.push_back(milli(call.placed - call.sent));
+    }
+    Json rows = Json::array();
+    for (auto &[second, values] : seconds)
+        rows.push_back({second, rounded(percentile(values.first, 0.95)),
+                        rounded(percentile(values.second, 0.95))});
+    return rows;
+}
+
 Json evaluate(const Run &run)
 {
     ServiceWorld world(run.scenario);
@@ -127,9 +147,11 @@
     if (run.scenario.slowReaders > 0) {
         row["slowWhole"] = slowWhole;
         row["mostReaderKiB"] = world.mostReaderBytes / 1024;
+        row["mostTotalKiB"] = world.mostTotalBytes / 1024;
         row["mostProcessKiB"] = world.mostProcessBytes / 1024;
     }
     row["failures"] = failures;
+    row["secondFirstTokenWaitP95"] = timeline(world.calls);
     return row;
 }
 
@@ -149,8 +171,8 @@
         std::printf(" | %6.3f %5.1f", row["secondsToNoNewWork"].get<double>(),
                     row["secondsToFullShare"].get<double>());
     if (row.contains("mostReaderKiB"))
-        std::printf(" | %7d %7d", row["mostReaderKiB"].get<int>(),
-                    row["mostProcessKiB"].get<int>());
+        std::printf(" | %7d %7d %7d", row["mostReaderKiB"].get<int>(),
+                    row["mostProcessKiB"].get<int>(), row["mostTotalKiB"].get<int>());
     std::printf("\n");
 }
 
@@ -159,7 +181,7 @@
     std::printf("%-34s %6s %7s %5s %5s | %20s | %6s | %17s | %5s %5s\n", "", "sent", "whole", "not",
                 "other", "first token ms", "small", "between tokens ms", "falls", "cold");
     std::printf("%-34s %6s %7s %5s %5s | %6s %6s %6s | %6s | %5s %5s %5s | %5s %5s"
-                " | no new work s, full share s, or KiB per reader, per process\n",
+                " | no new work s, full share s, or KiB of a reader, a process, all\n",
                 "", "", "", "run", "", "p50", "p95", "p99", "p95", "p50", "p95", "p99", "", "load");
 }
 
@@ -188,15 +210,18 @@
             {"power of two", Policy::PowerOfTwo}};
     for (const bool gleamway : {true, false}) {
         const std::string place = gleamway ? "Gleamway" : "Association";
-        for (const int load : {1, 2, 10}) {
+        for (const double load : {1.0, 1.5, 2.0, 10.0}) {
+            if (quick && load == 2.0)
+                continue;
             Scenario scenario = deployment(gleamway, quick);
             scenario.requestsPerSecond *= load;
             scenario.recordsPerSecond *= load;
             scenario.takeOut = std::chrono::seconds(10);
             scenario.bringBack = std::chrono::seconds(20);
-            const std::string name = place + " x" + std::to_string(load) + " ";
+            const std::string name =
+                    place + " x" + std::to_string(load).substr(0, load < 10 ? 3 : 2) + " ";
             runs.push_back({name + "nutmegrill", scenario});
-            if (quick && !gleamway)
+            if (quick && (!gleamway || load > 2))
                 continue;
             scenario.credits = false;
             for (const auto &[policyName, policy] : baselines) {
@@ -233,6 +258,28 @@
     runs.push_back({"fairness: one account x10, no queue", scenario});
 }
 
+// Two engines that start cold, as in the process tests.
+void addSmallRuns(std::vector<Run> &runs)
+{
+    Scenario scenario = deployment(true, true);
+    scenario.domains = {"north", "south"};
+    scenario.entries = 2;
+    scenario.models = 2;
+    scenario.plainServers = 2;
+    scenario.requestsPerSecond = 40;
+    scenario.stepBase = std::chrono::microseconds(5000);
+    scenario.stepPerSequence = std::chrono::microseconds(0);
+    scenario.coldBatch = 2;
+    scenario.startCold = true;
+    scenario.leastTokens = 24;
+    scenario.mostTokens = 24;
+    scenario.length = std::chrono::seconds(30);
+    runs.push_back({"two engines, start", scenario});
+    scenario.takeOut = std::chrono::seconds(10);
+    scenario.bringBack = std::chrono::seconds(14);
+    runs.push_back({"two engines, start and take-out", scenario});
+}
+
 std::vector<Json> evaluateAll(const std::vector<Run> &runs, std::size_t threads)
 {
     std::vector<Json> rows(runs.size());
@@ -274,6 +321,7 @@
     addServiceRuns(runs, quick);
     addReaderRuns(runs, quick);
     addFairnessRuns(runs, quick);
+    addSmallRuns(runs);
     std::erase_if(runs, [&](const Run &run) { return run.name.find(only) == std::string::npos; });
     std::printf("measure-service: seed %llu, %s runs\n", static_cast<unsigned long long>(Seed),
                 quick ? "quick" : "full");
--- a/Tests/Measure/ServiceWorld.cpp
+++ b/Tests/Measure/ServiceWorld.cpp
@@ -76,7 +76,7 @@
     model.kind = ServiceDeclaration::Kind::Model;
     model.model = "model";
     model.warmRequests = FakeEngine::WarmBatch;
-    model.coldRequests = FakeEngine::ColdBatch;
+    model.coldRequests = this->scenario.coldBatch;
     model.kvBytes = FakeEngine::MemoryTokens;
     model.kvBytesPerToken = 1;
     ServiceDeclaration ledger;
@@ -89,9 +89,9 @@
         this->configuration->clientAccounts.push_back(account);
     }
 
-    this->agents.resize(Agents);
-    this->entries.resize(Entries);
-    for (std::size_t index = 0; index < Entries; ++index) {
+    this->agents.resize(this->scenario.models + this->scenario.plainServers);
+    this->entries.resize(this->scenario.entries);
+    for (std::size_t index = 0; index < this->entries.size(); ++index) {
         EntrySettings settings;
         settings.name = "e" + std::to_string(index);
         settings.failureDomain = domainFor(this->scenario, index);
@@ -107,9 +107,9 @@
         this->entries[index].domain = settings.failureDomain;
         this->entries[index].node = std::make_unique<EntryNode>(settings);
     }
-    for (std::size_t index = 0; index < Agents; ++index) {
+    for (std::size_t index = 0; index < this->agents.size(); ++index) {
         Agent &agent = this->agents[index];
-        agent.model = index < Models;
+        agent.model = index < this->scenario.models;
         agent.name = "a" + std::to_string(index);
         agent.domain = domainFor(this->scenario, index);
         AgentSettings settings;
@@ -121,7 +121,11 @@
         settings.mechanisms.crashIsolation = this->scenario.credits;
         settings.mechanisms.pauses = this->scenario.backpressure;
         agent.node = std::make_unique<AgentNode>(settings);
-        agent.engine.turnWarm();
+        agent.engine.stepBase = this->scenario.stepBase;
+        agent.engine.stepPerSequence = this->scenario.stepPerSequence;
+        agent.engine.coldBatch = this->scenario.coldBatch;
+        if (!this->scenario.startCold)
+            agent.engine.turnWarm();
         this->instances.push_back({agent.name, InstanceRecord::Role::Agent, agent.name,
                                    agent.domain, settings.service, false});
     }
@@ -129,14 +133,14 @@
 
 void ServiceWorld::run()
 {
-    for (std::size_t index = 0; index < Agents; ++index) {
+    for (std::size_t index = 0; index < this->agents.size(); ++index) {
         this->at(Instant(milliseconds(3 * index)), [this, index] {
             this->probe(index);
             this->every(TickPeriod, [this, index] { this->tickAgent(index); });
             this->every(ProbePeriod, [this, index] { this->probe(index); });
         });
     }
-    for (std::size_t index = 0; index < Entries; ++index) {
+    for (std::size_t index = 0; index < this->entries.size(); ++index) {
         this->at(Instant(milliseconds(7 * index)), [this, index] {
             this->tellEntry(index, EntryEvent::InstancesRead{this->instances});
             this->every(TickPeriod, [this, index] { this->tickEntry(index); });
@@ -496,7 +500,11 @@
     call.account = "account" + std::to_string(account);
     call.record = record;
     call.slow = slow;
-    call.maxTokens = slow ? SlowEvents : static_cast<std::uint32_t>(20 + this->random.below(80));
+    call.maxTokens = slow ? SlowEvents
+                          : static_cast<std::uint32_t>(
+                                  this->scenario.leastTokens
+                                  + this->random.below(this->scenario.mostTokens
+                                                       - this->scenario.leastTokens + 1));
     call.sent = this->now;
     EntryEvent::CallerRequest event;
     event.caller = this->calls.size();
@@ -517,7 +525,7 @@
     this->calls.push_back(call);
     // Callers keep the addresses of entries for a while, so that entries of a failure domain that
     // is out are still asked.
-    const std::size_t entry = this->random.below(Entries);
+    const std::size_t entry = this->random.below(this->entries.size());
     this->calls.back().entry = entry;
     this->after(ClientLatency, [this, entry, event] { this->tellEntry(entry, event); });
 }
@@ -532,7 +540,7 @@
     ++domain.epoch;
     this->configuration = next;
     // With two relays for each failure domain, every entry watches the store.
-    for (std::size_t entry = 0; entry < Entries; ++entry)
+    for (std::size_t entry = 0; entry < this->entries.size(); ++entry)
         this->after(StoreLatency, [this, entry, next] {
             this->tellEntry(entry, EntryEvent::ConfigurationRead{next, true});
         });
@@ -549,13 +557,14 @@
     if (this->scenario.slowReaders == 0)
         return;
     std::map<std::uint64_t, std::uint64_t> readers;
-    std::vector<std::uint64_t> processes(Entries + Agents);
+    const std::size_t firstAgent = this->entries.size();
+    std::vector<std::uint64_t> processes(firstAgent + this->agents.size());
     for (const auto &[id, work] : this->works) {
         if (!this->calls[work.call].slow)
             continue;
         const std::uint64_t received = std::min(work.heldBytes, StreamWindowBytes);
         processes[work.entry] += received;
-        processes[Entries + work.agent] += work.heldBytes - received;
+        processes[firstAgent + work.agent] += work.heldBytes - received;
         readers[work.call] += work.heldBytes;
     }
     for (std::size_t caller = 0; caller < this->calls.size(); ++caller) {
@@ -568,18 +577,22 @@
         processes[this->calls[caller].entry] += this->calls[caller].unread;
         readers[caller] += this->calls[caller].unread;
     }
-    for (std::size_t agent = 0; agent < Agents; ++agent) {
+    for (std::size_t agent = 0; agent < this->agents.size(); ++agent) {
         const auto dump = nlohmann::json::parse(this->agents[agent].node->dump(this->now));
         for (const auto &request : dump["requests"]) {
             const std::uint64_t caller = std::stoull(request["id"].get<std::string>().substr(1));
             if (!this->calls[caller].slow)
                 continue;
-            processes[Entries + agent] += request["tailBytes"].get<std::uint64_t>();
+            processes[firstAgent + agent] += request["tailBytes"].get<std::uint64_t>();
             readers[caller] += request["tailBytes"].get<std::uint64_t>();
         }
     }
-    for (const std::uint64_t bytes : processes)
+    std::uint64_t total = 0;
+    for (const std::uint64_t bytes : processes) {
         this->mostProcessBytes = std::max(this->mostProcessBytes, bytes);
+        total += bytes;
+    }
+    this->mostTotalBytes = std::max(this->mostTotalBytes, total);
     for (const auto &[caller, bytes] : readers)
         this->mostReaderBytes = std::max(this->mostReaderBytes, bytes);
 }
--- a/Tests/Measure/ServiceWorld.h
+++ b/Tests/Measure/ServiceWorld.h
@@ -35,6 +35,15 @@
     bool credits = true;
     bool backpressure = true;
     bool fairShares = true;
+    std::size_t entries = 6;
+    std::size_t models = 12;
+    std::size_t plainServers = 3;
+    std::chrono::microseconds stepBase{8000};
+    std::chrono::microseconds stepPerSequence{750};
+    std::uint32_t coldBatch = FakeEngine::ColdBatch;
+    bool startCold = false;
+    std::uint32_t leastTokens = 20;
+    std::uint32_t mostTokens = 99;
     /// Callers with long answers that read at most a byte a second.
     std::uint32_t slowReaders = 0;
 };
@@ -76,16 +85,13 @@
                               ///< out
     Instant fullShareAt;      ///< first second with 90% of its part of the tokens after its return
     std::uint64_t mostProcessBytes = 0; ///< most held for slow readers in one process
+    std::uint64_t mostTotalBytes = 0;   ///< most held for slow readers in all processes
     std::uint64_t mostReaderBytes = 0;  ///< most held for one slow reader in all processes
     std::uint32_t duplicateRecords = 0;
     std::uint32_t falls = 0;
     double worstColdLoad = 0;
 
 private:
-    static constexpr std::size_t Entries = 6;
-    static constexpr std::size_t Models = 12;
-    static constexpr std::size_t Agents = 15;
-
     struct Entry
     {
         std::unique_ptr<EntryNode> node;
