Widen the cold-start limit along the line from cold to warm

Cause: the step was rounded up, so that 4 to 16 requests took 6 windows and not 8. Ruled out: late use of credits (the arrival check counts them) and the slow-token check, which cannot tell a batch 1.2 times too large from normal growth of the step time. Change: the limit is on the line from the cold to the warm limit, rounded down, over 8 clean windows.

--- a/Source/Agent/WarmupLimit.cpp
+++ b/Source/Agent/WarmupLimit.cpp
@@ -13,7 +13,7 @@
 // A single late token (a pause of the engine) must not turn a warm backend server cold.
 constexpr std::uint32_t SlowScoreToTurnCold = 3;
 constexpr std::size_t IntervalsForWindow = 4;
-// From the cold to the warm limit in about this many clean windows.
+// From the cold to the warm limit in this many clean windows, or fewer when the limits are closer.
 constexpr std::uint32_t Steps = 8;
 
 } // namespace
@@ -24,17 +24,30 @@
     const bool wasWarm = !first && this->isWarm();
     this->warm = std::max(warm, 1U);
     this->cold = std::clamp(cold, 1U, this->warm);
-    if (first)
-        this->current = this->cold;
-    else if (wasWarm)
-        this->current = this->warm;
-    else
-        this->current = std::clamp(this->current, this->cold, this->warm);
+    if (wasWarm)
+        this->cleanWindows = this->steps();
+    this->follow();
+}
+
+std::uint32_t WarmupLimit::steps() const
+{
+    return std::min(Steps, this->warm - this->cold);
+}
+
+void WarmupLimit::follow()
+{
+    this->cleanWindows = std::min(this->cleanWindows, this->steps());
+    const std::uint32_t all = std::max(this->steps(), 1U);
+    // Rounded down: a limit above the line from cold to warm is more than the backend server bears.
+    this->current = this->steps() == 0
+                            ? this->warm
+                            : this->cold + (this->warm - this->cold) * this->cleanWindows / all;
 }
 
 void WarmupLimit::turnCold(Instant now)
 {
-    this->current = this->cold;
+    this->cleanWindows = 0;
+    this->follow();
     this->slowScore = 0;
     this->openWindow(now);
 }
@@ -61,8 +74,8 @@
         return false;
     const std::uint32_t before = this->current;
     if (this->isWindowClean()) {
-        const std::uint32_t step = std::max(1U, (this->warm - this->cold + Steps - 1) / Steps);
-        this->current = std::min(this->warm, this->current + step);
+        ++this->cleanWindows;
+        this->follow();
         this->learnWarmInterval();
     }
     this->openWindow(now);
--- a/Source/Agent/WarmupLimit.h
+++ b/Source/Agent/WarmupLimit.h
@@ -32,12 +32,16 @@
 
 private:
     void openWindow(Instant now);
+    std::uint32_t steps() const;
+    void follow();
     bool isWindowClean() const;
     void learnWarmInterval();
 
     std::uint32_t cold = 0;
     std::uint32_t warm = 0;
     std::uint32_t current = 0;
+    /// Clean windows since the cold start; equal to steps() when warm.
+    std::uint32_t cleanWindows = 0;
     std::vector<Instant::duration> intervals;
     std::uint32_t slowIntervals = 0;
     /// Slow intervals less good ones, not below zero, over all windows.
