Let idle client accounts save for a short burst

Two requests of a small account that come within half a second at one entry exceed its share at that moment, and the second waits for it, although the account is far below its share over any longer time. Ruled out: the grants of credits (each entry has a start every 45 ms) and memory limits of the agents (no request was passed over for size). Change: an account that was idle starts up to 2048 tokens per unit of weight behind the virtual time.

--- a/Source/Entry/FairQueue.cpp
+++ b/Source/Entry/FairQueue.cpp
@@ -11,6 +11,9 @@
 constexpr std::uint64_t LargestCost = 64 * 1024;
 // Keeps the rounding of cost over weight small.
 constexpr std::uint64_t VirtualScale = 1024;
+// Tokens, for each unit of weight, that an idle account saves for later. Without them an account
+// far below its share waits whenever two of its requests come close together.
+constexpr std::uint64_t SavedCost = 2048;
 constexpr std::chrono::milliseconds RateWindow(500);
 constexpr double Smoothing = 0.5;
 
@@ -33,12 +36,17 @@
     return cost * VirtualScale / lane.weight;
 }
 
+std::uint64_t FairQueue::earliestStart() const
+{
+    return this->virtualTime - std::min(this->virtualTime, SavedCost * VirtualScale);
+}
+
 void FairQueue::push(const std::string &account, std::uint32_t weight, CallerId caller,
                      std::uint64_t cost)
 {
     Lane &lane = this->lane(account, weight);
     if (lane.items.empty())
-        lane.start = std::max(lane.start, this->virtualTime);
+        lane.start = std::max(lane.start, this->earliestStart());
     lane.items.push_back({caller, bounded(cost)});
     lane.cost += bounded(cost);
     this->totalCost += bounded(cost);
@@ -149,7 +157,7 @@
         this->rateKnown = true;
     }
     std::erase_if(this->lanes, [this](const auto &entry) {
-        return entry.second.items.empty() && entry.second.start <= this->virtualTime;
+        return entry.second.items.empty() && entry.second.start <= this->earliestStart();
     });
     this->windowCost = 0;
     this->waitedThroughout = this->count > 0;
--- a/Source/Entry/FairQueue.h
+++ b/Source/Entry/FairQueue.h
@@ -58,7 +58,7 @@
         std::deque<Item> items;
         std::uint64_t cost = 0;
         /// Virtual start of the first item: what the account was given so far, relative to its
-        /// weight, and not less than the virtual time at which it began to wait.
+        /// weight, and not less than earliestStart() when it began to wait.
         std::uint64_t start = 0;
         std::uint32_t weight = 1;
     };
@@ -67,6 +67,8 @@
 
     Lane &lane(const std::string &account, std::uint32_t weight);
     static std::uint64_t virtualCost(const Lane &lane, std::uint64_t cost);
+    /// Virtual start of an account that was idle for long.
+    std::uint64_t earliestStart() const;
     void serve(Lane &lane);
 
     bool fairShares;
--- a/Tests/Entry/FairQueueTest.cpp
+++ b/Tests/Entry/FairQueueTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(sharesFollowWeights);
     CPPUNIT_TEST(sharesCountTokensNotRequests);
     CPPUNIT_TEST(lightAccountIsServedNext);
+    CPPUNIT_TEST(idleAccountSavesForShortBurst);
     CPPUNIT_TEST(returningAccountIsNotServedFirstAgain);
     CPPUNIT_TEST(requestThatCannotStartHoldsUpNoOtherAccount);
     CPPUNIT_TEST(expectedWaitFollowsMeasuredRate);
@@ -58,6 +59,20 @@
         CPPUNIT_ASSERT_EQUAL(1.0, serve(queue, 1, 1, 1)[false]);
     }
 
+    // Guards against a light account whose second request waits for its whole share, and against
+    // savings without a bound.
+    void idleAccountSavesForShortBurst()
+    {
+        FairQueue queue;
+        for (int item = 0; item < 100; ++item)
+            queue.push("heavy", 1, item, 700);
+        serve(queue, 20, 1, 1);
+        for (int item = 0; item < 50; ++item)
+            queue.push("light", 1, 1000 + item, 700);
+        CPPUNIT_ASSERT_EQUAL(4.0, serve(queue, 4, 1, 1)[false]);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, ratio(serve(queue, 20, 1, 1)), 0.25);
+    }
+
     // Guards against an account that gets more than its share by never having two requests waiting.
     void returningAccountIsNotServedFirstAgain()
     {
