--- a/Tests/Entry/EntryMechanismTest.cpp
+++ b/Tests/Entry/EntryMechanismTest.cpp
@@ -52,6 +52,8 @@
 {
     CPPUNIT_TEST_SUITE(EntryMechanismTest);
     CPPUNIT_TEST(noStartWithoutCredit);
+    CPPUNIT_TEST(slowReaderGivesItsPlaceUp);
+    CPPUNIT_TEST(neverStartedRequestLeavesEarly);
     CPPUNIT_TEST(noStartInFailureDomainThatIsOut);
     CPPUNIT_TEST(noStartOnLeavingAgent);
     CPPUNIT_TEST(brokenAnswerIsResumed);
@@ -66,6 +68,37 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against slow readers that hold all places, and against a cut that helps nobody.
+    void slowReaderGivesItsPlaceUp()
+    {
+        Lines lines = {"90 grant a1 1 ms=60000",
+                       "90 grant a2 0 ms=60000",
+                       "100 request 1 model small",
+                       "110 head 1",
+                       "200 buffered 1 100000",
+                       "300 request 2 model large",
+                       "900 tick",
+                       "1500 tick",
+                       "2100 tick",
+                       "2300 tick"};
+        checkMechanism(lines, &EntrySwitches::backpressure, has(1, "reader_too_slow"));
+        const Lines late(lines.begin(), lines.end() - 1);
+        CPPUNIT_ASSERT_EQUAL(0, countLines(trace(late, nullptr), "reader_too_slow"));
+        std::erase(lines, "300 request 2 model large");
+        CPPUNIT_ASSERT_EQUAL(0, countLines(trace(lines, nullptr), "reader_too_slow"));
+    }
+
+    // Guards against late refusals: a request that never started leaves after a quarter of its
+    // time.
+    void neverStartedRequestLeavesEarly()
+    {
+        const Lines lines = {"90 grant a1 0 ms=60000", "90 grant a2 0 ms=60000",
+                             "100 request 1 model small limit=2000", "590 tick", "600 tick"};
+        const Lines early(lines.begin(), lines.end() - 1);
+        CPPUNIT_ASSERT_EQUAL(0, countLines(trace(early, nullptr), "queue_timeout not_run"));
+        CPPUNIT_ASSERT_EQUAL(1, countLines(trace(lines, nullptr), "queue_timeout not_run"));
+    }
+
     // Guards against more work on a backend server than it granted.
     void noStartWithoutCredit()
     {
