Generate a stream anew when its entry and its agent are lost together

Cause: a stream that had gone on at another agent named its first agent in the ids of its events. A caller that came back with such an id at another entry got the tail of the wrong agent or an unknown outcome, and with the agent gone nobody had the rest. Change: events name the agent only while one agent holds the whole answer. Otherwise, and when the tail is gone, an entry generates the answer anew if decoding is greedy or seeded and drops what the caller has; with sampling it says 410 cannot_resume. The order ReplyEvent carries the agent in place of ReplyHead, so all entry traces change in their head and event lines and in nothing else.

--- a/Source/Entry/AdmissionSystem.cpp
+++ b/Source/Entry/AdmissionSystem.cpp
@@ -130,7 +130,11 @@
         this->resumeFrom(row, event.resumeAgent);
         return;
     }
-    // Without the agent's name there is no tail to resume from: the answer starts anew.
+    if (row.request.firstEvent > 0 && !this->replayFrom(row)) {
+        this->fail(row, failure(RunState::Unknown, 410, "cannot_resume",
+                                "the rest of this answer is lost; send the request anew"));
+        return;
+    }
     row.request.firstEvent = 0;
     row.request.resumeOnly = false;
     ServiceRow &service = this->tables.service(row.request.service);
@@ -139,6 +143,20 @@
                        costOf(row.request));
 }
 
+// The caller has a part of an answer that no single agent holds.
+bool AdmissionSystem::replayFrom(RequestTable::Row &row)
+{
+    if (!row.model || !row.request.stream || !Continuation::isRepeatable(row.request.body))
+        return false;
+    row.nextEvent = row.request.firstEvent;
+    row.acked = row.nextEvent;
+    row.ackNext = row.nextEvent;
+    row.replay = true;
+    row.continuations = 1;
+    row.resumable = false;
+    return true;
+}
+
 void AdmissionSystem::resumeFrom(RequestTable::Row &row, const std::string &agent)
 {
     row.phase = RequestTable::Phase::Resuming;
@@ -195,11 +213,13 @@
     if (backend == nullptr)
         return false;
     WorkMessage::Request request = row.request;
-    row.offset = row.nextEvent;
-    if (row.nextEvent > 0) {
+    row.offset = row.replay ? 0 : row.nextEvent;
+    if (row.nextEvent > 0 && !row.replay)
         request = Continuation::next(row).value_or(row.request);
+    if (row.nextEvent > 0) {
         // A separate id: the agent may still hold the tail of the earlier part under the first one.
         request.requestId += "~" + std::to_string(row.continuations);
+        row.textEvents = row.replay ? 0 : row.textEvents;
     }
     request.firstEvent = 0;
     this->start(row, *backend, std::move(request), false);
--- a/Source/Entry/AdmissionSystem.h
+++ b/Source/Entry/AdmissionSystem.h
@@ -40,6 +40,7 @@
     bool isSuspect(const WorkMessage::Request &request) const;
     std::string laneOf(const RequestTable::Row &row) const;
     std::uint32_t weightOf(const std::string &account) const;
+    bool replayFrom(RequestTable::Row &row);
     void resumeFrom(RequestTable::Row &row, const std::string &agent);
 
     EntryTables &tables;
--- a/Source/Entry/AnswerSystem.cpp
+++ b/Source/Entry/AnswerSystem.cpp
@@ -59,14 +59,19 @@
     if (row.headSent)
         return;
     row.headSent = true;
-    this->tables.order(EntryOrder::ReplyHead{row.caller, message, row.agent});
+    this->tables.order(EntryOrder::ReplyHead{row.caller, message});
 }
 
 void AnswerSystem::event(RequestTable::Row &row, const WorkMessage::Event &message)
 {
     const std::uint64_t index = message.index + row.offset;
-    if (index < row.nextEvent && this->tables.settings.switches.dropDuplicates)
+    if (index < row.nextEvent && this->tables.settings.switches.dropDuplicates) {
+        if (row.replay && index == row.replayed) {
+            ++row.replayed;
+            this->readText(row, message.data);
+        }
         return;
+    }
     if (index > row.nextEvent) {
         // Events are missing: the agent is asked for them from its tail.
         this->releaseWork(row);
@@ -82,7 +87,8 @@
 
 void AnswerSystem::reply(RequestTable::Row &row, const std::string &data)
 {
-    this->tables.order(EntryOrder::ReplyEvent{row.caller, row.nextEvent, data});
+    this->tables.order(EntryOrder::ReplyEvent{row.caller, row.nextEvent, data,
+                                              row.resumable ? row.agent : std::string()});
     row.sentBytes += data.size();
     row.unread.emplace_back(row.nextEvent, row.sentBytes);
     ++row.nextEvent;
@@ -259,7 +265,10 @@
     }
     const bool fromText = this->tables.settings.switches.continuation && row.model
                           && row.request.stream && !row.textLost;
-    const bool possible = row.nextEvent == 0 || (fromText && Continuation::next(row).has_value());
+    const bool continues = fromText && Continuation::next(row).has_value();
+    const bool replays = !continues && this->tables.settings.switches.continuation && row.model
+                         && row.request.stream && Continuation::isRepeatable(row.request.body);
+    const bool possible = row.nextEvent == 0 || continues || replays;
     if (!this->mayRepeat(row) || !possible || row.attempts >= MaxAttempts) {
         if (!row.request.idempotent)
             this->tables.log(EntryLog::OutcomeUnknown, LogRecord::Level::Warning,
@@ -270,6 +279,14 @@
     row.avoid = row.agent;
     row.resumes = 0;
     if (row.nextEvent > 0) {
+        row.replay = replays;
+        row.replayed = 0;
+        if (replays) {
+            row.text = std::string();
+            row.textLost = false;
+        }
+        // The events so far and the next ones are held by different agents.
+        row.resumable = false;
         ++row.continuations;
         this->tables.log(EntryLog::Continued, LogRecord::Level::Info,
                          row.request.requestId + ": continues on another agent");
--- a/Source/Entry/Continuation.cpp
+++ b/Source/Entry/Continuation.cpp
@@ -71,6 +71,18 @@
     return {textOf(choice), reason != choice.end() && reason->is_string(), false, true};
 }
 
+bool Continuation::isRepeatable(const std::string &body)
+{
+    const Json document = Json::parse(body, nullptr, false);
+    if (!document.is_object())
+        return false;
+    const auto seed = document.find("seed");
+    const auto temperature = document.find("temperature");
+    return (seed != document.end() && seed->is_number_integer())
+           || (temperature != document.end() && temperature->is_number()
+               && temperature->get<double>() == 0.0);
+}
+
 std::optional<WorkMessage::Request> Continuation::next(const RequestTable::Row &row)
 {
     Json body = Json::parse(row.request.body, nullptr, false);
--- a/Source/Entry/Continuation.h
+++ b/Source/Entry/Continuation.h
@@ -25,6 +25,9 @@
 
     static Part read(std::string_view data);
 
+    /// Whether the body asks for an answer that is the same each time: greedy decoding or a seed.
+    static bool isRepeatable(const std::string &body);
+
     /// The request with prompt plus text so far and a lower token limit; nullopt when the body is
     /// not of a known form.
     static std::optional<WorkMessage::Request> next(const RequestTable::Row &row);
--- a/Source/Entry/EntryOrder.h
+++ b/Source/Entry/EntryOrder.h
@@ -56,8 +56,6 @@
     {
         CallerId caller = 0;
         WorkMessage::Head head;
-        /// Agent that holds the tail; part of the event ids of a stream.
-        std::string agent;
     };
 
     struct ReplyEvent
@@ -65,6 +63,9 @@
         CallerId caller = 0;
         std::uint64_t index = 0;
         std::string data;
+        /// Agent that holds the whole answer, part of the event's id; empty when no single one
+        /// does.
+        std::string agent;
     };
 
     struct ReplyEnd
--- a/Source/Entry/RequestTable.h
+++ b/Source/Entry/RequestTable.h
@@ -58,6 +58,8 @@
         Instant resumeUntil;
 
         bool headSent = false;
+        /// One agent holds the whole answer, so that event ids name it.
+        bool resumable = true;
         /// Next event for the caller. An event of the present work has this index less \a offset.
         std::uint64_t nextEvent = 0;
         std::uint64_t offset = 0;
@@ -65,6 +67,10 @@
         std::string text;
         std::uint64_t textEvents = 0;
         bool textLost = false;
+        /// The answer is generated anew from its beginning, and what the caller has is dropped.
+        bool replay = false;
+        /// Next event of a replay whose text is still to be read.
+        std::uint64_t replayed = 0;
         /// The engine said that the text is complete, and the last event ("[DONE]") was passed on.
         bool finished = false;
         bool doneSent = false;
--- a/Source/Programs/EntryShell.cpp
+++ b/Source/Programs/EntryShell.cpp
@@ -339,7 +339,6 @@
     if (caller == this->callers.end())
         return;
     Caller &row = caller->second;
-    row.agent = order.agent;
     row.head = order.head;
     if (row.eventStream && !row.headSent)
         this->beginReply(order.caller, row);
@@ -368,7 +367,7 @@
                           {}, toSeconds(now - (first ? row.arrived : row.lastEvent)));
     row.lastEvent = now;
     if (row.eventStream) {
-        this->callerServer.sendChunk(order.caller, eventId(row.agent, order.index) + order.data);
+        this->callerServer.sendChunk(order.caller, eventId(order.agent, order.index) + order.data);
         return;
     }
     row.body += order.data;
--- a/Source/Programs/EntryShell.h
+++ b/Source/Programs/EntryShell.h
@@ -64,7 +64,6 @@
         bool eventStream = false;
         bool headSent = false;
         WorkMessage::Head head;
-        std::string agent;
         std::string body;
         Instant arrived;
         Instant lastEvent;
--- a/Tests/Entry/EntryDriver.cpp
+++ b/Tests/Entry/EntryDriver.cpp
@@ -71,14 +71,14 @@
     std::string operator()(const Order::ReplyHead &order) const
     {
         return "head caller=" + std::to_string(order.caller) + " "
-               + std::to_string(order.head.status) + " from " + order.agent;
+               + std::to_string(order.head.status);
     }
     std::string operator()(const Order::ReplyEvent &order) const
     {
         std::string data = order.data;
         std::replace(data.begin(), data.end(), '\n', '|');
         return "event caller=" + std::to_string(order.caller) + " " + std::to_string(order.index)
-               + " " + data;
+               + " " + (order.agent.empty() ? "-" : order.agent) + " " + data;
     }
     std::string operator()(const Order::ReplyEnd &order) const
     {
--- a/Tests/Entry/EntrySessionTest.cpp
+++ b/Tests/Entry/EntrySessionTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(takeOut);
     CPPUNIT_TEST(leaving);
     CPPUNIT_TEST(linkLoss);
+    CPPUNIT_TEST(replay);
     CPPUNIT_TEST(agentDeath);
     CPPUNIT_TEST(notRun);
     CPPUNIT_TEST(overload);
@@ -28,6 +29,7 @@
     void takeOut() { check("entry-take-out"); }
     void leaving() { check("entry-leaving"); }
     void linkLoss() { check("entry-link-loss"); }
+    void replay() { check("entry-replay"); }
     void agentDeath() { check("entry-agent-death"); }
     void notRun() { check("entry-not-run"); }
     void overload() { check("entry-overload"); }
--- a/Tests/Process/process-test.sh
+++ b/Tests/Process/process-test.sh
@@ -72,6 +72,30 @@
   expect_all_whole
 }
 
+# G4: an entry and the agent of its streams are killed together; other entries generate the answers anew
+# and drop what the callers have.
+case_entry_and_agent_killed_together() {
+  start_load 8
+  sleep 2
+  kill -KILL "${PID[entry-1]}" "${PID[agent-writer-north]}"
+  expect_all_whole
+}
+
+# G2: a backend server that falls and comes back cold in full load does not fall again.
+case_cold_backend_server_is_not_overloaded() {
+  set_fault "${BACKEND[writer-north]}" '{"fallMs":500,"coldMs":3000}'
+  start_load 12
+  sleep 3
+  set_fault "${BACKEND[writer-north]}" '{"fallNow":1}'
+  sleep 2
+  expect_all_whole
+  local cold
+  cold=$(counter writer-north highestRunningCold)
+  echo "most work at the cold backend server: $cold"
+  expect "the cold backend server was given $cold requests, it bears 4" [ "$cold" -ge 1 -a "$cold" -le 4 ]
+  expect "it fell $(counter writer-north falls) times" [ "$(counter writer-north falls)" = 1 ]
+}
+
 # G8: planned stops of entries and agents, one after another under load, cut off no request.
 case_planned_stops_cut_off_nothing() {
   start_load 16
--- a/Tests/StandIns/LoadCaller.cpp
+++ b/Tests/StandIns/LoadCaller.cpp
@@ -246,6 +246,7 @@
             request.headers.emplace_back("Last-Event-ID", exchange.lastEventId);
         Json body{{"model", this->settings.model},
                   {"max_tokens", this->settings.maxTokens},
+                  {"temperature", 0},
                   {"stream", true}};
         if (this->isRecords()) {
             request.path = "/v1/services/" + this->settings.service + "/records";
