Add process cases of a killed engine; one is known red

restarted_engine_is_warmed_up shows that the limit of a cold engine grows while the engine is still cold. The test is correct and lands as known red.

--- a/Tests/Process/process-test.sh
+++ b/Tests/Process/process-test.sh
@@ -243,6 +243,33 @@
   expect_all_whole
 }
 
+restart_engine() { # milliseconds in which it is cold
+  kill -KILL "${PID[backend-writer-north]}"
+  sleep 1
+  start backend-writer-north "$BIN/Tests/StandIns/stand-in-engine" --listen "${BACKEND[writer-north]}" \
+    --model writer-moe --step-us 5000 --limit 32 --cold-limit 4 --cold-ms "$1"
+}
+
+# G2: an engine that comes back cold under load is given no more than it bears; given more, it ends.
+case_restarted_engine_is_warmed_up() {
+  start_load 10
+  sleep 2
+  restart_engine 3000
+  sleep 6
+  local cold
+  cold=$(counter writer-north highestRunningCold)
+  expect "the cold engine fell" kill -0 "${PID[backend-writer-north]}"
+  expect "the cold engine got no work" [ "$cold" -ge 1 ]
+}
+
+# G4: an engine that is killed loses its streams; the entries continue them on another one.
+case_engine_killed_in_mid_stream() {
+  start_load 8
+  sleep 2
+  restart_engine 500
+  expect_all_whole
+}
+
 # M7: readers that take almost nothing cost at most their budget in the entry and in the agent, and a
 # normal caller beside them is served.
 case_slow_readers_hold_bounded_memory() {
