--- a/Source/Entry/FairQueue.cpp
+++ b/Source/Entry/FairQueue.cpp
@@ -1,17 +1,19 @@
 #include "Entry/FairQueue.h"
 
 #include <algorithm>
-#include <iterator>
-#include <set>
+#include <vector>
 
 namespace Nutmegrill {
 
 namespace {
 
-// About one small request, so that a light account waits for at most one visit per other account.
-constexpr std::uint64_t Quantum = 512;
-// Bounds the visits that one request needs to save up for.
+// Bounds how long one request puts its account behind the others.
 constexpr std::uint64_t LargestCost = 64 * 1024;
+// Keeps the rounding of cost over weight small.
+constexpr std::uint64_t VirtualScale = 1024;
+// Tokens, for each unit of weight, that an idle account saves for later. Without them an account
+// far below its share waits whenever two of its requests come close together.
+constexpr std::uint64_t SavedCost = 2048;
 constexpr std::chrono::milliseconds RateWindow(500);
 constexpr double Smoothing = 0.5;
 
@@ -29,10 +31,22 @@
     return lane;
 }
 
+std::uint64_t FairQueue::virtualCost(const Lane &lane, std::uint64_t cost)
+{
+    return cost * VirtualScale / lane.weight;
+}
+
+std::uint64_t FairQueue::earliestStart() const
+{
+    return this->virtualTime - std::min(this->virtualTime, SavedCost * VirtualScale);
+}
+
 void FairQueue::push(const std::string &account, std::uint32_t weight, CallerId caller,
                      std::uint64_t cost)
 {
     Lane &lane = this->lane(account, weight);
+    if (lane.items.empty())
+        lane.start = std::max(lane.start, this->earliestStart());
     lane.items.push_back({caller, bounded(cost)});
     lane.cost += bounded(cost);
     this->totalCost += bounded(cost);
@@ -43,6 +57,8 @@
                           std::uint64_t cost)
 {
     Lane &lane = this->lane(account, weight);
+    // The request was charged when it was taken.
+    lane.start -= std::min(lane.start, virtualCost(lane, bounded(cost)));
     lane.items.push_front({caller, bounded(cost)});
     lane.cost += bounded(cost);
     this->totalCost += bounded(cost);
@@ -62,62 +78,47 @@
         return;
     lane->second.cost -= item->cost;
     this->totalCost -= item->cost;
-    if (--this->count == 0)
-        this->waitedThroughout = false;
     items.erase(item);
+    if (--this->count == 0)
+        this->rate.waitedThroughout = false;
     if (items.empty())
-        this->lanes.erase(lane);
-}
-
-void FairQueue::advance()
-{
-    auto next = this->lanes.upper_bound(this->cursor);
-    if (next == this->lanes.end())
-        next = this->lanes.begin();
-    this->cursor = next == this->lanes.end() ? std::string() : next->first;
-    this->visited = false;
+        lane->second.rate.waitedThroughout = false;
 }
 
-bool FairQueue::serve(Lanes::iterator lane, const std::function<bool(CallerId)> &place)
+void FairQueue::serve(Lane &lane)
 {
-    const Item item = lane->second.items.front();
-    if (!place(item.caller))
-        return false;
-    lane->second.items.pop_front();
-    lane->second.cost -= item.cost;
-    lane->second.deficit -= std::min(lane->second.deficit, item.cost);
+    const Item item = lane.items.front();
+    lane.items.pop_front();
+    lane.cost -= item.cost;
+    this->virtualTime = std::max(this->virtualTime, lane.start);
+    lane.start += virtualCost(lane, item.cost);
     this->totalCost -= item.cost;
-    this->windowCost += item.cost;
+    this->rate.windowCost += item.cost;
+    lane.rate.windowCost += item.cost;
     if (--this->count == 0)
-        this->waitedThroughout = false;
-    if (lane->second.items.empty())
-        this->lanes.erase(lane);
-    return true;
+        this->rate.waitedThroughout = false;
+    if (lane.items.empty())
+        lane.rate.waitedThroughout = false;
 }
 
 bool FairQueue::take(const std::function<bool(CallerId)> &place)
 {
-    std::set<std::string> passedOver;
-    while (passedOver.size() < this->lanes.size()) {
-        const auto lane = this->lanes.find(this->cursor);
-        if (lane == this->lanes.end() || passedOver.count(this->cursor) != 0) {
-            this->advance();
+    std::vector<Lane *> waiting;
+    for (auto &[account, lane] : this->lanes) {
+        if (!lane.items.empty())
+            waiting.push_back(&lane);
+    }
+    std::stable_sort(waiting.begin(), waiting.end(), [](const Lane *left, const Lane *right) {
+        return left->start < right->start;
+    });
+    for (auto lane = waiting.begin(); lane != waiting.end(); ++lane) {
+        if (!place((*lane)->items.front().caller))
             continue;
-        }
+        this->serve(**lane);
         // A lane that is passed over earns nothing, so that it gets no burst later.
-        const std::uint64_t before = lane->second.deficit;
-        if (!this->visited)
-            lane->second.deficit += Quantum * lane->second.weight;
-        this->visited = true;
-        if (lane->second.deficit < lane->second.items.front().cost) {
-            this->advance();
-            continue;
-        }
-        if (this->serve(lane, place))
-            return true;
-        lane->second.deficit = before;
-        passedOver.insert(lane->first);
-        this->advance();
+        for (auto passed = waiting.begin(); passed != lane; ++passed)
+            (*passed)->start = std::max((*passed)->start, this->virtualTime);
+        return true;
     }
     return false;
 }
@@ -131,34 +132,57 @@
 std::chrono::milliseconds FairQueue::expectedWait(const std::string &account, std::uint32_t weight,
                                                   std::uint64_t cost) const
 {
-    if (this->count == 0 || !this->rateKnown)
+    if (this->count == 0 || !this->rate.isKnown)
         return std::chrono::milliseconds(0);
+    const std::string own = this->fairShares ? account : std::string();
+    const auto waitFor = [](double ahead, double perSecond) {
+        const double seconds = ahead / std::max(perSecond, 1.0);
+        return std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
+    };
+    // Accounts that come and go take their part although their queues are empty now; the measured
+    // rate of an account that has waited for a while contains that.
+    const auto found = this->lanes.find(own);
+    if (found != this->lanes.end() && found->second.rate.isKnown
+        && found->second.rate.waitedThroughout)
+        return waitFor(static_cast<double>(found->second.cost), found->second.rate.value);
+    // An account with an empty lane is served next, so that only its own requests are ahead.
     double weights = std::max<std::uint32_t>(weight, 1);
-    double ahead = static_cast<double>(bounded(cost));
+    double ahead = 0;
     for (const auto &[name, lane] : this->lanes) {
-        if (name == account)
+        if (lane.items.empty())
+            continue;
+        if (name == own)
             ahead += static_cast<double>(lane.cost);
         else
             weights += lane.weight;
     }
     const double shared = ahead * weights / std::max<std::uint32_t>(weight, 1);
     const double all = static_cast<double>(this->totalCost + bounded(cost));
-    const double seconds = std::min(shared, all) / std::max(this->rate, 1.0);
-    return std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
+    return waitFor(std::min(shared, all), this->rate.value);
 }
 
-void FairQueue::tick(Instant now)
+void FairQueue::Rate::close(std::size_t waiting)
 {
-    if (now < this->windowEnd)
-        return;
     if (this->waitedThroughout) {
         const double seconds = std::chrono::duration<double>(RateWindow).count();
         const double sample = static_cast<double>(this->windowCost) / seconds;
-        this->rate = this->rateKnown ? this->rate + Smoothing * (sample - this->rate) : sample;
-        this->rateKnown = true;
+        this->value = this->isKnown ? this->value + Smoothing * (sample - this->value) : sample;
+        this->isKnown = true;
     }
     this->windowCost = 0;
-    this->waitedThroughout = this->count > 0;
+    this->waitedThroughout = waiting > 0;
+}
+
+void FairQueue::tick(Instant now)
+{
+    if (now < this->windowEnd)
+        return;
+    std::erase_if(this->lanes, [this](const auto &entry) {
+        return entry.second.items.empty() && entry.second.start <= this->earliestStart();
+    });
+    this->rate.close(this->count);
+    for (auto &[account, lane] : this->lanes)
+        lane.rate.close(lane.items.size());
     this->windowEnd = now + RateWindow;
 }
 
--- a/Source/Entry/RequestTable.h
+++ b/Source/Entry/RequestTable.h
@@ -37,6 +37,8 @@
         /// Queued as a suspect, apart from the other requests of the client account.
         bool suspectLane = false;
         Instant deadline;
+        /// A request that has not started by then is refused.
+        Instant startBy;
         /// Agent of the present or last work.
         std::string agent;
         /// Agent that rejected the request last; another one is preferred.
@@ -74,6 +76,9 @@
         std::uint64_t ackNext = 0;
         Instant nextAck;
         bool paused = false;
+        /// Since when the caller has had much to read, and what it had taken by then.
+        Instant backlogSince = NoDeadline;
+        std::uint64_t takenBefore = 0;
     };
 
     using Rows = std::map<CallerId, Row>;
