--- a/Source/Entry/CallerSystem.cpp
+++ b/Source/Entry/CallerSystem.cpp
@@ -83,7 +83,7 @@
             || !row.request.idempotent || !this->isTooSlow(row)
             || !this->tables.service(row.request.service).queue.isBacklogged())
             continue;
-        this->tables.log(EntryLog::ReaderCut, LogRecord::Level::Warning,
+        this->tables.log(EntryLog::SlowReaderCut, LogRecord::Level::Warning,
                          row.request.requestId
                                  + ": the caller read too slowly while others waited");
         this->tables.order(EntryOrder::CancelWork{row.work});
--- a/Source/Entry/EntryLog.h
+++ b/Source/Entry/EntryLog.h
@@ -17,6 +17,7 @@
     static constexpr std::uint32_t Quarantined = 2007;
     static constexpr std::uint32_t Continued = 2008;
     static constexpr std::uint32_t OutcomeUnknown = 2009;
+    static constexpr std::uint32_t SlowReaderCut = 2010;
 };
 
 } // namespace Nutmegrill
