--- a/Source/Programs/AgentMain.cpp
+++ b/Source/Programs/AgentMain.cpp
@@ -19,6 +19,10 @@
     settings.require("backend", Settings::Format::Address, "address of the backend server");
     settings.require("store", Settings::Format::Address, "address of the key-value service");
     settings.allow("instances", Settings::Format::Address, "", "address of the instance list");
+    settings.allow("group", Settings::Format::Text, "",
+                   "model group of which the backend server is a rank");
+    settings.allow("weights", Settings::Format::Address, "",
+                   "address of the weight store; without it weights need no loading");
     settings.require("deployment-key", Settings::Format::Text, "key shared by the deployment");
     if (!settings.read(argc, argv))
         return settings.exitCode();
@@ -35,6 +39,8 @@
     options.backendAddress = settings.text("backend");
     options.storeAddress = settings.text("store");
     options.instancesAddress = settings.text("instances");
+    options.group = settings.text("group");
+    options.weightsAddress = settings.text("weights");
 
     EventLog::open(options.node.name);
     EventLoop loop;
--- a/Source/Programs/AgentShell.cpp
+++ b/Source/Programs/AgentShell.cpp
@@ -3,6 +3,7 @@
 #include "Messages/MessageCodec.h"
 #include "Net/EventLog.h"
 #include "Net/PeerSession.h"
+#include "Programs/GroupMember.h"
 #include "Programs/InstanceListReader.h"
 
 #include <chrono>
@@ -36,9 +37,19 @@
       backend(loop, options.backendAddress,
               [this](const AgentEvent::Any &event) { this->handle(event); })
 {
+    if (!options.group.empty()) {
+        const GroupMember::Options member{{options.node.name, options.node.failureDomain,
+                                           options.node.deploymentKey, options.group},
+                                          options.node.incarnation,
+                                          options.backendAddress,
+                                          options.weightsAddress};
+        this->group = std::make_unique<GroupMember>(loop, member);
+    }
     if (!options.instancesAddress.empty()) {
         this->instances = std::make_unique<InstanceListReader>(
                 loop, options.instancesAddress, [this](const std::vector<InstanceRecord> &rows) {
+                    if (this->group != nullptr)
+                        this->group->follow(rows);
                     for (const InstanceRecord &row : rows) {
                         if (row.name == this->options.node.name && row.leaving
                             && !std::exchange(this->reportedLeaving, true))
@@ -47,7 +58,7 @@
                 });
     }
     this->control.add("GET /dump", [this](const HttpServer::Request &) {
-        return ControlServer::Answer{200, "application/json", this->node.dump(this->loop.now())};
+        return ControlServer::Answer{200, "application/json", this->dump()};
     });
     this->control.add("GET /health", [this](const HttpServer::Request &) {
         const bool ready = this->node.configuration() != nullptr;
@@ -59,12 +70,18 @@
     this->timers.push_back(loop.every(ProbePeriod, [this] { this->backend.probe(); }));
     this->timers.push_back(
             loop.onSignal(SIGTERM, [this] { this->handle(AgentEvent::StopRequested{}); }));
-    this->timers.push_back(loop.onSignal(
-            SIGUSR1, [this] { std::cout << this->node.dump(this->loop.now()) << std::endl; }));
+    this->timers.push_back(
+            loop.onSignal(SIGUSR1, [this] { std::cout << this->dump() << std::endl; }));
 }
 
 AgentShell::~AgentShell() = default;
 
+std::string AgentShell::dump() const
+{
+    const std::string own = this->node.dump(this->loop.now());
+    return this->group == nullptr ? own : this->group->addToDump(own);
+}
+
 std::string AgentShell::startError() const
 {
     if (!this->peers.isListening())
@@ -103,6 +120,8 @@
     AgentOrder::List orders;
     this->node.tick(this->loop.now(), orders);
     this->execute(orders);
+    if (this->group != nullptr)
+        this->group->follow(this->node.configuration());
 }
 
 void AgentShell::watchLinks()
@@ -197,6 +216,8 @@
         const AgentEvent::LinkId id = this->nextLink++;
         this->links[id] = Link{&session, stream};
         this->handle(AgentEvent::LinkOpened{id});
+    } else if (path == GroupLinks::StreamPath && this->group != nullptr) {
+        this->group->streamOpened(session, stream);
     } else if (path != WorkPath) {
         session.reset(stream, true);
     }
@@ -204,6 +225,8 @@
 
 void AgentShell::peerMessage(PeerSession &session, std::int32_t stream, std::string message)
 {
+    if (this->group != nullptr && this->group->streamMessage(session, stream, message))
+        return;
     const AgentEvent::LinkId linkId = this->linkOf(&session);
     if (const auto link = this->links.find(linkId);
         link != this->links.end() && link->second.control == stream) {
@@ -229,6 +252,8 @@
 
 void AgentShell::peerStreamClosed(PeerSession &session, std::int32_t stream, StreamEnd)
 {
+    if (this->group != nullptr && this->group->streamClosed(session, stream))
+        return;
     const AgentEvent::LinkId linkId = this->linkOf(&session);
     if (const auto link = this->links.find(linkId);
         link != this->links.end() && link->second.control == stream) {
--- a/Source/Programs/AgentShell.h
+++ b/Source/Programs/AgentShell.h
@@ -18,6 +18,7 @@
 
 namespace Nutmegrill {
 
+class GroupMember;
 class InstanceListReader;
 
 /// Process around an AgentNode: peer links in, backend server and store out.
@@ -33,6 +34,10 @@
         std::string storeAddress;
         /// Empty: the instance list is not read.
         std::string instancesAddress;
+        /// Model group of which the backend server is a rank; empty: none.
+        std::string group;
+        /// Empty: weights need no loading.
+        std::string weightsAddress;
     };
 
     AgentShell(EventLoop &loop, const Options &options);
@@ -77,6 +82,7 @@
     void execute(const AgentOrder::WriteClaims &order);
     void execute(const AgentOrder::Stop &order);
     void execute(const LogRecord &record);
+    std::string dump() const;
     AgentEvent::LinkId linkOf(const PeerSession *session) const;
 
     EventLoop &loop;
@@ -88,6 +94,7 @@
     StoreClient store;
     ClaimWriter claims;
     BackendCaller backend;
+    std::unique_ptr<GroupMember> group;
     std::unique_ptr<InstanceListReader> instances;
     std::map<AgentEvent::LinkId, Link> links;
     std::map<AgentEvent::WorkId, Work> works;
--- a/Source/Programs/CallerGateway.cpp
+++ b/Source/Programs/CallerGateway.cpp
@@ -108,12 +108,24 @@
     return configuration.findAccountByKeyHash(sha256Hex(header.substr(BearerPrefix.size())));
 }
 
+WorkMessage::Failure CallerGateway::unauthorized()
+{
+    return refusal(401, "unauthorized", "no client account has this bearer key");
+}
+
+WorkMessage::Failure CallerGateway::notReady()
+{
+    WorkMessage::Failure failure = refusal(503, "not_ready", "this entry has no configuration yet");
+    failure.retryAfter = std::chrono::seconds(1);
+    return failure;
+}
+
 CallerGateway::Result CallerGateway::parse(const HttpServer::Request &request,
                                            const Configuration &configuration)
 {
     const ClientAccount *account = authenticate(request, configuration);
     if (account == nullptr)
-        return refusal(401, "unauthorized", "no client account has this bearer key");
+        return unauthorized();
     EntryEvent::CallerRequest parsed;
     parsed.caller = request.id;
     const std::string_view given = request.header("x-request-id");
--- a/Source/Programs/CallerGateway.h
+++ b/Source/Programs/CallerGateway.h
@@ -26,6 +26,11 @@
     static std::string failureBody(const WorkMessage::Failure &failure,
                                    const std::string &requestId);
 
+    /// The failures of a request without the bearer key of a client account, and of an entry
+    /// without a configuration.
+    static WorkMessage::Failure unauthorized();
+    static WorkMessage::Failure notReady();
+
     /// JSON list of the models that the caller may use.
     static std::string modelList(const Configuration &configuration, const ClientAccount &account);
 
--- a/Source/Programs/EntryShell.cpp
+++ b/Source/Programs/EntryShell.cpp
@@ -3,6 +3,7 @@
 #include "Messages/MessageCodec.h"
 #include "Net/EventLog.h"
 #include "Net/PeerSession.h"
+#include "Programs/GroupOwners.h"
 #include "Programs/TakeOutWriter.h"
 
 #include <algorithm>
@@ -58,8 +59,14 @@
       instances(loop, options.instancesAddress,
                 [this](const std::vector<InstanceRecord> &rows) {
                     this->handle(EntryEvent::InstancesRead{rows});
+                    this->groups->follow(rows);
                 }),
-      takeOuts(std::make_unique<TakeOutWriter>(loop, this->store))
+      takeOuts(std::make_unique<TakeOutWriter>(loop, this->store)),
+      groups(std::make_unique<GroupOwners>(loop, this->store, this->control,
+                                           GroupLinks::Identity{options.node.name,
+                                                                options.node.failureDomain,
+                                                                options.node.deploymentKey,
+                                                                {}}))
 {
     this->callerServer.onGone([this](HttpServer::RequestId id) {
         if (this->callers.erase(id) > 0)
@@ -76,8 +83,8 @@
     this->timers.push_back(loop.every(LinkWatchPeriod, [this] { this->watchLinks(); }));
     this->timers.push_back(
             loop.onSignal(SIGTERM, [this] { this->handle(EntryEvent::StopRequested{}); }));
-    this->timers.push_back(loop.onSignal(
-            SIGUSR1, [this] { std::cout << this->node.dump(this->loop.now()) << std::endl; }));
+    this->timers.push_back(
+            loop.onSignal(SIGUSR1, [this] { std::cout << this->dump() << std::endl; }));
 }
 
 EntryShell::~EntryShell() = default;
@@ -85,7 +92,7 @@
 void EntryShell::addControlPaths()
 {
     this->control.add("GET /dump", [this](const HttpServer::Request &) {
-        return ControlServer::Answer{200, "application/json", this->node.dump(this->loop.now())};
+        return ControlServer::Answer{200, "application/json", this->dump()};
     });
     this->control.add("GET /health", [this](const HttpServer::Request &) {
         const bool ready = this->node.isReady();
@@ -99,24 +106,19 @@
 
 ControlServer::Answer EntryShell::acceptTakeOut(const HttpServer::Request &request)
 {
-    const auto document = nlohmann::json::parse(request.body, nullptr, false);
-    PeerMessage::PendingTakeOut takeOut;
-    if (document.is_object()) {
-        takeOut.failureDomain = document.value("failureDomain", "");
-        takeOut.changeId = document.value("changeId", "");
-    }
-    const ConfigurationPtr configuration = this->node.configuration();
-    const FailureDomainState *domain =
-            configuration == nullptr ? nullptr
-                                     : configuration->findFailureDomain(takeOut.failureDomain);
-    if (domain == nullptr || takeOut.changeId.empty())
+    const auto takeOut = TakeOutWriter::parse(request.body, this->node.configuration());
+    if (!takeOut.has_value())
         return {400, "application/json",
                 R"({"error":{"code":"unknown_failure_domain","message":"no such failure domain"}})"};
-    takeOut.epoch = domain->epoch + 1;
-    this->handle(EntryEvent::TakeOutRequested{takeOut});
+    this->handle(EntryEvent::TakeOutRequested{*takeOut});
     return {200, "application/json", R"({"pending":true})"};
 }
 
+std::string EntryShell::dump() const
+{
+    return this->groups->addToDump(this->node.dump(this->loop.now()));
+}
+
 std::string EntryShell::startError() const
 {
     if (!this->callerServer.isListening())
@@ -164,6 +166,7 @@
     EntryOrder::List orders;
     this->node.tick(this->loop.now(), orders);
     this->execute(orders);
+    this->groups->tick(this->node.configuration());
 }
 
 void EntryShell::watchLinks()
@@ -188,12 +191,7 @@
     }
     const ConfigurationPtr configuration = this->node.configuration();
     if (configuration == nullptr) {
-        WorkMessage::Failure failure;
-        failure.run = RunState::NotRun;
-        failure.code = "not_ready";
-        failure.message = "this entry has no configuration yet";
-        failure.retryAfter = std::chrono::seconds(1);
-        this->replyFailure(request.id, {}, failure);
+        this->replyFailure(request.id, {}, CallerGateway::notReady());
         return;
     }
     if (request.path == "/v1/models" && request.method == "GET") {
@@ -233,12 +231,7 @@
     const ConfigurationPtr configuration = this->node.configuration();
     const ClientAccount *account = CallerGateway::authenticate(request, *configuration);
     if (account == nullptr) {
-        WorkMessage::Failure failure;
-        failure.run = RunState::NotRun;
-        failure.status = 401;
-        failure.code = "unauthorized";
-        failure.message = "no client account has this bearer key";
-        this->replyFailure(request.id, {}, failure);
+        this->replyFailure(request.id, {}, CallerGateway::unauthorized());
         return;
     }
     this->callerServer.reply(request.id, 200, {{"Content-Type", "application/json"}},
--- a/Source/Programs/EntryShell.h
+++ b/Source/Programs/EntryShell.h
@@ -19,6 +19,7 @@
 
 namespace Nutmegrill {
 
+class GroupOwners;
 class TakeOutWriter;
 
 /// Process around an EntryNode: callers in, peer links to agents and the store out.
@@ -103,6 +104,7 @@
     void execute(const EntryOrder::StoreTakeOut &order);
     void execute(const EntryOrder::Stop &order);
     void execute(const LogRecord &record);
+    std::string dump() const;
     std::string agentOf(const PeerSession &session) const;
 
     EventLoop &loop;
@@ -116,6 +118,7 @@
     CallerGateway gateway;
     InstanceListReader instances;
     std::unique_ptr<TakeOutWriter> takeOuts;
+    std::unique_ptr<GroupOwners> groups;
     std::map<std::string, Link> links;
     std::vector<std::unique_ptr<PeerSession>> closedSessions;
     std::map<EntryOrder::CallerId, Caller> callers;
--- /dev/null
+++ b/Source/Programs/GroupMember.cpp
@@ -0,0 +1,485 @@
+#include "Programs/GroupMember.h"
+
+#include "Groups/GroupLog.h"
+#include "Messages/MessageCodec.h"
+#include "Net/EventLog.h"
+#include "Net/PeerSession.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod(20);
+constexpr std::chrono::milliseconds PollPeriod(50);
+constexpr std::chrono::milliseconds EngineRetryDelay(20);
+// Messages that wait for a slow engine. The protocol repeats its messages, so more are dropped.
+constexpr std::size_t MaxInbox = 4096;
+
+const ModelGroup *findGroup(const Configuration &configuration, const std::string &name)
+{
+    const auto found =
+            std::find_if(configuration.modelGroups.begin(), configuration.modelGroups.end(),
+                         [&name](const ModelGroup &row) { return row.name == name; });
+    return found == configuration.modelGroups.end() ? nullptr : &*found;
+}
+
+// Experts that the rank holds in \a wanted and not in \a held.
+std::vector<WeightLoader::Expert> newExperts(const ExpertMap &wanted, const ExpertMap &held,
+                                             std::uint32_t rank)
+{
+    std::vector<WeightLoader::Expert> experts;
+    for (std::size_t layer = 0; layer < wanted.slots.size(); ++layer) {
+        if (rank >= wanted.slots[layer].size())
+            continue;
+        std::vector<std::uint32_t> known;
+        if (layer < held.slots.size() && rank < held.slots[layer].size())
+            known = held.slots[layer][rank];
+        for (const std::uint32_t expert : wanted.slots[layer][rank]) {
+            if (std::find(known.begin(), known.end(), expert) != known.end())
+                continue;
+            known.push_back(expert);
+            experts.push_back({layer, expert});
+        }
+    }
+    return experts;
+}
+
+} // namespace
+
+GroupMember::GroupMember(EventLoop &loop, const Options &options)
+    : loop(loop), options(options),
+      links(loop, options.identity, [](const std::string &, const std::string &) {}),
+      weights(loop, options.weightsAddress), timer(loop.every(TickPeriod, [this] { this->tick(); }))
+{}
+
+GroupMember::~GroupMember() = default;
+
+void GroupMember::follow(const ConfigurationPtr &configuration)
+{
+    if (configuration == nullptr || configuration == this->configuration)
+        return;
+    this->configuration = configuration;
+    this->startMember();
+}
+
+void GroupMember::follow(const std::vector<InstanceRecord> &instances)
+{
+    this->instances = instances;
+    this->startMember();
+}
+
+void GroupMember::startMember()
+{
+    const ModelGroup *declared =
+            this->configuration == nullptr
+                    ? nullptr
+                    : findGroup(*this->configuration, this->options.identity.group);
+    if (declared == nullptr)
+        return;
+    // A running member keeps its number of ranks; a group is resized by a new group.
+    if (!this->group.has_value())
+        this->group = *declared;
+    if (!this->roster.update(*this->group, this->instances))
+        return;
+    const auto own = this->roster.rankOf(this->options.identity.process);
+    auto others = this->roster.addresses();
+    others.erase(this->options.identity.process);
+    this->links.setTargets(std::move(others));
+    if (this->member != nullptr || !own.has_value())
+        return;
+    this->rank = *own;
+    this->engine = std::make_unique<RankEngine>(this->loop, this->options.engineAddress, *own);
+    this->member =
+            std::make_unique<MapChangeMember>(*own, this->group->ranks, this->options.incarnation);
+    this->log(GroupLog::GroupRosterComplete, false,
+              "rank " + std::to_string(*own) + " of " + std::to_string(this->group->ranks)
+                      + " in group " + this->group->name);
+    this->busy = true;
+    this->holdAtStart();
+}
+
+// An earlier run of this agent may have left the engine running on a vote that the others will
+// treat as withdrawn, so the engine is held before this run says a word. A hold that the earlier
+// run left is kept: it is at the step of an armed change, which must not be passed.
+void GroupMember::holdAtStart()
+{
+    this->readEngine([this] {
+        const auto held = [this] {
+            this->started = true;
+            this->log(GroupLog::EngineHeldAtStart, false,
+                      "engine held at step " + std::to_string(this->engineState.holdAt));
+            this->finishItem();
+        };
+        if (this->engineState.holdAt != 0) {
+            held();
+            return;
+        }
+        const std::uint64_t step = std::max<std::uint64_t>(this->engineState.step, 1);
+        this->engine->hold(step, this->engineState.fence, [this, step, held](bool accepted) {
+            if (!accepted) {
+                this->holdAtStart();
+                return;
+            }
+            this->engineState.holdAt = step;
+            held();
+        });
+    });
+}
+
+void GroupMember::tick()
+{
+    if (!this->started)
+        return;
+    MapChangeOrder::List orders;
+    // A tick sends questions only; it changes nothing that the engine follows.
+    this->member->tick(this->loop.now(), orders);
+    this->carryOut(orders);
+    if (this->loop.now() < this->pollAt || std::exchange(this->pollQueued, true))
+        return;
+    this->enqueue(Poll{});
+}
+
+void GroupMember::enqueue(Item item)
+{
+    if (!this->started || this->inbox.size() >= MaxInbox)
+        return;
+    this->inbox.push_back(std::move(item));
+    this->processNext();
+}
+
+void GroupMember::processNext()
+{
+    if (this->busy || this->inbox.empty())
+        return;
+    this->busy = true;
+    const Item item = std::move(this->inbox.front());
+    this->inbox.pop_front();
+    this->prepare(item, [this, item] {
+        this->apply(item);
+        this->synchronize([this] { this->finishItem(); });
+    });
+}
+
+void GroupMember::finishItem()
+{
+    this->busy = false;
+    // From the loop, so that a long inbox does not nest calls.
+    this->loop.after(std::chrono::milliseconds(0), [this] { this->processNext(); });
+}
+
+// What the engine must have done or said before the member hears of the item.
+void GroupMember::prepare(const Item &item, const Next &next)
+{
+    const auto *received = std::get_if<Received>(&item);
+    const bool isArm =
+            received != nullptr && std::holds_alternative<MapMessage::Arm>(received->message);
+    if (isArm && this->wouldArm(*received)) {
+        const auto &arm = std::get<MapMessage::Arm>(received->message);
+        this->engine->hold(arm.step, arm.change.fence, [this, arm, next](bool accepted) {
+            if (accepted) {
+                this->armedStep = arm.step;
+                this->engineState.holdAt = arm.step;
+                next();
+                return;
+            }
+            // The engine has passed the step, or it did not answer. The member refuses what has
+            // been passed; without an answer the message is dropped, and the owner asks again.
+            this->log(GroupLog::EngineOrderRefused, true,
+                      "the engine does not hold step " + std::to_string(arm.step));
+            this->readEngine([this, arm, next] {
+                if (this->engineState.step > arm.step)
+                    next();
+                else
+                    this->synchronize([this] { this->finishItem(); });
+            });
+        });
+        return;
+    }
+    // The answers to these carry the step of the engine.
+    const bool needsStep = received == nullptr
+                           || std::holds_alternative<MapMessage::MapWanted>(received->message)
+                           || std::holds_alternative<MapMessage::Stage>(received->message);
+    if (needsStep)
+        this->readEngine(next);
+    else
+        next();
+}
+
+void GroupMember::apply(const Item &item)
+{
+    MapChangeOrder::List orders;
+    if (const auto *received = std::get_if<Received>(&item)) {
+        this->member->handle(this->loop.now(), received->from, received->message, orders);
+    } else if (const auto *staged = std::get_if<Staged>(&item)) {
+        this->member->weightsStaged(staged->change, staged->loaded, orders);
+    } else {
+        this->pollQueued = false;
+        this->pollAt = this->loop.now() + PollPeriod;
+    }
+    this->carryOut(orders);
+}
+
+void GroupMember::readEngine(const Next &next)
+{
+    this->engine->read([this, next](const std::optional<RankEngine::State> &state) {
+        if (!state.has_value()) {
+            this->loop.after(EngineRetryDelay, [this, next] { this->readEngine(next); });
+            return;
+        }
+        this->engineState = *state;
+        if (state->step > 0)
+            this->member->mayRun(state->step - 1);
+        next();
+    });
+}
+
+// Whether the member would vote for the change. Asked on a copy: the engine has to be held before
+// the vote, and must not be held for an owner whose change the member refuses.
+bool GroupMember::wouldArm(const Received &item) const
+{
+    if (this->member->isArmed())
+        return false;
+    MapChangeMember copy = *this->member;
+    MapChangeOrder::List orders;
+    copy.handle(this->loop.now(), item.from, item.message, orders);
+    return copy.isArmed();
+}
+
+MapMessage::MapInfo GroupMember::inspect() const
+{
+    MapChangeMember copy = *this->member;
+    MapChangeOrder::List orders;
+    copy.handle(this->loop.now(), this->group->ranks, MapMessage::MapWanted{}, orders);
+    for (const MapChangeOrder::Any &order : orders) {
+        const auto *send = std::get_if<MapChangeOrder::Send>(&order);
+        if (send == nullptr)
+            continue;
+        if (const auto *info = std::get_if<MapMessage::MapInfo>(&send->message))
+            return *info;
+    }
+    return {};
+}
+
+// The engine
+
+void GroupMember::synchronize(const Next &next)
+{
+    const MapChangeMember &own = *this->member;
+    const bool hasMap = this->engineEpoch == own.map().epoch && this->engineState.epoch != 0;
+    const std::uint64_t holdAt = own.isArmed() ? this->armedStep : 0;
+    // A rank that is no member stays held as it was at the start.
+    if (!own.isMember() || (this->engineState.holdAt == holdAt && (own.isArmed() || hasMap))) {
+        next();
+    } else if (!own.isArmed()) {
+        this->synchronizeMap(next);
+    } else {
+        // The engine was restarted behind the agent and has lost its map with the hold.
+        this->engine->hold(holdAt, this->engineState.fence, [this, holdAt, next](bool accepted) {
+            if (accepted)
+                this->engineState.holdAt = holdAt;
+            this->order(accepted, "hold", next, next);
+        });
+    }
+}
+
+// The engine is held here, or has no map and cannot run, so its step does not move meanwhile.
+void GroupMember::synchronizeMap(const Next &next)
+{
+    this->readEngine([this, next] {
+        if (this->engineEpoch == this->member->map().epoch && this->engineState.epoch != 0) {
+            this->engine->hold(0, this->engineFence(this->inspect()), [this, next](bool accepted) {
+                if (accepted)
+                    this->engineState.holdAt = 0;
+                this->order(accepted, "release", next, [this, next] { this->retry(next); });
+            });
+            return;
+        }
+        this->sendMap(this->engineState, next);
+    });
+}
+
+void GroupMember::sendMap(const RankEngine::State &state, const Next &next)
+{
+    const MapMessage::MapInfo info = this->inspect();
+    const std::uint64_t fence = this->engineFence(info);
+    const Next again = [this, next] { this->retry(next); };
+    if (state.epoch == 0 && info.mapStep > state.step) {
+        // A restarted engine needs the map of the steps before the change as well.
+        this->engine->useMap(info.previousMap.epoch, state.step, fence,
+                             [this, next, again](bool accepted) {
+                                 this->order(accepted, "previous map", again, again);
+                             });
+        return;
+    }
+    const std::uint64_t from = std::max(info.mapStep, state.step);
+    this->engine->useMap(
+            info.map.epoch, from, fence, [this, info, from, fence, next, again](bool accepted) {
+                const Next done = [this, info, from, again] {
+                    this->engineEpoch = info.map.epoch;
+                    this->engineFounding = info.founding;
+                    this->log(GroupLog::MapInUse, false,
+                              "map " + std::to_string(info.map.epoch) + " from step "
+                                      + std::to_string(from));
+                    // Releases the engine where the map alone has not done so.
+                    again();
+                };
+                if (!accepted) {
+                    this->order(false, "map", again, again);
+                } else if (this->engineEpoch != 0 && this->engineFounding == info.founding) {
+                    done();
+                } else {
+                    // The agent has joined: the group goes on at the step that the join has
+                    // settled.
+                    this->log(GroupLog::MapJoined, false,
+                              "joined at step " + std::to_string(info.firstStep));
+                    this->engine->skipTo(info.firstStep, fence, [this, done, again](bool skipped) {
+                        this->order(skipped, "skip", done, again);
+                    });
+                }
+            });
+}
+
+void GroupMember::retry(const Next &next)
+{
+    this->loop.after(EngineRetryDelay, [this, next] { this->synchronize(next); });
+}
+
+void GroupMember::order(bool accepted, const char *what, const Next &next, const Next &again)
+{
+    if (accepted) {
+        next();
+        return;
+    }
+    this->log(GroupLog::EngineOrderRefused, true, std::string("the engine refused: ") + what);
+    again();
+}
+
+// The agent is the only path to its engine, and these orders carry final decisions of the group, so
+// they have the highest fencing number known.
+std::uint64_t GroupMember::engineFence(const MapMessage::MapInfo &info) const
+{
+    return std::max(
+            {info.refusedUpTo.fence, info.mapChange.fence, info.founding, this->engineState.fence});
+}
+
+// Messages
+
+void GroupMember::carryOut(const MapChangeOrder::List &orders)
+{
+    for (const MapChangeOrder::Any &order : orders)
+        std::visit([this](const auto &body) { this->carryOut(body); }, order);
+}
+
+void GroupMember::carryOut(const MapChangeOrder::Send &order)
+{
+    const std::string document = encodeMapMessage(order.message);
+    if (order.to < this->group->ranks) {
+        this->links.send(this->roster.members()[order.to].name, document);
+        return;
+    }
+    for (const auto &[key, row] : this->inbound) {
+        if (this->peerOf(row) == order.to)
+            key.first->send(key.second, encodeMessage(PeerMessage::MapData{
+                                                this->options.identity.group, document}));
+    }
+}
+
+void GroupMember::carryOut(const MapChangeOrder::StageWeights &order)
+{
+    this->weights.load(newExperts(order.map, this->member->map(), this->rank),
+                       this->group->expertBytes, [this, change = order.change](bool loaded) {
+                           if (!loaded)
+                               this->log(GroupLog::WeightsNotLoaded, true,
+                                         "the weights of a map cannot be loaded");
+                           this->enqueue(Staged{change, loaded});
+                       });
+}
+
+// synchronize() compares the engine with the member after each item.
+void GroupMember::carryOut(const MapChangeOrder::UseMap &) {}
+
+void GroupMember::streamOpened(PeerSession &session, std::int32_t stream)
+{
+    this->inbound[{&session, stream}] = Inbound{{}, this->nextInbound++};
+}
+
+bool GroupMember::streamMessage(PeerSession &session, std::int32_t stream,
+                                const std::string &message)
+{
+    const auto found = this->inbound.find({&session, stream});
+    if (found == this->inbound.end())
+        return false;
+    const auto decoded = decodePeerMessage(message);
+    if (found->second.process.empty()) {
+        const auto *hello =
+                decoded.has_value() ? std::get_if<PeerMessage::Hello>(&*decoded) : nullptr;
+        if (hello == nullptr || hello->deploymentKey != this->options.identity.deploymentKey
+            || hello->process.empty()) {
+            this->log(GroupLog::GroupLinkRefused, true, "a group link has no deployment key");
+            this->inbound.erase(found);
+            session.reset(stream, true);
+            return true;
+        }
+        found->second.process = hello->process;
+        return true;
+    }
+    const auto *data = decoded.has_value() ? std::get_if<PeerMessage::MapData>(&*decoded) : nullptr;
+    if (data == nullptr || data->group != this->options.identity.group || !this->started)
+        return true;
+    if (auto body = decodeMapMessage(data->document))
+        this->enqueue(Received{this->peerOf(found->second), std::move(*body)});
+    return true;
+}
+
+bool GroupMember::streamClosed(PeerSession &session, std::int32_t stream)
+{
+    return this->inbound.erase({&session, stream}) > 0;
+}
+
+GroupMember::Peer GroupMember::peerOf(const Inbound &inbound) const
+{
+    if (const auto known = this->roster.rankOf(inbound.process))
+        return *known;
+    return this->group->ranks + inbound.number;
+}
+
+std::string GroupMember::addToDump(const std::string &dump) const
+{
+    auto document = nlohmann::json::parse(dump, nullptr, false);
+    if (!document.is_object())
+        return dump;
+    nlohmann::json row = {{"name", this->options.identity.group}, {"started", this->started}};
+    if (this->started) {
+        const MapMessage::MapInfo info = this->inspect();
+        row.update({{"rank", this->rank},
+                    {"ranks", this->group->ranks},
+                    {"openLinks", this->links.openCount()},
+                    {"member", info.member},
+                    {"mapEpoch", info.map.epoch},
+                    {"mapStep", info.mapStep},
+                    {"engineEpoch", this->engineEpoch},
+                    {"engineStep", this->engineState.step},
+                    {"engineHeldAt", this->engineState.holdAt},
+                    {"fence", info.refusedUpTo.fence},
+                    {"openChange", nullptr}});
+        if (info.open.fence != 0)
+            row["openChange"] = {{"fence", info.open.fence},
+                                 {"number", info.open.number},
+                                 {"step", this->armedStep}};
+    }
+    document["group"] = row;
+    return document.dump();
+}
+
+void GroupMember::log(std::uint32_t number, bool warning, const std::string &text) const
+{
+    EventLog::write({number, warning ? LogRecord::Level::Warning : LogRecord::Level::Info, text});
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/GroupMember.h
@@ -0,0 +1,139 @@
+#pragma once
+
+#include "Config/Configuration.h"
+#include "Core/InstanceRecord.h"
+#include "Experts/MapChangeMember.h"
+#include "Groups/GroupRoster.h"
+#include "Net/EventLoop.h"
+#include "Programs/GroupLinks.h"
+#include "Programs/RankEngine.h"
+#include "Programs/WeightLoader.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// The agent's part in the expert maps of its model group: a MapChangeMember with links to the
+/// other ranks and owners, the weight store, and the engine.
+///
+/// Messages are handled one after another, each with its orders to the engine, so that a vote never
+/// leaves before the engine is held and no order of an earlier decision overtakes a later one. Only
+/// decisions of the MapChangeMember reach the engine; this is the check of fencing numbers for
+/// engines that ignore them.
+class GroupMember
+{
+public:
+    struct Options
+    {
+        /// Process, failure domain, deployment key and group.
+        GroupLinks::Identity identity;
+        std::uint64_t incarnation = 0;
+        std::string engineAddress;
+        /// Empty: weights need no loading.
+        std::string weightsAddress;
+    };
+
+    GroupMember(EventLoop &loop, const Options &options);
+    ~GroupMember();
+
+    /// The member starts when both the configuration and the instance list name all ranks.
+    void follow(const ConfigurationPtr &configuration);
+    void follow(const std::vector<InstanceRecord> &instances);
+
+    // Streams on GroupLinks::StreamPath that other processes open.
+    void streamOpened(PeerSession &session, std::int32_t stream);
+    /// Returns false when the stream is none of a group.
+    bool streamMessage(PeerSession &session, std::int32_t stream, const std::string &message);
+    bool streamClosed(PeerSession &session, std::int32_t stream);
+
+    /// \a dump with a field "group" added.
+    std::string addToDump(const std::string &dump) const;
+
+private:
+    using Peer = MapMessage::Peer;
+    using StreamKey = std::pair<PeerSession *, std::int32_t>;
+
+    struct Inbound
+    {
+        /// Empty until the peer has said the deployment key.
+        std::string process;
+        std::uint32_t number = 0;
+    };
+    struct Received
+    {
+        Peer from = 0;
+        MapMessage::Any message;
+    };
+    struct Staged
+    {
+        MapChangeId change;
+        bool loaded = false;
+    };
+    struct Poll
+    {};
+    using Item = std::variant<Received, Staged, Poll>;
+    using Next = std::function<void()>;
+
+    void startMember();
+    void holdAtStart();
+    void tick();
+    void enqueue(Item item);
+    void processNext();
+    void prepare(const Item &item, const Next &next);
+    void apply(const Item &item);
+    void finishItem();
+    void carryOut(const MapChangeOrder::List &orders);
+    void carryOut(const MapChangeOrder::Send &order);
+    void carryOut(const MapChangeOrder::StageWeights &order);
+    void carryOut(const MapChangeOrder::UseMap &order);
+
+    // Brings the engine into the state that the member has decided on.
+    void synchronize(const Next &next);
+    void synchronizeMap(const Next &next);
+    void sendMap(const RankEngine::State &state, const Next &next);
+    void retry(const Next &next);
+    void readEngine(const std::function<void()> &next);
+    void order(bool accepted, const char *what, const Next &next, const Next &again);
+    bool wouldArm(const Received &item) const;
+    MapMessage::MapInfo inspect() const;
+    std::uint64_t engineFence(const MapMessage::MapInfo &info) const;
+    Peer peerOf(const Inbound &inbound) const;
+    void log(std::uint32_t number, bool warning, const std::string &text) const;
+
+    EventLoop &loop;
+    Options options;
+    GroupLinks links;
+    WeightLoader weights;
+    ConfigurationPtr configuration;
+    std::vector<InstanceRecord> instances;
+    GroupRoster roster;
+    std::optional<ModelGroup> group;
+    std::uint32_t rank = 0;
+    std::unique_ptr<RankEngine> engine;
+    std::unique_ptr<MapChangeMember> member;
+    std::map<StreamKey, Inbound> inbound;
+    std::uint32_t nextInbound = 0;
+    std::deque<Item> inbox;
+    bool busy = false;
+    bool started = false;
+    bool pollQueued = false;
+    /// State of the engine after the last reading or order.
+    RankEngine::State engineState;
+    std::uint64_t armedStep = 0;
+    /// What the engine was told last; 0: nothing since the start of the agent.
+    std::uint64_t engineEpoch = 0;
+    std::uint64_t engineFounding = 0;
+    Instant pollAt;
+    std::unique_ptr<EventLoop::Timer> timer;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/GroupOwner.cpp
@@ -0,0 +1,305 @@
+#include "Programs/GroupOwner.h"
+
+#include "Groups/GroupLog.h"
+#include "Net/EventLog.h"
+#include "Net/StoreClient.h"
+
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace {
+
+// The owner looks at an idle group in this period, to found it again when all its ranks were lost
+// and to hear of a later owner. Each survey moves the maps of all ranks, so it is not short.
+constexpr std::chrono::seconds SurveyPeriod(5);
+// A new owner waits for its links up to this time, because the first survey measures the message
+// time, and link setup would stretch it.
+constexpr std::chrono::seconds LinkTime(1);
+// A change that was aborted or timed out is tried again this often.
+constexpr unsigned MaxAttempts = 5;
+
+std::optional<std::string> holderIn(const StoreResult &result)
+{
+    if (!result.isOk())
+        return std::nullopt;
+    return result.found.empty() ? std::string() : result.found.front().value;
+}
+
+const char *describeResult(MapChangeOwner::Result result)
+{
+    static constexpr std::array Names = {"none",     "committed", "aborted",
+                                         "outdated", "timed out", "deposed"};
+    return Names.at(static_cast<std::size_t>(result));
+}
+
+ControlServer::Answer failure(int status, const char *code, const std::string &message)
+{
+    const nlohmann::json body = {{"error", {{"code", code}, {"message", message}}}};
+    return {status, "application/json", body.dump()};
+}
+
+} // namespace
+
+GroupOwner::GroupOwner(EventLoop &loop, StoreClient &store, const GroupLinks::Identity &identity,
+                       ModelGroup group)
+    : loop(loop), store(store), identity(identity), group(std::move(group)),
+      lease(identity.process),
+      links(loop, identity, [this](const std::string &name, const std::string &document) {
+          this->receive(name, document);
+      })
+{}
+
+GroupOwner::~GroupOwner() = default;
+
+void GroupOwner::follow(const std::vector<InstanceRecord> &instances)
+{
+    OwnerLease::Orders orders;
+    bool candidate = false;
+    for (const std::string &name : GroupRoster::ownerCandidates(this->group, instances))
+        candidate = candidate || name == this->identity.process;
+    this->lease.setCandidate(candidate, orders);
+    this->execute(orders);
+    if (this->roster.update(this->group, instances) && this->owner != nullptr)
+        this->links.setTargets(this->roster.addresses());
+}
+
+void GroupOwner::tick()
+{
+    OwnerLease::Orders orders;
+    this->lease.tick(this->loop.now(), orders);
+    this->execute(orders);
+    if (!this->checkOwnership())
+        return;
+    MapChangeOrder::List changes;
+    this->owner->tick(this->loop.now(), changes);
+    this->carryOut(changes);
+    this->proceed();
+}
+
+bool GroupOwner::checkOwnership()
+{
+    const std::uint64_t current =
+            this->roster.isComplete() ? this->lease.fence(this->loop.now()) : 0;
+    if (current == this->fence)
+        return current != 0;
+    if (this->fence != 0)
+        this->log(GroupLog::OwnerLeaseLost, true,
+                  "no longer owner under fence " + std::to_string(this->fence));
+    this->fence = current;
+    this->owner.reset();
+    this->working = false;
+    this->proposed = false;
+    this->links.setTargets({});
+    if (current == 0)
+        return false;
+    this->log(GroupLog::OwnerLeaseWon, false, "owner under fence " + std::to_string(current));
+    this->owner = std::make_unique<MapChangeOwner>(
+            this->group.ranks, current, ExpertMap{0, GroupPlacement::initial(this->group)});
+    this->links.setTargets(this->roster.addresses());
+    this->surveyAt = this->loop.now() + LinkTime;
+    return true;
+}
+
+void GroupOwner::receive(const std::string &name, const std::string &document)
+{
+    const auto rank = this->roster.rankOf(name);
+    const auto message = decodeMapMessage(document);
+    // The process may have been paused past its lease since the last tick.
+    if (!rank.has_value() || !message.has_value() || !this->checkOwnership())
+        return;
+    MapChangeOrder::List orders;
+    this->owner->handle(this->loop.now(), *rank, *message, orders);
+    this->carryOut(orders);
+    this->proceed();
+}
+
+// Starts the next thing to do once the owner is idle.
+void GroupOwner::proceed()
+{
+    if (!this->owner->isIdle())
+        return;
+    if (std::exchange(this->working, false))
+        this->noteResult();
+    const Instant now = this->loop.now();
+    const bool linked = this->links.openCount() == this->group.ranks;
+    const bool surveyed = this->owner->currentMap().epoch != 0;
+    MapChangeOrder::List orders;
+    if (surveyed && this->wanted.has_value()) {
+        this->proposed = true;
+        this->owner->propose(now, {this->owner->currentMap().epoch + 1, *this->wanted}, orders);
+    } else if (now >= this->surveyAt || (!surveyed && linked)) {
+        this->owner->survey(now, orders);
+    } else {
+        return;
+    }
+    this->working = true;
+    this->surveyAt = now + SurveyPeriod;
+    this->carryOut(orders);
+}
+
+void GroupOwner::noteResult()
+{
+    const MapChangeOwner::Result result = this->owner->lastResult();
+    if (result == MapChangeOwner::Result::Deposed) {
+        this->log(GroupLog::OwnerDeposed, true, "the ranks know a later owner");
+        this->lastResult = describeResult(result);
+        this->wanted.reset();
+        OwnerLease::Orders orders;
+        this->lease.giveUp(this->loop.now(), orders);
+        this->execute(orders);
+        return;
+    }
+    if (!std::exchange(this->proposed, false))
+        return;
+    this->lastResult = describeResult(result);
+    this->log(GroupLog::MapChangeEnded, result != MapChangeOwner::Result::Committed,
+              std::string("map change ") + describeResult(result) + ", map epoch "
+                      + std::to_string(this->owner->currentMap().epoch));
+    if (result == MapChangeOwner::Result::Committed || ++this->attempts >= MaxAttempts)
+        this->wanted.reset();
+}
+
+void GroupOwner::carryOut(const MapChangeOrder::List &orders)
+{
+    for (const MapChangeOrder::Any &order : orders) {
+        const auto *send = std::get_if<MapChangeOrder::Send>(&order);
+        if (send != nullptr && send->to < this->roster.members().size())
+            this->links.send(this->roster.members()[send->to].name,
+                             encodeMapMessage(send->message));
+    }
+}
+
+ControlServer::Answer GroupOwner::acceptMap(const HttpServer::Request &request)
+{
+    if (!this->checkOwnership())
+        return failure(409, "not_owner", "the owner is: " + this->holder);
+    const auto document = nlohmann::json::parse(request.body, nullptr, false);
+    GroupPlacement::Slots slots;
+    try {
+        slots = document.at("slots").get<GroupPlacement::Slots>();
+    } catch (const nlohmann::json::exception &) {
+        return failure(400, "malformed_map", "slots[layer][rank] must list expert numbers");
+    }
+    if (const std::string fault = GroupPlacement::faultOf(this->group, slots); !fault.empty())
+        return failure(400, "unusable_map", fault);
+    this->wanted = std::move(slots);
+    this->attempts = 0;
+    return {202, "application/json", R"({"accepted":true})"};
+}
+
+nlohmann::json GroupOwner::describe() const
+{
+    nlohmann::json row = {{"group", this->group.name},
+                          {"holder", this->holder},
+                          {"isOwner", this->owner != nullptr},
+                          {"fence", this->fence},
+                          {"openLinks", this->links.openCount()},
+                          {"mapEpoch", 0},
+                          {"openChange", nullptr},
+                          {"lastResult", this->lastResult}};
+    if (this->owner != nullptr) {
+        row["mapEpoch"] = this->owner->currentMap().epoch;
+        if (this->proposed)
+            row["openChange"] = this->owner->isArming() ? "arming" : "preparing";
+    }
+    return row;
+}
+
+// The owner key
+
+void GroupOwner::execute(const OwnerLease::Orders &orders)
+{
+    for (const OwnerLease::Order &order : orders)
+        std::visit([this](const auto &body) { this->execute(body); }, order);
+}
+
+void GroupOwner::execute(const OwnerLease::ReadKey &)
+{
+    this->store.read(this->key(), [this](const StoreResult &result) {
+        const auto value = holderIn(result);
+        this->noteHolder(value);
+        OwnerLease::Orders next;
+        this->lease.keyRead(this->loop.now(), value, next);
+        this->execute(next);
+    });
+}
+
+void GroupOwner::execute(const OwnerLease::GrantLease &)
+{
+    this->store.grantLease(OwnerLease::Lifetime, [this](const StoreResult &result) {
+        OwnerLease::Orders next;
+        this->lease.leaseGranted(this->loop.now(), result.isOk() ? result.lease : 0, next);
+        this->execute(next);
+    });
+}
+
+void GroupOwner::execute(const OwnerLease::ClaimKey &order)
+{
+    StoreTransaction::Operation put;
+    put.kind = StoreTransaction::Operation::Kind::Put;
+    put.key = this->key();
+    put.value = order.value;
+    put.lease = order.lease;
+    StoreTransaction::Operation get;
+    get.key = this->key();
+    StoreTransaction transaction;
+    transaction.compares.push_back({this->key(), std::nullopt, std::nullopt});
+    transaction.onSuccess.push_back(std::move(put));
+    transaction.onFailure.push_back(std::move(get));
+    this->store.transact(transaction, [this, value = order.value](const StoreResult &result) {
+        std::optional<std::string> holder;
+        std::int64_t createRevision = 0;
+        if (result.isOk() && result.succeeded) {
+            holder = value;
+            createRevision = result.revision;
+        } else if (result.isOk() && !result.parts.empty()) {
+            holder = holderIn(result.parts.front());
+            if (!result.parts.front().found.empty())
+                createRevision = result.parts.front().found.front().createRevision;
+        }
+        this->noteHolder(holder);
+        OwnerLease::Orders next;
+        this->lease.keyClaimed(this->loop.now(), holder, createRevision, next);
+        this->execute(next);
+    });
+}
+
+void GroupOwner::execute(const OwnerLease::KeepLease &order)
+{
+    this->store.keepLeaseAlive(order.lease, [this](const StoreResult &result) {
+        OwnerLease::Orders next;
+        this->lease.leaseKept(this->loop.now(),
+                              result.isOk() ? std::optional<bool>(result.lease != 0) : std::nullopt,
+                              next);
+        this->execute(next);
+    });
+}
+
+void GroupOwner::execute(const OwnerLease::RevokeLease &order)
+{
+    this->store.revokeLease(order.lease, [](const StoreResult &) {});
+}
+
+std::string GroupOwner::key() const
+{
+    return "nutmegrill/groups/" + this->group.name + "/owner";
+}
+
+void GroupOwner::noteHolder(const std::optional<std::string> &value)
+{
+    if (value.has_value())
+        this->holder = value->substr(0, value->find(' '));
+}
+
+void GroupOwner::log(std::uint32_t number, bool warning, const std::string &text) const
+{
+    EventLog::write({number, warning ? LogRecord::Level::Warning : LogRecord::Level::Info,
+                     "group " + this->group.name + ": " + text});
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/GroupOwners.cpp
@@ -0,0 +1,66 @@
+#include "Programs/GroupOwners.h"
+
+#include "Programs/ControlServer.h"
+#include "Programs/GroupOwner.h"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+GroupOwners::GroupOwners(EventLoop &loop, StoreClient &store, ControlServer &control,
+                         const GroupLinks::Identity &identity)
+    : loop(loop), store(store), control(control), identity(identity)
+{}
+
+GroupOwners::~GroupOwners() = default;
+
+void GroupOwners::follow(const std::vector<InstanceRecord> &instances)
+{
+    this->instances = instances;
+    for (const auto &[name, group] : this->groups)
+        group->follow(instances);
+}
+
+void GroupOwners::tick(const ConfigurationPtr &configuration)
+{
+    if (configuration != nullptr && configuration != this->configuration) {
+        this->configuration = configuration;
+        this->follow(*configuration);
+    }
+    for (const auto &[name, group] : this->groups)
+        group->tick();
+}
+
+void GroupOwners::follow(const Configuration &configuration)
+{
+    for (const ModelGroup &declared : configuration.modelGroups) {
+        // Calls to the store may still have to report to a group, so an existing one is kept. A
+        // changed declaration takes effect when the entry restarts.
+        if (this->groups.count(declared.name) != 0)
+            continue;
+        GroupLinks::Identity own = this->identity;
+        own.group = declared.name;
+        auto group = std::make_unique<GroupOwner>(this->loop, this->store, own, declared);
+        group->follow(this->instances);
+        this->control.add("POST /groups/" + declared.name + "/map",
+                          [row = group.get()](const HttpServer::Request &request) {
+                              return row->acceptMap(request);
+                          });
+        this->groups[declared.name] = std::move(group);
+    }
+}
+
+std::string GroupOwners::addToDump(const std::string &dump) const
+{
+    auto document = nlohmann::json::parse(dump, nullptr, false);
+    if (!document.is_object())
+        return dump;
+    document["groups"] = nlohmann::json::array();
+    for (const auto &[name, group] : this->groups)
+        document["groups"].push_back(group->describe());
+    return document.dump();
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/GroupOwners.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Config/Configuration.h"
+#include "Core/InstanceRecord.h"
+#include "Programs/GroupLinks.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+class ControlServer;
+class EventLoop;
+class GroupOwner;
+class StoreClient;
+
+/// The model groups of the configuration, for each of which this entry may be the owner.
+class GroupOwners
+{
+public:
+    GroupOwners(EventLoop &loop, StoreClient &store, ControlServer &control,
+                const GroupLinks::Identity &identity);
+    ~GroupOwners();
+
+    void follow(const std::vector<InstanceRecord> &instances);
+    void tick(const ConfigurationPtr &configuration);
+
+    /// \a dump with a field "groups" added.
+    std::string addToDump(const std::string &dump) const;
+
+private:
+    void follow(const Configuration &configuration);
+
+    EventLoop &loop;
+    StoreClient &store;
+    ControlServer &control;
+    GroupLinks::Identity identity;
+    ConfigurationPtr configuration;
+    std::vector<InstanceRecord> instances;
+    std::map<std::string, std::unique_ptr<GroupOwner>> groups;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/RankEngine.cpp
@@ -0,0 +1,74 @@
+#include "Programs/RankEngine.h"
+
+#include <chrono>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::chrono::seconds SilenceLimit(2);
+
+} // namespace
+
+RankEngine::RankEngine(EventLoop &loop, std::string address, std::uint32_t rank)
+    : address(std::move(address)), path("/ranks/" + std::to_string(rank)), http(loop)
+{}
+
+void RankEngine::read(const ReadDone &done)
+{
+    HttpClient::Request request;
+    request.path = this->path + "/state";
+    request.silenceLimit = SilenceLimit;
+    this->http.fetch(this->address, request, [done](int status, const std::string &body) {
+        const auto document = nlohmann::json::parse(body, nullptr, false);
+        if (status != 200 || !document.is_object()) {
+            done(std::nullopt);
+            return;
+        }
+        State state;
+        try {
+            state.step = document.at("step").get<std::uint64_t>();
+            state.epoch = document.at("epoch").get<std::uint64_t>();
+            state.holdAt = document.at("holdAt").get<std::uint64_t>();
+            state.fence = document.at("fence").get<std::uint64_t>();
+        } catch (const nlohmann::json::exception &) {
+            done(std::nullopt);
+            return;
+        }
+        done(state);
+    });
+}
+
+void RankEngine::hold(std::uint64_t step, std::uint64_t fence, const OrderDone &done)
+{
+    this->order("/hold", nlohmann::json{{"step", step}, {"fence", fence}}.dump(), done);
+}
+
+void RankEngine::useMap(std::uint64_t epoch, std::uint64_t fromStep, std::uint64_t fence,
+                        const OrderDone &done)
+{
+    const nlohmann::json body = {{"epoch", epoch}, {"fromStep", fromStep}, {"fence", fence}};
+    this->order("/map", body.dump(), done);
+}
+
+void RankEngine::skipTo(std::uint64_t step, std::uint64_t fence, const OrderDone &done)
+{
+    this->order("/skip", nlohmann::json{{"step", step}, {"fence", fence}}.dump(), done);
+}
+
+void RankEngine::order(const std::string &action, const std::string &body, const OrderDone &done)
+{
+    HttpClient::Request request;
+    request.method = "POST";
+    request.path = this->path + action;
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = body;
+    request.silenceLimit = SilenceLimit;
+    this->http.fetch(this->address, request,
+                     [done](int status, const std::string &) { done(status == 200); });
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/RankEngine.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Net/EventLoop.h"
+#include "Net/HttpClient.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace Nutmegrill {
+
+/// Orders to the engine of one rank. The caller waits for each answer before the next order: calls
+/// use connections of their own, so two orders on the way at once may arrive in either order.
+class RankEngine
+{
+public:
+    struct State
+    {
+        /// The next step of the group; it has not started.
+        std::uint64_t step = 0;
+        /// Map of that step; 0 when the engine has none.
+        std::uint64_t epoch = 0;
+        /// First step that may not start; 0 when the rank is not held.
+        std::uint64_t holdAt = 0;
+        /// Highest fencing number that the engine has seen.
+        std::uint64_t fence = 0;
+    };
+
+    using ReadDone = std::function<void(const std::optional<State> &state)>;
+    using OrderDone = std::function<void(bool accepted)>;
+
+    RankEngine(EventLoop &loop, std::string address, std::uint32_t rank);
+
+    void read(const ReadDone &done);
+
+    /// Starts no step from \a step on; 0 releases the rank.
+    void hold(std::uint64_t step, std::uint64_t fence, const OrderDone &done);
+
+    /// Runs \a fromStep and all later steps with this map.
+    void useMap(std::uint64_t epoch, std::uint64_t fromStep, std::uint64_t fence,
+                const OrderDone &done);
+
+    /// The group goes on with no step below \a step.
+    void skipTo(std::uint64_t step, std::uint64_t fence, const OrderDone &done);
+
+private:
+    void order(const std::string &action, const std::string &body, const OrderDone &done);
+
+    std::string address;
+    std::string path;
+    HttpClient http;
+};
+
+} // namespace Nutmegrill
--- a/Source/Programs/TakeOutWriter.cpp
+++ b/Source/Programs/TakeOutWriter.cpp
@@ -3,8 +3,28 @@
 #include "Config/ConfigurationChange.h"
 #include "Programs/PublishRunner.h"
 
+#include <nlohmann/json.hpp>
+
 namespace Nutmegrill {
 
+std::optional<PeerMessage::PendingTakeOut>
+TakeOutWriter::parse(const std::string &body, const ConfigurationPtr &configuration)
+{
+    const auto document = nlohmann::json::parse(body, nullptr, false);
+    PeerMessage::PendingTakeOut takeOut;
+    if (document.is_object()) {
+        takeOut.failureDomain = document.value("failureDomain", "");
+        takeOut.changeId = document.value("changeId", "");
+    }
+    const FailureDomainState *domain =
+            configuration == nullptr ? nullptr
+                                     : configuration->findFailureDomain(takeOut.failureDomain);
+    if (domain == nullptr || takeOut.changeId.empty())
+        return std::nullopt;
+    takeOut.epoch = domain->epoch + 1;
+    return takeOut;
+}
+
 void TakeOutWriter::write(const PeerMessage::PendingTakeOut &takeOut)
 {
     if (!this->running.insert(takeOut.changeId).second)
--- a/Source/Programs/TakeOutWriter.h
+++ b/Source/Programs/TakeOutWriter.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "Config/Configuration.h"
 #include "Messages/PeerMessage.h"
 
+#include <optional>
 #include <set>
 #include <string>
 
@@ -16,6 +18,11 @@
 public:
     TakeOutWriter(EventLoop &loop, StoreClient &store) : loop(loop), store(store) {}
 
+    /// The take-out that an operator asks for in {"failureDomain", "changeId"}, with the epoch
+    /// after that of \a configuration; nullopt when there is no such failure domain.
+    static std::optional<PeerMessage::PendingTakeOut> parse(const std::string &body,
+                                                            const ConfigurationPtr &configuration);
+
     void write(const PeerMessage::PendingTakeOut &takeOut);
 
 private:
--- /dev/null
+++ b/Source/Programs/WeightLoader.cpp
@@ -0,0 +1,74 @@
+#include "Programs/WeightLoader.h"
+
+#include "Net/EventLoop.h"
+
+#include <chrono>
+#include <memory>
+#include <utility>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr std::chrono::milliseconds RetryDelay(500);
+// After this many failures in a row the rank refuses the change; the owner plans again.
+constexpr unsigned MaxFailures = 5;
+
+} // namespace
+
+WeightLoader::WeightLoader(EventLoop &loop, std::string address)
+    : loop(loop), address(std::move(address)), http(loop)
+{}
+
+void WeightLoader::load(std::vector<Expert> experts, std::uint64_t bytesPerExpert, Done done)
+{
+    this->missing = this->address.empty() ? std::vector<Expert>() : std::move(experts);
+    this->bytes = bytesPerExpert;
+    this->done = std::move(done);
+    this->failures = 0;
+    this->loop.after(std::chrono::milliseconds(0),
+                     [this, run = ++this->runs] { this->loadNext(run); });
+}
+
+void WeightLoader::loadNext(std::uint64_t run)
+{
+    if (run != this->runs)
+        return;
+    if (this->missing.empty()) {
+        this->done(true);
+        return;
+    }
+    const Expert next = this->missing.back();
+    HttpClient::Request request;
+    request.path = "/weights/" + std::to_string(next.layer) + "/" + std::to_string(next.expert)
+                   + "?bytes=" + std::to_string(this->bytes);
+    const auto status = std::make_shared<int>(0);
+    const auto received = std::make_shared<std::uint64_t>(0);
+    const auto failed = [this, run] {
+        if (run != this->runs)
+            return;
+        if (++this->failures >= MaxFailures)
+            this->done(false);
+        else
+            this->loop.after(RetryDelay, [this, run] { this->loadNext(run); });
+    };
+    HttpClient::Handlers handlers;
+    handlers.onHead = [status](int code, const HttpClient::Headers &) { *status = code; };
+    // The agent checks that the weights arrive whole; the engine beside it keeps them.
+    handlers.onData = [received](std::string_view data) { *received += data.size(); };
+    handlers.onEnd = [this, run, status, received, failed] {
+        if (*status != 200 || *received != this->bytes) {
+            failed();
+            return;
+        }
+        if (run != this->runs)
+            return;
+        this->failures = 0;
+        this->missing.pop_back();
+        this->loadNext(run);
+    };
+    handlers.onFailure = [failed](HttpClient::Failure) { failed(); };
+    this->http.call(this->address, request, std::move(handlers));
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Programs/WeightLoader.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Net/HttpClient.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace Nutmegrill {
+
+class EventLoop;
+
+/// Loads the weights of experts from the weight store, one expert after another. The store limits
+/// the rate over all its callers, so parallel transfers of one rank would not end earlier.
+class WeightLoader
+{
+public:
+    struct Expert
+    {
+        std::size_t layer = 0;
+        std::uint32_t expert = 0;
+    };
+
+    using Done = std::function<void(bool loaded)>;
+
+    /// With an empty address every load succeeds at once.
+    WeightLoader(EventLoop &loop, std::string address);
+
+    /// Replaces a load that is under way, whose callback is not called any more.
+    void load(std::vector<Expert> experts, std::uint64_t bytesPerExpert, Done done);
+
+private:
+    void loadNext(std::uint64_t run);
+
+    EventLoop &loop;
+    std::string address;
+    HttpClient http;
+    std::vector<Expert> missing;
+    std::uint64_t bytes = 0;
+    Done done;
+    std::uint64_t runs = 0;
+    unsigned failures = 0;
+};
+
+} // namespace Nutmegrill
--- a/Tests/StandIns/Ranks.cpp
+++ b/Tests/StandIns/Ranks.cpp
@@ -29,7 +29,7 @@
             this->reply(request.id, 200, this->describe());
             return;
         }
-        // Paths: /ranks/R/map and /ranks/R/hold.
+        // Paths: /ranks/R/state, /ranks/R/map, /ranks/R/hold and /ranks/R/skip.
         static const std::string prefix = "/ranks/";
         const std::size_t slash = request.path.rfind('/');
         if (request.path.compare(0, prefix.size(), prefix) != 0 || slash < prefix.size())
@@ -40,11 +40,17 @@
             throw StandInError(404, "no such rank");
         Rank &rank = this->ranks[index];
         const std::string action = request.path.substr(slash + 1);
+        if (action == "state") {
+            this->reply(request.id, 200, this->describe(rank));
+            return;
+        }
         this->checkFencingNumber(rank, body.value("fence", std::int64_t(0)));
         if (action == "map")
             this->takeMap(rank, body);
         else if (action == "hold")
             this->takeHold(rank, body);
+        else if (action == "skip")
+            rank.firstStep = body.at("step").get<std::int64_t>();
         else
             throw StandInError(404, "not found");
         this->reply(request.id, 200, {{"step", this->step}});
@@ -66,7 +72,8 @@
     {
         return {{"steps", this->step},          {"stepsWithTwoMaps", this->mixedSteps},
                 {"heldSteps", this->heldSteps}, {"heldMs", this->heldMs},
-                {"lateMaps", this->lateMaps},   {"refusedFences", this->refusedFences}};
+                {"lateMaps", this->lateMaps},   {"refusedFences", this->refusedFences},
+                {"stepsRun", this->stepsRun},   {"oldFences", this->oldFences}};
     }
 
 private:
@@ -77,6 +84,8 @@
         /// First step that may not start; 0 when the rank is not held.
         std::int64_t holdAt = 0;
         std::int64_t fence = 0;
+        /// The group goes on with no step below this one.
+        std::int64_t firstStep = 0;
         Instant stalledUntil;
     };
 
@@ -95,9 +104,12 @@
 
     void checkFencingNumber(Rank &rank, std::int64_t fence)
     {
-        if (this->checkFence != 0 && fence < rank.fence) {
-            ++this->refusedFences;
-            throw StandInError(409, "fencing number is lower than the last one");
+        if (fence < rank.fence) {
+            ++this->oldFences;
+            if (this->checkFence != 0) {
+                ++this->refusedFences;
+                throw StandInError(409, "fencing number is lower than the last one");
+            }
         }
         rank.fence = std::max(rank.fence, fence);
     }
@@ -110,6 +122,8 @@
             ++this->lateMaps;
             throw StandInError(409, "step " + std::to_string(from) + " has passed");
         }
+        // The map holds for all later steps, so earlier orders for those are void.
+        rank.epochs.erase(rank.epochs.lower_bound(from), rank.epochs.end());
         rank.epochs[from] = body.at("epoch").get<std::int64_t>();
         if (rank.holdAt == from)
             rank.holdAt = 0;
@@ -130,6 +144,8 @@
 
     void runStep()
     {
+        for (const Rank &rank : this->ranks)
+            this->step = std::max(this->step, rank.firstStep);
         if (!std::all_of(this->ranks.begin(), this->ranks.end(),
                          [this](const Rank &rank) { return this->canRun(rank); })) {
             this->heldSteps += std::exchange(this->held, true) ? 0 : 1;
@@ -144,14 +160,23 @@
             }))
             ++this->mixedSteps;
         ++this->step;
+        ++this->stepsRun;
         this->scheduleStep();
     }
 
+    Json describe(const Rank &rank) const
+    {
+        return {{"step", this->step},
+                {"epoch", this->epochOf(rank, this->step)},
+                {"holdAt", rank.holdAt},
+                {"fence", rank.fence}};
+    }
+
     Json describe() const
     {
         Json rows = Json::array();
         for (const Rank &rank : this->ranks)
-            rows.push_back({{"epoch", this->epochOf(rank, this->step)}, {"holdAt", rank.holdAt}});
+            rows.push_back(this->describe(rank));
         return {{"step", this->step}, {"stepMs", this->stepMs}, {"ranks", rows}};
     }
 
@@ -169,6 +194,9 @@
     std::uint64_t heldMs = 0;
     std::uint64_t lateMaps = 0;
     std::uint64_t refusedFences = 0;
+    /// Orders with a fencing number below an earlier one, refused or not.
+    std::uint64_t oldFences = 0;
+    std::uint64_t stepsRun = 0;
     bool held = false;
 };
 
