--- a/Source/Groups/GroupLog.h
+++ b/Source/Groups/GroupLog.h
@@ -19,6 +19,7 @@
     static constexpr std::uint32_t MapInUse = 4009;
     static constexpr std::uint32_t EngineOrderRefused = 4010;
     static constexpr std::uint32_t WeightsNotLoaded = 4011;
+    static constexpr std::uint32_t RebalancingPlanned = 4012;
 };
 
 } // namespace Nutmegrill
--- /dev/null
+++ b/Source/Groups/LoadMessage.cpp
@@ -0,0 +1,37 @@
+#include "Groups/LoadMessage.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr const char *QuestionName = "load_wanted";
+constexpr const char *AnswerName = "load";
+
+} // namespace
+
+std::string LoadMessage::encode() const
+{
+    if (!this->tokens.has_value())
+        return nlohmann::json::array({QuestionName}).dump();
+    return nlohmann::json::array({AnswerName, *this->tokens}).dump();
+}
+
+std::optional<LoadMessage> LoadMessage::decode(std::string_view document)
+{
+    const auto json = nlohmann::json::parse(document, nullptr, false);
+    if (!json.is_array() || json.empty())
+        return std::nullopt;
+    if (json[0] == QuestionName)
+        return LoadMessage{};
+    if (json[0] != AnswerName || json.size() < 2)
+        return std::nullopt;
+    try {
+        return LoadMessage{json[1].get<Tokens>()};
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace Nutmegrill
--- a/Source/Programs/CallerGateway.cpp
+++ b/Source/Programs/CallerGateway.cpp
@@ -108,6 +108,19 @@
     return configuration.findAccountByKeyHash(sha256Hex(header.substr(BearerPrefix.size())));
 }
 
+HttpServer::Headers CallerGateway::failureHeaders(const WorkMessage::Failure &failure,
+                                                  const std::string &requestId)
+{
+    HttpServer::Headers headers = {{"Content-Type", "application/json"}};
+    if (!requestId.empty())
+        headers.emplace_back("X-Request-Id", requestId);
+    if (failure.retryAfter.count() > 0) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(failure.retryAfter);
+        headers.emplace_back("Retry-After", std::to_string(seconds.count()));
+    }
+    return headers;
+}
+
 WorkMessage::Failure CallerGateway::unauthorized()
 {
     return refusal(401, "unauthorized", "no client account has this bearer key");
--- a/Source/Programs/CallerGateway.h
+++ b/Source/Programs/CallerGateway.h
@@ -22,6 +22,9 @@
     /// The parsed request, or the failure to answer with (never run).
     Result parse(const HttpServer::Request &request, const Configuration &configuration);
 
+    static HttpServer::Headers failureHeaders(const WorkMessage::Failure &failure,
+                                              const std::string &requestId);
+
     /// JSON body of a failure answer.
     static std::string failureBody(const WorkMessage::Failure &failure,
                                    const std::string &requestId);
--- a/Source/Programs/EntryMain.cpp
+++ b/Source/Programs/EntryMain.cpp
@@ -20,6 +20,11 @@
     settings.require("deployment-key", Settings::Format::Text, "key shared by the deployment");
     settings.allow("subset-size", Settings::Format::Number, "24",
                    "agents of one service that this entry links to");
+    settings.allow("rebalance-after", Settings::Format::Number, "300",
+                   "seconds of skewed expert load before the map of a model group is changed; 0: "
+                   "never");
+    settings.allow("weights-rate", Settings::Format::Number, "104857600",
+                   "bytes per second that the weight store gives to a model group");
     settings.allow("seed", Settings::Format::Number, "0",
                    "seed of random decisions; 0 takes the time of day");
     if (!settings.read(argc, argv))
@@ -34,6 +39,8 @@
     if (options.node.seed == 0)
         options.node.seed = static_cast<std::uint64_t>(
                 std::chrono::system_clock::now().time_since_epoch().count());
+    options.rebalancing.startAfter = std::chrono::seconds(settings.number("rebalance-after"));
+    options.rebalancing.weightsRate = settings.number("weights-rate");
     options.listenAddress = settings.text("listen");
     options.controlAddress = settings.text("control-listen");
     options.storeAddress = settings.text("store");
--- a/Source/Programs/EntryShell.h
+++ b/Source/Programs/EntryShell.h
@@ -9,6 +9,7 @@
 #include "Programs/CallerGateway.h"
 #include "Programs/ConfigurationReader.h"
 #include "Programs/ControlServer.h"
+#include "Programs/GroupOwner.h"
 #include "Programs/InstanceListReader.h"
 
 #include <map>
@@ -33,6 +34,7 @@
         std::string controlAddress;
         std::string storeAddress;
         std::string instancesAddress;
+        GroupOwner::Rebalancing rebalancing;
     };
 
     EntryShell(EventLoop &loop, const Options &options);
@@ -61,7 +63,8 @@
     struct Caller
     {
         std::string requestId;
-        bool stream = false;
+        /// The caller asked for server-sent events.
+        bool eventStream = false;
         bool headSent = false;
         WorkMessage::Head head;
         std::string agent;
@@ -80,6 +83,7 @@
     void serve(const HttpServer::Request &request);
     void serveEntries(const HttpServer::Request &request);
     void serveModels(const HttpServer::Request &request);
+    void beginReply(EntryOrder::CallerId id, Caller &caller);
     void replyFailure(EntryOrder::CallerId caller, const std::string &requestId,
                       const WorkMessage::Failure &failure);
     ControlServer::Answer acceptTakeOut(const HttpServer::Request &request);
--- a/Source/Programs/GroupMember.cpp
+++ b/Source/Programs/GroupMember.cpp
@@ -1,6 +1,7 @@
 #include "Programs/GroupMember.h"
 
 #include "Groups/GroupLog.h"
+#include "Groups/LoadMessage.h"
 #include "Messages/MessageCodec.h"
 #include "Net/EventLog.h"
 #include "Net/PeerSession.h"
@@ -432,11 +433,23 @@
     const auto *data = decoded.has_value() ? std::get_if<PeerMessage::MapData>(&*decoded) : nullptr;
     if (data == nullptr || data->group != this->options.identity.group || !this->started)
         return true;
-    if (auto body = decodeMapMessage(data->document))
+    if (LoadMessage::decode(data->document).has_value())
+        this->reportLoad(found->first);
+    else if (auto body = decodeMapMessage(data->document))
         this->enqueue(Received{this->peerOf(found->second), std::move(*body)});
     return true;
 }
 
+void GroupMember::reportLoad(const StreamKey &stream)
+{
+    this->engine->readLoad([this, stream](const std::optional<RankEngine::Tokens> &tokens) {
+        if (!tokens.has_value() || this->inbound.count(stream) == 0)
+            return;
+        const PeerMessage::MapData data{this->options.identity.group, LoadMessage{tokens}.encode()};
+        stream.first->send(stream.second, encodeMessage(data));
+    });
+}
+
 bool GroupMember::streamClosed(PeerSession &session, std::int32_t stream)
 {
     return this->inbound.erase({&session, stream}) > 0;
--- a/Source/Programs/GroupMember.h
+++ b/Source/Programs/GroupMember.h
@@ -96,6 +96,9 @@
     void carryOut(const MapChangeOrder::StageWeights &order);
     void carryOut(const MapChangeOrder::UseMap &order);
 
+    // Sends the expert load of the rank to the process that has asked for it.
+    void reportLoad(const StreamKey &stream);
+
     // Brings the engine into the state that the member has decided on.
     void synchronize(const Next &next);
     void synchronizeMap(const Next &next);
--- a/Source/Programs/GroupOwner.cpp
+++ b/Source/Programs/GroupOwner.cpp
@@ -4,6 +4,7 @@
 #include "Net/EventLog.h"
 #include "Net/StoreClient.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <utility>
@@ -23,6 +24,20 @@
 // A change that was aborted or timed out is tried again this often.
 constexpr unsigned MaxAttempts = 5;
 
+// Five questions for the load within the time that a skew has to last, and a smoothing over half of
+// it: single answers neither start nor prevent a change.
+constexpr int LoadsPerStart = 5;
+constexpr int HalfLivesPerStart = 2;
+
+PlannerSettings plannerSettings(const ModelGroup &group, const GroupOwner::Rebalancing &rebalancing)
+{
+    PlannerSettings settings;
+    settings.startAfter = rebalancing.startAfter;
+    settings.expertBytes = group.expertBytes;
+    settings.storeRate = std::max<std::uint64_t>(rebalancing.weightsRate, 1);
+    return settings;
+}
+
 std::optional<std::string> holderIn(const StoreResult &result)
 {
     if (!result.isOk())
@@ -46,12 +61,16 @@
 } // namespace
 
 GroupOwner::GroupOwner(EventLoop &loop, StoreClient &store, const GroupLinks::Identity &identity,
-                       ModelGroup group)
+                       ModelGroup group, const Rebalancing &rebalancing)
     : loop(loop), store(store), identity(identity), group(std::move(group)),
-      lease(identity.process),
-      links(loop, identity, [this](const std::string &name, const std::string &document) {
-          this->receive(name, document);
-      })
+      lease(identity.process), links(loop, identity,
+                                     [this](const std::string &name, const std::string &document) {
+                                         this->receive(name, document);
+                                     }),
+      rebalancing(rebalancing),
+      load(std::chrono::microseconds(rebalancing.startAfter) / HalfLivesPerStart,
+           rebalancing.startAfter),
+      planner(plannerSettings(this->group, rebalancing))
 {}
 
 GroupOwner::~GroupOwner() = default;
@@ -79,6 +98,7 @@
     this->owner->tick(this->loop.now(), changes);
     this->carryOut(changes);
     this->proceed();
+    this->askForLoad();
 }
 
 bool GroupOwner::checkOwnership()
@@ -108,9 +128,15 @@
 void GroupOwner::receive(const std::string &name, const std::string &document)
 {
     const auto rank = this->roster.rankOf(name);
-    const auto message = decodeMapMessage(document);
     // The process may have been paused past its lease since the last tick.
-    if (!rank.has_value() || !message.has_value() || !this->checkOwnership())
+    if (!rank.has_value() || !this->checkOwnership())
+        return;
+    if (auto loaded = LoadMessage::decode(document); loaded.has_value() && loaded->tokens) {
+        this->noteLoad(*rank, std::move(*loaded->tokens));
+        return;
+    }
+    const auto message = decodeMapMessage(document);
+    if (!message.has_value())
         return;
     MapChangeOrder::List orders;
     this->owner->handle(this->loop.now(), *rank, *message, orders);
@@ -164,6 +190,59 @@
         this->wanted.reset();
 }
 
+void GroupOwner::askForLoad()
+{
+    const Instant now = this->loop.now();
+    if (this->rebalancing.startAfter.count() == 0 || now < this->askLoadAt)
+        return;
+    this->askLoadAt = now + std::chrono::microseconds(this->rebalancing.startAfter) / LoadsPerStart;
+    this->loads.clear();
+    for (const GroupRoster::Member &row : this->roster.members())
+        this->links.send(row.name, LoadMessage{}.encode());
+}
+
+void GroupOwner::noteLoad(std::uint32_t rank, LoadMessage::Tokens tokens)
+{
+    bool fits = tokens.size() == this->group.layers;
+    for (const auto &layer : tokens)
+        fits = fits && layer.size() == this->group.expertsPerLayer;
+    if (!fits)
+        return;
+    this->loads[rank] = std::move(tokens);
+    if (this->loads.size() == this->group.ranks)
+        this->considerLoad();
+}
+
+void GroupOwner::considerLoad()
+{
+    LoadMessage::Tokens sum(this->group.layers,
+                            std::vector<double>(this->group.expertsPerLayer, 0.0));
+    for (const auto &[rank, tokens] : this->loads) {
+        for (std::size_t layer = 0; layer < sum.size(); ++layer) {
+            for (std::size_t expert = 0; expert < sum[layer].size(); ++expert)
+                sum[layer][expert] += tokens[layer][expert];
+        }
+    }
+    this->loads.clear();
+    const Instant now = this->loop.now();
+    this->load.observe(now, sum);
+    const ExpertMap &map = this->owner->currentMap();
+    // A map that an operator has asked for comes first.
+    if (map.epoch == 0 || this->wanted.has_value() || this->working)
+        return;
+    this->skew = PlacementPlanner::skew(map, this->load.tokens());
+    const auto plan = this->planner.consider(now, map, this->load.tokens());
+    if (!plan.has_value())
+        return;
+    this->log(GroupLog::RebalancingPlanned, false,
+              "skew " + std::to_string(plan->skewBefore) + ", planned "
+                      + std::to_string(plan->skewAfter) + ", bytes to load "
+                      + std::to_string(plan->bytes));
+    this->wanted = plan->map.slots;
+    this->attempts = 0;
+    this->proceed();
+}
+
 void GroupOwner::carryOut(const MapChangeOrder::List &orders)
 {
     for (const MapChangeOrder::Any &order : orders) {
@@ -200,6 +279,7 @@
                           {"fence", this->fence},
                           {"openLinks", this->links.openCount()},
                           {"mapEpoch", 0},
+                          {"skew", this->skew},
                           {"openChange", nullptr},
                           {"lastResult", this->lastResult}};
     if (this->owner != nullptr) {
--- a/Source/Programs/GroupOwner.h
+++ b/Source/Programs/GroupOwner.h
@@ -2,15 +2,20 @@
 
 #include "Config/ModelGroup.h"
 #include "Core/InstanceRecord.h"
+#include "Experts/ExpertLoad.h"
 #include "Experts/MapChangeOwner.h"
+#include "Experts/PlacementPlanner.h"
 #include "Groups/GroupPlacement.h"
 #include "Groups/GroupRoster.h"
+#include "Groups/LoadMessage.h"
 #include "Groups/OwnerLease.h"
 #include "Net/EventLoop.h"
 #include "Programs/ControlServer.h"
 #include "Programs/GroupLinks.h"
 
+#include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,8 +32,16 @@
 class GroupOwner
 {
 public:
+    struct Rebalancing
+    {
+        /// A skew has to last this long before a change; 0 turns rebalancing by load off.
+        std::chrono::seconds startAfter{0};
+        /// Bytes a second that the weight store gives to the group.
+        std::uint64_t weightsRate = 1;
+    };
+
     GroupOwner(EventLoop &loop, StoreClient &store, const GroupLinks::Identity &identity,
-               ModelGroup group);
+               ModelGroup group, const Rebalancing &rebalancing);
     ~GroupOwner();
 
     void follow(const std::vector<InstanceRecord> &instances);
@@ -56,6 +69,10 @@
     void receive(const std::string &name, const std::string &document);
     void proceed();
     void noteResult();
+    void askForLoad();
+    void noteLoad(std::uint32_t rank, LoadMessage::Tokens tokens);
+    // Adds the loads of all ranks and asks the planner for a better map.
+    void considerLoad();
     void carryOut(const MapChangeOrder::List &orders);
     void log(std::uint32_t number, bool warning, const std::string &text) const;
 
@@ -77,6 +94,13 @@
     bool working = false;
     Instant surveyAt;
     std::string lastResult;
+    Rebalancing rebalancing;
+    ExpertLoad load;
+    PlacementPlanner planner;
+    /// Answers of the ranks to the last question.
+    std::map<std::uint32_t, LoadMessage::Tokens> loads;
+    Instant askLoadAt;
+    double skew = 0;
 };
 
 } // namespace Nutmegrill
--- a/Source/Programs/GroupOwners.cpp
+++ b/Source/Programs/GroupOwners.cpp
@@ -1,7 +1,6 @@
 #include "Programs/GroupOwners.h"
 
 #include "Programs/ControlServer.h"
-#include "Programs/GroupOwner.h"
 
 #include <algorithm>
 
@@ -10,8 +9,10 @@
 namespace Nutmegrill {
 
 GroupOwners::GroupOwners(EventLoop &loop, StoreClient &store, ControlServer &control,
-                         const GroupLinks::Identity &identity)
-    : loop(loop), store(store), control(control), identity(identity)
+                         const EntrySettings &settings, const GroupOwner::Rebalancing &rebalancing)
+    : loop(loop), store(store),
+      control(control), identity{settings.name, settings.failureDomain, settings.deploymentKey, {}},
+      rebalancing(rebalancing)
 {}
 
 GroupOwners::~GroupOwners() = default;
@@ -42,7 +43,8 @@
             continue;
         GroupLinks::Identity own = this->identity;
         own.group = declared.name;
-        auto group = std::make_unique<GroupOwner>(this->loop, this->store, own, declared);
+        auto group = std::make_unique<GroupOwner>(this->loop, this->store, own, declared,
+                                                  this->rebalancing);
         group->follow(this->instances);
         this->control.add("POST /groups/" + declared.name + "/map",
                           [row = group.get()](const HttpServer::Request &request) {
--- a/Source/Programs/GroupOwners.h
+++ b/Source/Programs/GroupOwners.h
@@ -2,7 +2,9 @@
 
 #include "Config/Configuration.h"
 #include "Core/InstanceRecord.h"
+#include "Entry/EntrySettings.h"
 #include "Programs/GroupLinks.h"
+#include "Programs/GroupOwner.h"
 
 #include <map>
 #include <memory>
@@ -13,7 +15,6 @@
 
 class ControlServer;
 class EventLoop;
-class GroupOwner;
 class StoreClient;
 
 /// The model groups of the configuration, for each of which this entry may be the owner.
@@ -21,7 +22,7 @@
 {
 public:
     GroupOwners(EventLoop &loop, StoreClient &store, ControlServer &control,
-                const GroupLinks::Identity &identity);
+                const EntrySettings &settings, const GroupOwner::Rebalancing &rebalancing);
     ~GroupOwners();
 
     void follow(const std::vector<InstanceRecord> &instances);
@@ -37,6 +38,7 @@
     StoreClient &store;
     ControlServer &control;
     GroupLinks::Identity identity;
+    GroupOwner::Rebalancing rebalancing;
     ConfigurationPtr configuration;
     std::vector<InstanceRecord> instances;
     std::map<std::string, std::unique_ptr<GroupOwner>> groups;
--- a/Source/Programs/RankEngine.cpp
+++ b/Source/Programs/RankEngine.cpp
@@ -42,6 +42,23 @@
     });
 }
 
+void RankEngine::readLoad(const LoadDone &done)
+{
+    HttpClient::Request request;
+    request.path = this->path + "/load";
+    request.silenceLimit = SilenceLimit;
+    this->http.fetch(this->address, request, [done](int status, const std::string &body) {
+        std::optional<Tokens> tokens;
+        try {
+            if (status == 200)
+                tokens = nlohmann::json::parse(body).at("tokens").get<Tokens>();
+        } catch (const nlohmann::json::exception &) {
+            tokens.reset();
+        }
+        done(tokens);
+    });
+}
+
 void RankEngine::hold(std::uint64_t step, std::uint64_t fence, const OrderDone &done)
 {
     this->order("/hold", nlohmann::json{{"step", step}, {"fence", fence}}.dump(), done);
--- a/Source/Programs/RankEngine.h
+++ b/Source/Programs/RankEngine.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Nutmegrill {
 
@@ -30,9 +31,14 @@
     using ReadDone = std::function<void(const std::optional<State> &state)>;
     using OrderDone = std::function<void(bool accepted)>;
 
+    /// Tokens per step of each expert in each layer, as the rank sees them; nullopt without answer.
+    using Tokens = std::vector<std::vector<double>>;
+    using LoadDone = std::function<void(const std::optional<Tokens> &tokens)>;
+
     RankEngine(EventLoop &loop, std::string address, std::uint32_t rank);
 
     void read(const ReadDone &done);
+    void readLoad(const LoadDone &done);
 
     /// Starts no step from \a step on; 0 releases the rank.
     void hold(std::uint64_t step, std::uint64_t fence, const OrderDone &done);
--- a/Tests/Groups/GroupTest.cpp
+++ b/Tests/Groups/GroupTest.cpp
@@ -1,5 +1,6 @@
 #include "Groups/GroupPlacement.h"
 #include "Groups/GroupRoster.h"
+#include "Groups/LoadMessage.h"
 
 #include <string>
 #include <vector>
@@ -40,6 +41,7 @@
     CPPUNIT_TEST(fewEntriesCompete);
     CPPUNIT_TEST(initialPlacementIsUsable);
     CPPUNIT_TEST(placementsWithFaultsAreRefused);
+    CPPUNIT_TEST(loadMessagesAreToldFromMapMessages);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against ranks from a list that is not complete, or from another failure domain.
@@ -108,6 +110,16 @@
             CPPUNIT_ASSERT(!GroupPlacement::faultOf(group, bad).empty());
         }
     }
+
+    // Guards against a map message taken for a load, which travels in the same envelope.
+    void loadMessagesAreToldFromMapMessages()
+    {
+        const LoadMessage answer{LoadMessage::Tokens{{1.5, 2}, {3, 4}}};
+        CPPUNIT_ASSERT(LoadMessage::decode(answer.encode())->tokens == answer.tokens);
+        CPPUNIT_ASSERT(!LoadMessage::decode(LoadMessage{}.encode())->tokens.has_value());
+        for (const char *text : {"[\"staged\",{}]", "[\"load\"]", "[\"load\",[1]]", "[]", "{", "7"})
+            CPPUNIT_ASSERT(!LoadMessage::decode(text).has_value());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GroupTest);
--- a/Tests/Process/group-test.sh
+++ b/Tests/Process/group-test.sh
@@ -9,6 +9,8 @@
 source scripts/deployment.sh
 
 RANKS=8
+# Read by the entries; only one case reports loads.
+export NUTMEGRILL_REBALANCE_AFTER=2
 WEIGHTS=$(port 2)
 RANK_GROUP=$(port 3)
 CONTROL=([entry-1]=$(port 21) [entry-2]=$(port 22))
@@ -256,6 +258,21 @@
   expect_change_after_break 2
 }
 
+# Skewed load reports make the owner move experts by itself, once.
+case_owner_rebalances_by_load() {
+  local layer='[20,20,5,5,5,5,5,5,5,5,5,5,5,5,5,5]'
+  curl -s -X PUT "http://$RANK_GROUP/ranks/load" -d "{\"tokens\":[$layer,$layer]}" > /dev/null
+  wait_for "a change by the owner" in_use_everywhere 1
+  expect_steps_go_on
+  sleep 4
+  local skew
+  skew=$(dump "$OWNER" | grep -oE '"skew":[0-9.]+' | cut -d: -f2)
+  grep 4012 "$WORK/$OWNER.log"
+  echo "skew now: $skew"
+  expect "the skew is below 1.2, not $skew" awk "BEGIN { exit !($skew >= 1 && $skew < 1.2) }"
+  expect "one change is enough" in_use_everywhere 1
+}
+
 gave_up() { dump "$1" | grep -q '"lastResult":"deposed"'; }
 
 passed=0
--- a/Tests/StandIns/Ranks.cpp
+++ b/Tests/StandIns/Ranks.cpp
@@ -29,7 +29,12 @@
             this->reply(request.id, 200, this->describe());
             return;
         }
-        // Paths: /ranks/R/state, /ranks/R/map, /ranks/R/hold and /ranks/R/skip.
+        if (request.path == "/ranks/load") {
+            this->tokens = body.at("tokens").get<Tokens>();
+            this->reply(request.id, 200, Json::object());
+            return;
+        }
+        // Paths: /ranks/R/load, /ranks/R/state, /ranks/R/map, /ranks/R/hold and /ranks/R/skip.
         static const std::string prefix = "/ranks/";
         const std::size_t slash = request.path.rfind('/');
         if (request.path.compare(0, prefix.size(), prefix) != 0 || slash < prefix.size())
@@ -40,6 +45,10 @@
             throw StandInError(404, "no such rank");
         Rank &rank = this->ranks[index];
         const std::string action = request.path.substr(slash + 1);
+        if (action == "load") {
+            this->reply(request.id, 200, {{"tokens", this->tokens}});
+            return;
+        }
         if (action == "state") {
             this->reply(request.id, 200, this->describe(rank));
             return;
@@ -77,6 +86,8 @@
     }
 
 private:
+    using Tokens = std::vector<std::vector<double>>;
+
     struct Rank
     {
         /// Epoch of the map in force from a step on.
@@ -188,6 +199,8 @@
     std::int64_t &replace = this->number("replace", 0, "1: the rank forgets its maps");
 
     std::vector<Rank> ranks;
+    /// Tokens per step of each expert in each layer that every rank reports; PUT /ranks/load.
+    Tokens tokens;
     std::int64_t step = 1;
     std::uint64_t mixedSteps = 0;
     std::uint64_t heldSteps = 0;
