--- a/Tests/Process/group-test.sh
+++ b/Tests/Process/group-test.sh
@@ -167,13 +167,21 @@
   expect "weights were loaded" [ "$(curl -s "http://$WEIGHTS/counters" | grep -oE '"completed":[0-9]+' | cut -d: -f2)" -gt 0 ]
 }
 
-# G1: the owner dies after the first arm; the ranks finish the change and the next owner goes on.
+# G1: the owner dies after the first arm; the ranks finish the change and the next owner goes on. One agent is
+# frozen meanwhile, so that the outcome comes after the step of the change: armed ranks must wait for it there.
 case_owner_killed_after_the_first_arm() {
-  rank_group_fault '{"slowMs":250}'
+  rank_group_fault '{"slowMs":100}'
   expect_accepted 1
   wait_arming
   kill -KILL "${PID[$OWNER]}"
+  sleep 0.2
+  kill -STOP "${PID[agent-3]}"
   rank_group_fault '{"slowMs":0}'
+  local held
+  held=$(count heldMs)
+  sleep 1.5
+  kill -CONT "${PID[agent-3]}"
+  expect "armed ranks waited at the step: $held ms, then $(count heldMs) ms" [ "$(count heldMs)" -gt $((held + 100)) ]
   wait_for "the next owner" find_owner "$OTHER"
   expect_change_after_break 2
 }
@@ -197,7 +205,7 @@
 
 # G1: an owner that is frozen past its lease and resumes stops by itself.
 case_owner_frozen_past_its_lease() {
-  rank_group_fault '{"slowMs":250}'
+  rank_group_fault '{"slowMs":100}'
   expect_accepted 1
   wait_arming
   local frozen=$OWNER
@@ -216,7 +224,7 @@
 # G1: an agent dies with an armed change; its next run learns map and change from the others before its rank
 # goes on.
 case_agent_killed_in_the_middle() {
-  rank_group_fault '{"slowMs":250}'
+  rank_group_fault '{"slowMs":100}'
   expect_accepted 1
   wait_arming
   kill -KILL "${PID[agent-3]}"
@@ -227,7 +235,7 @@
 
 # G1: a store outage from the arm on blocks no rank; the owner stops when its lease has run out.
 case_store_down_from_the_arm_on() {
-  rank_group_fault '{"slowMs":250}'
+  rank_group_fault '{"slowMs":100}'
   expect_accepted 1
   wait_arming
   store_fault '{"down":"silent"}'
