--- a/Source/Programs/AgentMain.cpp
+++ b/Source/Programs/AgentMain.cpp
@@ -11,6 +11,10 @@
     settings.require("service", Settings::Format::Text, "service of the backend server");
     settings.require("backend", Settings::Format::Address, "address of the backend server");
     settings.allow("instances", Settings::Format::Address, "", "address of the instance list");
+    settings.allow("group", Settings::Format::Text, "",
+                   "model group of which the backend server is a rank");
+    settings.allow("weights", Settings::Format::Address, "",
+                   "address of the weight store; without it weights need no loading");
     if (!start.read(argc, argv))
         return start.exitCode();
 
@@ -18,5 +22,7 @@
     options.node.service = settings.text("service");
     options.node.incarnation = ProcessStart::timeOfDay();
     options.backendAddress = settings.text("backend");
+    options.group = settings.text("group");
+    options.weightsAddress = settings.text("weights");
     return start.run<AgentShell>(options);
 }
--- a/Source/Programs/CallerGateway.h
+++ b/Source/Programs/CallerGateway.h
@@ -22,10 +22,18 @@
     /// The parsed request, or the failure to answer with (never run).
     Result parse(const HttpServer::Request &request, const Configuration &configuration);
 
+    static HttpServer::Headers failureHeaders(const WorkMessage::Failure &failure,
+                                              const std::string &requestId);
+
     /// JSON body of a failure answer.
     static std::string failureBody(const WorkMessage::Failure &failure,
                                    const std::string &requestId);
 
+    /// The failures of a request without the bearer key of a client account, and of an entry
+    /// without a configuration.
+    static WorkMessage::Failure unauthorized();
+    static WorkMessage::Failure notReady();
+
     /// JSON list of the models that the caller may use.
     static std::string modelList(const Configuration &configuration, const ClientAccount &account);
 
--- a/Source/Programs/EntryMain.cpp
+++ b/Source/Programs/EntryMain.cpp
@@ -12,6 +12,11 @@
     settings.require("instances", Settings::Format::Address, "address of the instance list");
     settings.allow("subset-size", Settings::Format::PositiveNumber, "24",
                    "agents of one service that this entry links to");
+    settings.allow("rebalance-after", Settings::Format::Number, "300",
+                   "seconds of skewed expert load before the map of a model group is changed; 0: "
+                   "never");
+    settings.allow("weights-rate", Settings::Format::PositiveNumber, "104857600",
+                   "bytes per second that the weight store gives to a model group");
     settings.allow("seed", Settings::Format::Number, "0",
                    "seed of random decisions; 0 takes the time of day");
     if (!start.read(argc, argv))
@@ -22,5 +27,7 @@
     options.node.seed = settings.number("seed");
     if (options.node.seed == 0)
         options.node.seed = ProcessStart::timeOfDay();
+    options.rebalancing.startAfter = std::chrono::seconds(settings.number("rebalance-after"));
+    options.rebalancing.weightsRate = settings.number("weights-rate");
     return start.run<EntryShell>(options);
 }
--- a/Source/Programs/EntryShell.h
+++ b/Source/Programs/EntryShell.h
@@ -9,6 +9,7 @@
 #include "Programs/CallerGateway.h"
 #include "Programs/ConfigurationReader.h"
 #include "Programs/ControlServer.h"
+#include "Programs/GroupOwner.h"
 #include "Programs/InstanceListReader.h"
 
 #include <map>
@@ -19,6 +20,7 @@
 
 namespace Nutmegrill {
 
+class GroupOwners;
 class TakeOutWriter;
 
 /// Process around an EntryNode: callers in, peer links to agents and the store out.
@@ -32,6 +34,7 @@
         std::string controlAddress;
         std::string storeAddress;
         std::string instancesAddress;
+        GroupOwner::Rebalancing rebalancing;
     };
 
     EntryShell(EventLoop &loop, const Options &options);
@@ -104,6 +107,7 @@
     void execute(const EntryOrder::StoreTakeOut &order);
     void execute(const EntryOrder::Stop &order);
     void execute(const LogRecord &record);
+    std::string dump() const;
     std::string agentOf(const PeerSession &session) const;
 
     EventLoop &loop;
@@ -117,6 +121,7 @@
     CallerGateway gateway;
     InstanceListReader instances;
     std::unique_ptr<TakeOutWriter> takeOuts;
+    std::unique_ptr<GroupOwners> groups;
     std::map<std::string, Link> links;
     std::vector<std::unique_ptr<PeerSession>> closedSessions;
     std::map<EntryOrder::CallerId, Caller> callers;
