--- a/Tests/Measure/ServiceWorld.cpp
+++ b/Tests/Measure/ServiceWorld.cpp
@@ -579,12 +579,13 @@
     }
     for (std::size_t agent = 0; agent < this->agents.size(); ++agent) {
         const auto dump = nlohmann::json::parse(this->agents[agent].node->dump(this->now));
-        for (const auto &request : dump["requests"]) {
-            const std::uint64_t caller = std::stoull(request["id"].get<std::string>().substr(1));
+        for (const auto &request : dump.at("requests")) {
+            const std::uint64_t caller =
+                    std::stoull(request.at("request_id").get<std::string>().substr(1));
             if (!this->calls[caller].slow)
                 continue;
-            processes[firstAgent + agent] += request["tailBytes"].get<std::uint64_t>();
-            readers[caller] += request["tailBytes"].get<std::uint64_t>();
+            processes[firstAgent + agent] += request.at("tail_bytes").get<std::uint64_t>();
+            readers[caller] += request.at("tail_bytes").get<std::uint64_t>();
         }
     }
     std::uint64_t total = 0;
