Hold the cold limit for the declared length of a cold start

Cause: WarmupLimit widens after each second with even token intervals. Ruled out: late credits (the check on arrival counts running work). Weighed: a limit on the pace against the warm one, which a fresh agent does not know and which batch growth also reaches. Change: services declare coldSeconds; the limit widens only after that time. The state dump of an entry is indented again (interface case malformed_take_out).

--- a/Source/Agent/PeerControl.cpp
+++ b/Source/Agent/PeerControl.cpp
@@ -158,7 +158,8 @@
     if (version != this->followed) {
         this->followed = version;
         if (const ServiceDeclaration *service = this->state.service(); service != nullptr)
-            this->state.backend.warmup.declare(service->coldRequests, service->warmRequests);
+            this->state.backend.warmup.declare(service->coldRequests, service->warmRequests,
+                                               std::chrono::seconds(service->coldSeconds));
         this->state.log(turn, AgentLog::ConfigurationInForce, LogRecord::Level::Info,
                         "configuration " + std::to_string(version) + " is in force");
     }
--- a/Source/Agent/WarmupLimit.cpp
+++ b/Source/Agent/WarmupLimit.cpp
@@ -18,8 +18,11 @@
 
 } // namespace
 
-void WarmupLimit::declare(std::uint32_t cold, std::uint32_t warm)
+void WarmupLimit::declare(std::uint32_t cold, std::uint32_t warm, std::chrono::seconds coldStart)
 {
+    // The first declaration comes after the start; the cold start has lasted since then.
+    this->coldUntil += coldStart - this->coldStart;
+    this->coldStart = coldStart;
     const bool first = this->warm == 0;
     const bool wasWarm = !first && this->isWarm();
     this->warm = std::max(warm, 1U);
@@ -49,6 +52,7 @@
     this->cleanWindows = 0;
     this->follow();
     this->slowScore = 0;
+    this->coldUntil = now + this->coldStart;
     this->openWindow(now);
 }
 
@@ -73,7 +77,7 @@
     if (now < this->windowEnd)
         return false;
     const std::uint32_t before = this->current;
-    if (this->isWindowClean()) {
+    if (now >= this->coldUntil && this->isWindowClean()) {
         ++this->cleanWindows;
         this->follow();
         this->learnWarmInterval();
--- a/Source/Agent/WarmupLimit.h
+++ b/Source/Agent/WarmupLimit.h
@@ -2,6 +2,7 @@
 
 #include "Core/Time.h"
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -12,8 +13,8 @@
 class WarmupLimit
 {
 public:
-    /// Sets the declared limits.
-    void declare(std::uint32_t cold, std::uint32_t warm);
+    /// Sets the declared limits and how long a cold start lasts at least.
+    void declare(std::uint32_t cold, std::uint32_t warm, std::chrono::seconds coldStart);
 
     void turnCold(Instant now);
 
@@ -39,6 +40,10 @@
 
     std::uint32_t cold = 0;
     std::uint32_t warm = 0;
+    /// Declared length of a cold start.
+    std::chrono::seconds coldStart{0};
+    /// The limit does not widen before this instant.
+    Instant coldUntil;
     std::uint32_t current = 0;
     /// Clean windows since the cold start; equal to steps() when warm.
     std::uint32_t cleanWindows = 0;
--- a/Source/Config/ConfigurationCodec.cpp
+++ b/Source/Config/ConfigurationCodec.cpp
@@ -11,8 +11,9 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServiceDeclaration::Call, method, pathPrefix,
                                                 idempotent)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ServiceDeclaration, name, kind, model,
-                                                failureDomains, warmRequests, coldRequests, kvBytes,
-                                                kvBytesPerToken, checksSender, checksFencing, calls)
+                                                failureDomains, warmRequests, coldRequests,
+                                                coldSeconds, kvBytes, kvBytesPerToken, checksSender,
+                                                checksFencing, calls)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ModelGroup, name, service, failureDomain, ranks,
                                                 layers, expertsPerLayer, slotsPerRank, expertBytes)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(ClientAccount, name, keyHash, weight, services,
--- a/Source/Config/ObjectReader.cpp
+++ b/Source/Config/ObjectReader.cpp
@@ -171,10 +171,13 @@
     service.kind = isModel ? ServiceDeclaration::Kind::Model : ServiceDeclaration::Kind::Plain;
     service.failureDomains = reader.names("failureDomains");
     constexpr FieldReader::Range Requests{1, 100'000};
+    constexpr FieldReader::Range ColdSeconds{0, 3'600};
     service.warmRequests = static_cast<std::uint32_t>(
             reader.count("warmRequests", service.warmRequests, Requests));
     service.coldRequests = static_cast<std::uint32_t>(
             reader.count("coldRequests", service.coldRequests, Requests));
+    service.coldSeconds = static_cast<std::uint32_t>(
+            reader.count("coldSeconds", service.coldSeconds, ColdSeconds));
     service.kvBytes = reader.bytes("kvBytes", service.kvBytes);
     service.kvBytesPerToken = reader.bytes("kvBytesPerToken", service.kvBytesPerToken);
     service.checksSender = reader.flag("checksSender", service.checksSender);
--- a/Source/Config/ServiceDeclaration.h
+++ b/Source/Config/ServiceDeclaration.h
@@ -32,6 +32,9 @@
     /// Requests that one backend server bears at once when warm, and during a cold start.
     std::uint32_t warmRequests = 16;
     std::uint32_t coldRequests = 2;
+    /// How long a cold start lasts at least, in seconds. The cold limit holds that long before it
+    /// widens, however even the token intervals are.
+    std::uint32_t coldSeconds = 0;
     /// KV-cache bytes of one backend server, and bytes per token at the end of an answer. 0: no
     /// limit.
     std::uint64_t kvBytes = 0;
--- a/Source/Programs/GroupMember.cpp
+++ b/Source/Programs/GroupMember.cpp
@@ -487,7 +487,7 @@
                                  {"step", this->armedStep}};
     }
     document["group"] = row;
-    return document.dump();
+    return document.dump(2);
 }
 
 void GroupMember::log(std::uint32_t number, bool warning, const std::string &text) const
--- a/Source/Programs/GroupOwners.cpp
+++ b/Source/Programs/GroupOwners.cpp
@@ -62,7 +62,7 @@
     document["groups"] = nlohmann::json::array();
     for (const auto &[name, group] : this->groups)
         document["groups"].push_back(group->describe());
-    return document.dump();
+    return document.dump(2);
 }
 
 } // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Agent/WarmupLimitTest.cpp
@@ -0,0 +1,45 @@
+#include "Agent/WarmupLimit.h"
+
+#include <chrono>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+class WarmupLimitTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(WarmupLimitTest);
+    CPPUNIT_TEST(evenIntervalsDoNotShortenTheColdStart);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against an engine that is slow but even, and is given more than it bears while cold.
+    void evenIntervalsDoNotShortenTheColdStart()
+    {
+        CPPUNIT_ASSERT_EQUAL(4U,
+                             this->limitAfter(std::chrono::seconds(5), std::chrono::seconds(5)));
+        CPPUNIT_ASSERT(this->limitAfter(std::chrono::seconds(5), std::chrono::seconds(8)) > 4);
+        // Without a declared length the limit widens within these 5 s.
+        CPPUNIT_ASSERT(this->limitAfter(std::chrono::seconds(0), std::chrono::seconds(5)) > 4);
+    }
+
+private:
+    std::uint32_t limitAfter(std::chrono::seconds coldStart, std::chrono::seconds time) const
+    {
+        static constexpr std::chrono::milliseconds Step(20);
+        WarmupLimit limit;
+        limit.declare(4, 16, coldStart);
+        const Instant start{std::chrono::seconds(100)};
+        limit.turnCold(start);
+        for (Instant now = start; now < start + time; now += Step) {
+            limit.addTokenInterval(now, Step);
+            limit.tick(now);
+        }
+        return limit.limit();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WarmupLimitTest);
+
+} // namespace Nutmegrill
