--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -83,11 +83,7 @@
     {
         std::string body;
         bool ended = false;
-        this->client->call(Address, {}, this->handlers(body, ended));
-        this->waitFor([&] { return !this->requests.empty(); });
-        this->server->startReply(this->requests[0].id, 200, {});
-        this->server->sendChunk(this->requests[0].id, "one ");
-        this->waitFor([&] { return body == "one "; });
+        this->beginStream(body, ended);
         CPPUNIT_ASSERT(!ended);
         this->server->sendChunk(this->requests[0].id, "two");
         this->server->endReply(this->requests[0].id);
@@ -100,11 +96,7 @@
     {
         std::string body;
         bool ended = false;
-        this->client->call(Address, {}, this->handlers(body, ended));
-        this->waitFor([&] { return !this->requests.empty(); });
-        this->server->startReply(this->requests[0].id, 200, {});
-        this->server->sendChunk(this->requests[0].id, "one ");
-        this->waitFor([&] { return body == "one "; });
+        this->beginStream(body, ended);
         this->server->abort(this->requests[0].id);
         this->waitFor([&] { return !this->failures.empty(); });
         CPPUNIT_ASSERT(!ended);
@@ -130,11 +122,7 @@
         this->server->onGone([&](HttpServer::RequestId id) { gone.push_back(id); });
         std::string body;
         bool ended = false;
-        const auto call = this->client->call(Address, {}, this->handlers(body, ended));
-        this->waitFor([&] { return !this->requests.empty(); });
-        this->server->startReply(this->requests[0].id, 200, {});
-        this->server->sendChunk(this->requests[0].id, "one ");
-        this->waitFor([&] { return body == "one "; });
+        const auto call = this->beginStream(body, ended);
         this->client->cancel(call);
         this->waitFor([&] { return !gone.empty(); });
         CPPUNIT_ASSERT_EQUAL(this->requests[0].id, gone[0]);
@@ -146,12 +134,8 @@
     {
         std::string body;
         bool ended = false;
-        const auto call = this->client->call(Address, {}, this->handlers(body, ended));
-        this->waitFor([&] { return !this->requests.empty(); });
+        const auto call = this->beginStream(body, ended);
         const auto id = this->requests[0].id;
-        this->server->startReply(id, 200, {});
-        this->server->sendChunk(id, "one ");
-        this->waitFor([&] { return body == "one "; });
         this->client->pause(call, true);
         this->loop->runUntil([] { return false; }, 20ms);
         const std::size_t total = 32U << 20U;
@@ -180,6 +164,17 @@
     }
 
 private:
+    /// Calls the server, which sends the first part of a streamed answer: "one ".
+    HttpClient::CallId beginStream(std::string &body, bool &ended)
+    {
+        const auto call = this->client->call(Address, {}, this->handlers(body, ended));
+        this->waitFor([&] { return !this->requests.empty(); });
+        this->server->startReply(this->requests[0].id, 200, {});
+        this->server->sendChunk(this->requests[0].id, "one ");
+        this->waitFor([&] { return body == "one "; });
+        return call;
+    }
+
     HttpClient::Handlers handlers(std::string &body, bool &ended)
     {
         HttpClient::Handlers handlers;
