Place experts by demand: agents that switch maps safely on self-switching engines

An agent beside each rank now reads counts, the agent of the lowest live rank plans, and RankSwitch holds the step before it arms, releases it only when every rank is armed, and goes forward only.

--- a/Source/Config/ServiceDeclaration.h
+++ b/Source/Config/ServiceDeclaration.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Config/ExpertProfile.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -48,6 +50,8 @@
     std::uint32_t maxConnections = 0;
     /// Requests a second that one backend server bears during a cold start. 0: no limit.
     double coldRequestsPerSecond = 0;
+    /// Experts of a model whose ranks change maps by themselves.
+    ExpertProfile experts;
 
     bool operator==(const ServiceDeclaration &) const = default;
 };
--- a/Source/Experts/LayerPlacement.cpp
+++ b/Source/Experts/LayerPlacement.cpp
@@ -25,7 +25,11 @@
 } // namespace
 
 LayerPlacement::LayerPlacement(Slots slots, std::vector<double> tokens)
-    : placed(std::move(slots)), original(this->placed), tokens(std::move(tokens)),
+    : LayerPlacement(std::move(slots), std::move(tokens), Limits())
+{}
+
+LayerPlacement::LayerPlacement(Slots slots, std::vector<double> tokens, const Limits &limits)
+    : limits(limits), placed(std::move(slots)), original(this->placed), tokens(std::move(tokens)),
       difference(this->placed.size()), countChange(this->tokens.size())
 {
     this->meanLoad = std::accumulate(this->tokens.begin(), this->tokens.end(), 0.0)
@@ -91,7 +95,7 @@
         this->tryReplicas(hot, best);
         this->tryCooler(hot, best);
         this->trySwaps(hot, best);
-        if (full || best.count == 0)
+        if (this->limits.chains && (full || best.count == 0))
             this->tryChains(hot, best);
         if (best.count != 0)
             return best;
@@ -192,10 +196,32 @@
     if (value / LeastPrice <= best.value)
         return;
     move.value = value / this->price(move);
-    if (move.value > best.value)
+    if (move.value > best.value && this->isWithinLimits(move))
         best = move;
 }
 
+bool LayerPlacement::isWithinLimits(const Move &move) const
+{
+    if (this->limits.loadsPerRank == 0)
+        return true;
+    for (std::size_t index = 0; index < move.count; ++index) {
+        const std::size_t rank = move.assignments[index].rank;
+        const auto &before = this->original[rank];
+        std::vector<std::uint32_t> after = this->placed[rank];
+        for (std::size_t other = 0; other < move.count; ++other) {
+            if (move.assignments[other].rank == rank)
+                after[move.assignments[other].slot] = move.assignments[other].expert;
+        }
+        const auto loads =
+                std::count_if(after.begin(), after.end(), [&before](std::uint32_t expert) {
+                    return std::find(before.begin(), before.end(), expert) == before.end();
+                });
+        if (loads > static_cast<std::ptrdiff_t>(this->limits.loadsPerRank))
+            return false;
+    }
+    return true;
+}
+
 // Another rank takes a replica of one of the hottest rank's experts.
 void LayerPlacement::tryReplicas(std::size_t hottest, Move &best)
 {
--- a/Source/Experts/LayerPlacement.h
+++ b/Source/Experts/LayerPlacement.h
@@ -15,7 +15,16 @@
     /// slots[rank] lists the experts of a rank.
     using Slots = std::vector<std::vector<std::uint32_t>>;
 
+    struct Limits
+    {
+        /// Experts that a rank may load in this layer. 0: no limit.
+        std::uint32_t loadsPerRank = 0;
+        /// Moves over three ranks. They find more, but take most of the time of the search.
+        bool chains = true;
+    };
+
     LayerPlacement(Slots slots, std::vector<double> tokens);
+    LayerPlacement(Slots slots, std::vector<double> tokens, const Limits &limits);
 
     /// Makes the move that gains most per expert loaded; false when no move helps.
     bool improveOnce();
@@ -52,6 +61,7 @@
     };
 
     Move findMove();
+    bool isWithinLimits(const Move &move) const;
     bool holds(std::size_t rank, std::uint32_t expert) const;
     bool isRedundant(std::size_t rank, std::size_t slot) const;
     double potential(std::size_t rank, double change) const;
@@ -69,6 +79,7 @@
     template <typename Order>
     std::vector<std::size_t> firstRanks(std::size_t count, Order before) const;
 
+    Limits limits;
     Slots placed;
     Slots original;
     std::vector<double> tokens;
--- a/Source/Experts/PlacementPlanner.cpp
+++ b/Source/Experts/PlacementPlanner.cpp
@@ -54,7 +54,9 @@
     ++plan.map.epoch;
     std::vector<LayerPlacement> layers;
     for (std::size_t layer = 0; layer < tokens.size(); ++layer)
-        layers.emplace_back(map.slots[layer], tokens[layer]);
+        layers.emplace_back(
+                map.slots[layer], tokens[layer],
+                LayerPlacement::Limits{this->settings.loadsPerRank, this->settings.chains});
     search(layers, this->settings.targetSkew);
     for (std::size_t layer = 0; layer < tokens.size(); ++layer) {
         plan.map.slots[layer] = layers[layer].slots();
--- a/Source/Experts/PlannerSettings.h
+++ b/Source/Experts/PlannerSettings.h
@@ -23,6 +23,9 @@
     std::chrono::microseconds horizon = std::chrono::minutes(30);
     /// Share of the step time lost while weights are loaded.
     double loadSlowdown = 0.05;
+    /// Limits of the search in one layer; see LayerPlacement::Limits.
+    std::uint32_t loadsPerRank = 0;
+    bool chains = true;
 };
 
 } // namespace Nutmegrill
--- /dev/null
+++ b/Source/Experts/RankSwitch.cpp
@@ -0,0 +1,210 @@
+#include "Experts/RankSwitch.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace Nutmegrill {
+
+namespace {
+
+/// Pause before an order is repeated. The engine is on the same machine and answers within a few
+/// milliseconds; its report shows what an order did.
+constexpr std::chrono::milliseconds RepeatPause{40};
+
+} // namespace
+
+void RankSwitch::beginEpoch()
+{
+    this->toPrepare.reset();
+    this->target.reset();
+    this->armSent = false;
+    this->refusedVersion = 0;
+    this->highestVersion = 0;
+    this->armedPeers.clear();
+    this->switchingPeers.clear();
+}
+
+void RankSwitch::engineReported(const EngineState &engine)
+{
+    if (!this->state || this->state->epoch != engine.epoch || this->state->group != engine.group
+        || this->state->rank != engine.rank)
+        this->beginEpoch();
+    this->state = engine;
+    this->highestVersion =
+            std::max({this->highestVersion, engine.mapVersion, engine.preparedVersion.value_or(0)});
+    if (engine.armed)
+        this->highestVersion = std::max(this->highestVersion, engine.armed->version);
+
+    if (this->target && engine.step >= this->target->step
+        && engine.heldStep != this->target->step) {
+        this->target.reset();
+        this->armSent = false;
+    }
+    // A held or armed rank without a change in hand: this agent has started again, or an order of
+    // an earlier try was carried out late.
+    if (!this->target && engine.armed && engine.armed->step > engine.step)
+        this->target = engine.armed;
+    else if (!this->target && engine.heldStep && *engine.heldStep > engine.step
+             && engine.preparedVersion)
+        this->target = MapSwitch{*engine.preparedVersion, *engine.heldStep};
+    if (this->toPrepare
+        && (engine.preparedVersion == this->toPrepare->version
+            || engine.mapVersion >= this->toPrepare->version))
+        this->toPrepare.reset();
+    this->joinPeers();
+}
+
+void RankSwitch::commanded(const OwnerCommand &command)
+{
+    if (!this->state || command.epoch != this->state->epoch || command.group != this->state->group
+        || command.ballot < this->ballot)
+        return;
+    if (command.ballot > this->ballot) {
+        this->ballot = command.ballot;
+        this->toPrepare.reset();
+    }
+    if (this->target)
+        return;
+    switch (command.phase) {
+    case OwnerCommand::Phase::Survey:
+        return;
+    case OwnerCommand::Phase::Prepare:
+        if (this->state->preparedVersion != command.change.version
+            && this->refusedVersion < command.change.version
+            && this->state->mapVersion < command.change.version)
+            this->toPrepare = Prepare{command.change.version, command.map};
+        return;
+    case OwnerCommand::Phase::Switch:
+        if (this->state->preparedVersion == command.change.version
+            && this->state->step < command.change.step)
+            this->target = command.change;
+        return;
+    }
+}
+
+void RankSwitch::peerReported(const RankState &peer)
+{
+    if (!this->state || peer.engine.group != this->state->group
+        || peer.engine.epoch != this->state->epoch)
+        return;
+    if (peer.engine.armed)
+        this->armedPeers[peer.engine.rank] = *peer.engine.armed;
+    if (peer.switching)
+        this->switchingPeers[peer.engine.rank] = *peer.switching;
+    this->joinPeers();
+}
+
+void RankSwitch::joinPeers()
+{
+    if (this->target || !this->state->preparedVersion)
+        return;
+    for (const auto *peers : {&this->armedPeers, &this->switchingPeers}) {
+        for (const auto &[rank, change] : *peers) {
+            if (change.version == *this->state->preparedVersion && change.step > this->state->step)
+                this->target = change;
+        }
+    }
+}
+
+bool RankSwitch::isArmedHere() const
+{
+    return this->state->armed == this->target;
+}
+
+bool RankSwitch::allArmed() const
+{
+    for (std::uint32_t rank = 0; rank < this->state->ranks; ++rank) {
+        if (rank == this->state->rank)
+            continue;
+        const auto found = this->armedPeers.find(rank);
+        if (found == this->armedPeers.end() || found->second != *this->target)
+            return false;
+    }
+    return this->isArmedHere();
+}
+
+std::optional<EngineOrder> RankSwitch::nextOrder(Instant now)
+{
+    if (this->orderOpen || now < this->nextOrderAt || !this->state || !this->state->isOpen)
+        return std::nullopt;
+    EngineOrder order;
+    order.epoch = this->state->epoch;
+    if (this->target) {
+        order.change = *this->target;
+        const bool isHeld = this->state->heldStep == this->target->step;
+        if (this->allArmed()) {
+            if (!isHeld)
+                return std::nullopt;
+            order.kind = EngineOrder::Kind::Release;
+        } else if (!isHeld) {
+            order.kind = EngineOrder::Kind::Hold;
+        } else if (!this->isArmedHere()) {
+            order.kind = EngineOrder::Kind::Arm;
+            this->armSent = true;
+        } else {
+            return std::nullopt;
+        }
+    } else if (this->state->heldStep && *this->state->heldStep > this->state->step) {
+        // Held without a map that could be switched to: nothing can be armed for that step.
+        order.kind = EngineOrder::Kind::Release;
+        order.change.step = *this->state->heldStep;
+    } else if (this->toPrepare) {
+        order.kind = EngineOrder::Kind::Prepare;
+        order.change.version = this->toPrepare->version;
+        order.map = this->toPrepare->map;
+    } else {
+        return std::nullopt;
+    }
+    this->orderOpen = true;
+    return order;
+}
+
+void RankSwitch::answered(Instant now, const EngineOrder &order, OrderAnswer answer)
+{
+    this->orderOpen = false;
+    this->nextOrderAt = answer == OrderAnswer::Accepted ? now : now + RepeatPause;
+    if (!this->state || order.epoch != this->state->epoch)
+        return;
+    switch (order.kind) {
+    case EngineOrder::Kind::Prepare:
+        if (answer == OrderAnswer::Accepted) {
+            // The copy takes a while; the report shows its end. A repeat would be refused.
+            this->nextOrderAt = now + 5 * RepeatPause;
+        } else if (answer == OrderAnswer::Refused && this->toPrepare
+                   && this->toPrepare->version == order.change.version) {
+            // Also the answer to a repeat of an order that was carried out without an answer: then
+            // the report shows the map, and the owner goes by that.
+            this->refusedVersion = order.change.version;
+            this->highestVersion = std::max(this->highestVersion, order.change.version);
+            this->toPrepare.reset();
+        }
+        return;
+    case EngineOrder::Kind::Hold:
+        if (answer == OrderAnswer::Accepted)
+            this->state->heldStep = order.change.step;
+        else if (answer == OrderAnswer::Refused && !this->armSent && this->target == order.change)
+            // The step has begun, so no rank is armed for it.
+            this->target.reset();
+        return;
+    case EngineOrder::Kind::Arm:
+        if (answer == OrderAnswer::Accepted)
+            this->state->armed = order.change;
+        return;
+    case EngineOrder::Kind::Release:
+        if (answer == OrderAnswer::Accepted)
+            this->state->heldStep.reset();
+        return;
+    }
+}
+
+void RankSwitch::describe(RankState &description) const
+{
+    if (this->state)
+        description.engine = *this->state;
+    description.ballot = this->ballot;
+    description.switching = this->target;
+    description.highestVersion = this->highestVersion;
+    description.refusedVersion = this->refusedVersion;
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Experts/SwitchOwner.cpp
@@ -0,0 +1,295 @@
+#include "Experts/SwitchOwner.h"
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+#include <utility>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// An agent that was not heard for this long is not counted on; agents report every 250 ms.
+constexpr milliseconds LiveTime{1500};
+/// Demand shifts every few seconds, so counts are weighed by age with this half-life.
+constexpr milliseconds DemandHalfLife{1500};
+constexpr milliseconds TrendHalfLife{6000};
+constexpr milliseconds ObservationPeriod{500};
+/// Smallest pause between two plans. A change takes about a second from plan to step.
+constexpr milliseconds PlanPeriod{1000};
+constexpr milliseconds SurveyLimit{1500};
+/// Copying three experts a layer takes half a second; late orders are repeated meanwhile.
+constexpr milliseconds PrepareLimit{4000};
+constexpr milliseconds SwitchLimit{15000};
+/// Time from the command to the step of the change: orders and reports of a dozen agents need some
+/// tens of milliseconds, and a step that comes too early is held, which costs every stream.
+constexpr milliseconds StepLead{500};
+constexpr std::uint64_t LeastLeadSteps = 4;
+constexpr milliseconds UsualStep{80};
+/// Ballots of different ranks differ in the remainder.
+constexpr std::uint64_t BallotStride = 1024;
+constexpr std::uint64_t LeastObservations = 2;
+
+} // namespace
+
+SwitchOwner::SwitchOwner(const Settings &settings)
+    : settings(settings), planner(settings.planner), load(DemandHalfLife, TrendHalfLife)
+{}
+
+std::string SwitchOwner::takeNote()
+{
+    return std::exchange(this->note, {});
+}
+
+void SwitchOwner::report(Instant now, const RankState &state)
+{
+    Rank &rank = this->ranks[state.engine.rank];
+    const RankState &known = rank.state;
+    if (std::make_pair(state.incarnation, state.sequence)
+        <= std::make_pair(known.incarnation, known.sequence))
+        return;
+    if (rank.firstStepAt == Instant() || state.engine.epoch != known.engine.epoch) {
+        rank.firstStep = state.engine.step;
+        rank.firstStepAt = now;
+    }
+    RankState next = state;
+    // Reports to all agents leave these out.
+    if (next.counts.empty())
+        next.counts = known.counts;
+    if (next.experts.empty() && next.engine.epoch == known.engine.epoch
+        && next.engine.mapVersion == known.engine.mapVersion)
+        next.experts = known.experts;
+    rank.state = std::move(next);
+    rank.heardAt = now;
+}
+
+bool SwitchOwner::isLive(const Rank &rank, Instant now) const
+{
+    return now < rank.heardAt + LiveTime;
+}
+
+bool SwitchOwner::isOwner(Instant now, std::uint32_t ownRank) const
+{
+    return std::none_of(this->ranks.begin(), this->ranks.end(), [&](const auto &entry) {
+        return entry.first < ownRank && this->isLive(entry.second, now);
+    });
+}
+
+bool SwitchOwner::isWhole(Instant now) const
+{
+    if (this->ranks.empty())
+        return false;
+    const EngineState &first = this->ranks.begin()->second.state.engine;
+    if (first.ranks == 0 || this->ranks.size() < first.ranks)
+        return false;
+    for (std::uint32_t number = 0; number < first.ranks; ++number) {
+        const auto found = this->ranks.find(number);
+        if (found == this->ranks.end() || !this->isLive(found->second, now))
+            return false;
+        const EngineState &engine = found->second.state.engine;
+        if (!engine.isOpen || engine.epoch != first.epoch || engine.group != first.group)
+            return false;
+    }
+    return true;
+}
+
+void SwitchOwner::observe(Instant now)
+{
+    if (now < this->nextObservationAt)
+        return;
+    this->nextObservationAt = now + ObservationPeriod;
+    ExpertLoad::Tokens tokens(this->settings.layers,
+                              std::vector<double>(this->settings.experts + 1, 0));
+    const std::size_t length = std::size_t(this->settings.layers) * this->settings.experts;
+    double sum = 0;
+    for (auto &[number, rank] : this->ranks) {
+        const std::vector<std::uint64_t> &counts = rank.state.counts;
+        if (counts.size() != length)
+            continue;
+        for (std::size_t index = 0; index < length; ++index) {
+            // Counts begin anew with each start of the engine.
+            const std::uint64_t before =
+                    rank.lastCounts.size() == length && rank.lastCounts[index] <= counts[index]
+                            ? rank.lastCounts[index]
+                            : counts[index];
+            const auto chosen = static_cast<double>(counts[index] - before);
+            tokens[index / this->settings.experts][index % this->settings.experts] += chosen;
+            sum += chosen;
+        }
+        rank.lastCounts = counts;
+    }
+    if (sum <= 0)
+        return;
+    this->load.observe(now, tokens);
+    ++this->observations;
+}
+
+std::optional<ExpertMap> SwitchOwner::currentMap() const
+{
+    ExpertMap map;
+    map.slots.assign(this->settings.layers, {});
+    for (const auto &[number, rank] : this->ranks) {
+        if (rank.state.experts.size() != this->settings.layers)
+            return std::nullopt;
+        for (std::size_t layer = 0; layer < this->settings.layers; ++layer)
+            map.slots[layer].push_back(rank.state.experts[layer]);
+    }
+    return map;
+}
+
+ExpertMap SwitchOwner::padded(const ExpertMap &map) const
+{
+    ExpertMap full = map;
+    // A free place holds an expert beyond the last one that nobody chooses.
+    for (auto &layer : full.slots) {
+        for (auto &rank : layer) {
+            if (rank.size() < this->settings.placements)
+                rank.resize(this->settings.placements, this->settings.experts);
+        }
+    }
+    return full;
+}
+
+ExpertMap SwitchOwner::unpadded(const ExpertMap &map) const
+{
+    ExpertMap real = map;
+    for (auto &layer : real.slots) {
+        for (auto &rank : layer) {
+            std::erase(rank, this->settings.experts);
+            std::sort(rank.begin(), rank.end());
+        }
+    }
+    return real;
+}
+
+void SwitchOwner::considerPlan(Instant now)
+{
+    if (now < this->nextPlanAt || this->observations < LeastObservations)
+        return;
+    this->nextPlanAt = now + PlanPeriod;
+    const std::optional<ExpertMap> map = this->currentMap();
+    if (!map)
+        return;
+    const auto plan = this->planner.consider(now, this->padded(*map), this->load.tokens());
+    if (!plan)
+        return;
+    std::uint64_t version = 0;
+    std::uint64_t ballot = 0;
+    for (const auto &[number, rank] : this->ranks) {
+        version = std::max({version, rank.state.highestVersion, rank.state.refusedVersion});
+        ballot = std::max(ballot, rank.state.ballot);
+    }
+    const EngineState &engine = this->ranks.begin()->second.state.engine;
+    OwnerCommand next;
+    next.group = engine.group;
+    next.epoch = engine.epoch;
+    next.ballot = (ballot / BallotStride + 1) * BallotStride + this->ranks.begin()->first;
+    next.change.version = version + 1;
+    next.map = this->unpadded(plan->map).slots;
+    this->command = next;
+    this->epoch = engine.epoch;
+    this->enter(OwnerCommand::Phase::Survey, now, SurveyLimit);
+    std::ostringstream text;
+    text << "plan version=" << next.change.version << " epoch=" << next.epoch
+         << " ballot=" << next.ballot << " skew_before=" << plan->skewBefore
+         << " skew_after=" << plan->skewAfter << " loads=" << plan->loads;
+    this->note = text.str();
+}
+
+void SwitchOwner::enter(OwnerCommand::Phase next, Instant now, milliseconds limit)
+{
+    this->command->phase = next;
+    this->phaseStart = now;
+    this->phaseDeadline = now + limit;
+}
+
+void SwitchOwner::abandon(Instant now, const std::string &why)
+{
+    this->note = "abandoned version=" + std::to_string(this->command->change.version) + " why=\""
+                 + why + "\"";
+    this->command.reset();
+    this->nextPlanAt = now + PlanPeriod;
+}
+
+std::uint64_t SwitchOwner::chooseStep() const
+{
+    std::uint64_t latest = 0;
+    std::chrono::microseconds step = UsualStep;
+    for (const auto &[number, rank] : this->ranks) {
+        const std::uint64_t present = rank.state.engine.step;
+        latest = std::max(latest, present);
+        const auto span = rank.heardAt - rank.firstStepAt;
+        if (present > rank.firstStep + LeastLeadSteps)
+            step = std::min(step,
+                            std::chrono::microseconds(
+                                    span / static_cast<std::int64_t>(present - rank.firstStep)));
+    }
+    const auto lead =
+            static_cast<std::uint64_t>(StepLead / std::max(step, std::chrono::microseconds(1)));
+    return latest + std::max(LeastLeadSteps, lead);
+}
+
+std::optional<OwnerCommand> SwitchOwner::tick(Instant now, std::uint32_t ownRank)
+{
+    if (!this->isOwner(now, ownRank) || !this->isWhole(now)) {
+        if (this->command)
+            this->abandon(now, "group not whole, or another owner");
+        return std::nullopt;
+    }
+    this->observe(now);
+    if (!this->command) {
+        // A change that another owner began is carried through by the agents first.
+        if (std::any_of(this->ranks.begin(), this->ranks.end(),
+                        [](const auto &entry) { return entry.second.state.switching.has_value(); }))
+            return std::nullopt;
+        this->considerPlan(now);
+        return this->command;
+    }
+    const auto all = [this](auto holds) {
+        return std::all_of(this->ranks.begin(), this->ranks.end(),
+                           [&](const auto &entry) { return holds(entry.second.state); });
+    };
+    const std::uint64_t version = this->command->change.version;
+    const std::uint64_t ballot = this->command->ballot;
+    if (this->ranks.begin()->second.state.engine.epoch != this->epoch) {
+        this->abandon(now, "the group formed anew");
+        return std::nullopt;
+    }
+    if (!all([&](const RankState &state) { return state.ballot <= ballot; })) {
+        this->abandon(now, "another owner has a higher ballot");
+        return std::nullopt;
+    }
+    switch (this->command->phase) {
+    case OwnerCommand::Phase::Survey:
+        if (all([&](const RankState &state) {
+                return state.ballot == ballot && !state.switching && !state.engine.armed;
+            }))
+            this->enter(OwnerCommand::Phase::Prepare, now, PrepareLimit);
+        break;
+    case OwnerCommand::Phase::Prepare:
+        if (all([&](const RankState &state) { return state.engine.preparedVersion == version; })) {
+            this->command->change.step = this->chooseStep();
+            this->enter(OwnerCommand::Phase::Switch, now, SwitchLimit);
+        }
+        break;
+    case OwnerCommand::Phase::Switch:
+        if (all([&](const RankState &state) { return state.engine.mapVersion >= version; })) {
+            this->note = "changed version=" + std::to_string(version)
+                         + " step=" + std::to_string(this->command->change.step);
+            this->command.reset();
+            return std::nullopt;
+        }
+        break;
+    }
+    if (now >= this->phaseDeadline) {
+        this->abandon(now, this->command->phase == OwnerCommand::Phase::Survey    ? "survey"
+                           : this->command->phase == OwnerCommand::Phase::Prepare ? "prepare"
+                                                                                  : "switch");
+        return std::nullopt;
+    }
+    return this->command;
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Experts/SwitchOwner.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Core/Time.h"
+#include "Experts/ExpertLoad.h"
+#include "Experts/PlacementPlanner.h"
+#include "Experts/RankState.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace Nutmegrill {
+
+/// Plans and drives the map changes of one model group whose engines switch by themselves. The
+/// agent of the lowest live rank owns the group. Two owners at a time are harmless: agents follow
+/// the higher ballot, and RankSwitch keeps every change safe whoever asks for it. So no lease is
+/// needed, and changes go on while the store is away.
+class SwitchOwner
+{
+public:
+    struct Settings
+    {
+        PlannerSettings planner;
+        /// Experts that a rank can hold in a layer, and that it can load for one change.
+        std::uint32_t placements = 0;
+        std::uint32_t spares = 0;
+        std::uint32_t experts = 0;
+        std::uint32_t layers = 0;
+    };
+
+    explicit SwitchOwner(const Settings &settings);
+
+    void report(Instant now, const RankState &state);
+
+    /// The command to send to all agents now, the own one included; nullopt when there is nothing
+    /// to ask.
+    std::optional<OwnerCommand> tick(Instant now, std::uint32_t ownRank);
+
+    /// What the owner last decided, for the log; empty after it was read.
+    std::string takeNote();
+
+private:
+    struct Rank
+    {
+        RankState state;
+        Instant heardAt;
+        std::vector<std::uint64_t> lastCounts;
+        /// First step and time of a span over which the length of a step is measured.
+        std::uint64_t firstStep = 0;
+        Instant firstStepAt;
+    };
+
+    bool isLive(const Rank &rank, Instant now) const;
+    bool isOwner(Instant now, std::uint32_t ownRank) const;
+    bool isWhole(Instant now) const;
+    void observe(Instant now);
+    void considerPlan(Instant now);
+    std::optional<ExpertMap> currentMap() const;
+    ExpertMap padded(const ExpertMap &map) const;
+    ExpertMap unpadded(const ExpertMap &map) const;
+    void enter(OwnerCommand::Phase next, Instant now, std::chrono::milliseconds limit);
+    void abandon(Instant now, const std::string &why);
+    std::uint64_t chooseStep() const;
+
+    Settings settings;
+    PlacementPlanner planner;
+    ExpertLoad load;
+    std::map<std::uint32_t, Rank> ranks;
+    std::optional<OwnerCommand> command;
+    Instant phaseDeadline = NoDeadline;
+    Instant phaseStart;
+    Instant nextPlanAt;
+    Instant nextObservationAt;
+    std::uint64_t epoch = 0;
+    std::uint64_t observations = 0;
+    std::string note;
+};
+
+} // namespace Nutmegrill
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -28,6 +28,11 @@
 inline constexpr std::uint32_t StoreLost = 5030;
 inline constexpr std::uint32_t StoreRegained = 5031;
 inline constexpr std::uint32_t MirroredFromPeer = 5032;
+inline constexpr std::uint32_t EngineLost = 5033;
+inline constexpr std::uint32_t EngineRegained = 5034;
+inline constexpr std::uint32_t MapInUse = 5035;
+inline constexpr std::uint32_t EngineOrdered = 5036;
+inline constexpr std::uint32_t OwnerDecided = 5037;
 inline constexpr std::uint32_t LinesDropped = 5040;
 
 } // namespace RelayLog
--- /dev/null
+++ b/Source/RelayShell/EngineProtocol.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Experts/RankState.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// How an agent asks the model engine on its machine and gives it orders. An implementation
+/// translates; it decides nothing.
+class EngineProtocol
+{
+public:
+    struct Request
+    {
+        std::string method;
+        std::string target;
+        std::string body;
+    };
+
+    virtual ~EngineProtocol() = default;
+
+    virtual Request reportRequest() const = 0;
+    virtual std::optional<EngineState> readReport(const std::string &body) const = 0;
+
+    virtual Request countsRequest() const = 0;
+    virtual std::optional<std::vector<std::uint64_t>> readCounts(const std::string &body) const = 0;
+
+    virtual Request expertsRequest() const = 0;
+    /// Experts of the rank by layer.
+    virtual std::optional<std::vector<std::vector<std::uint32_t>>>
+    readExperts(const std::string &body) const = 0;
+
+    virtual Request orderRequest(const EngineOrder &order) const = 0;
+    /// \a status is 0 when there was no answer.
+    virtual OrderAnswer readOrderAnswer(int status) const = 0;
+};
+
+} // namespace Nutmegrill
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -93,4 +93,122 @@
     }
 }
 
+namespace {
+
+Json switchToJson(const std::optional<MapSwitch> &change)
+{
+    return change ? Json{change->version, change->step} : Json();
+}
+
+std::optional<MapSwitch> switchFromJson(const Json &json)
+{
+    if (json.is_null())
+        return std::nullopt;
+    return MapSwitch{json.at(0).get<std::uint64_t>(), json.at(1).get<std::uint64_t>()};
+}
+
+Json optionalToJson(const std::optional<std::uint64_t> &number)
+{
+    return number ? Json(*number) : Json();
+}
+
+std::optional<std::uint64_t> optionalFromJson(const Json &json)
+{
+    return json.is_null() ? std::nullopt : std::optional(json.get<std::uint64_t>());
+}
+
+} // namespace
+
+std::string encodeRankState(const RankState &state)
+{
+    const EngineState &engine = state.engine;
+    return toBytes({{"type", "state"},
+                    {"group", engine.group},
+                    {"epoch", engine.epoch},
+                    {"rank", engine.rank},
+                    {"ranks", engine.ranks},
+                    {"open", engine.isOpen},
+                    {"step", engine.step},
+                    {"map", engine.mapVersion},
+                    {"prepared", optionalToJson(engine.preparedVersion)},
+                    {"armed", switchToJson(engine.armed)},
+                    {"held", optionalToJson(engine.heldStep)},
+                    {"address", state.address},
+                    {"incarnation", state.incarnation},
+                    {"sequence", state.sequence},
+                    {"ballot", state.ballot},
+                    {"switching", switchToJson(state.switching)},
+                    {"highest", state.highestVersion},
+                    {"refused", state.refusedVersion},
+                    {"experts", state.experts},
+                    {"counts", state.counts}});
+}
+
+std::optional<RankState> decodeRankState(std::string_view bytes)
+{
+    const Json json = fromBytes(bytes);
+    try {
+        if (!json.is_object() || json.at("type") != "state")
+            return std::nullopt;
+        RankState state;
+        EngineState &engine = state.engine;
+        json.at("group").get_to(engine.group);
+        json.at("epoch").get_to(engine.epoch);
+        json.at("rank").get_to(engine.rank);
+        json.at("ranks").get_to(engine.ranks);
+        json.at("open").get_to(engine.isOpen);
+        json.at("step").get_to(engine.step);
+        json.at("map").get_to(engine.mapVersion);
+        engine.preparedVersion = optionalFromJson(json.at("prepared"));
+        engine.armed = switchFromJson(json.at("armed"));
+        engine.heldStep = optionalFromJson(json.at("held"));
+        json.at("address").get_to(state.address);
+        json.at("incarnation").get_to(state.incarnation);
+        json.at("sequence").get_to(state.sequence);
+        json.at("ballot").get_to(state.ballot);
+        state.switching = switchFromJson(json.at("switching"));
+        json.at("highest").get_to(state.highestVersion);
+        json.at("refused").get_to(state.refusedVersion);
+        json.at("experts").get_to(state.experts);
+        json.at("counts").get_to(state.counts);
+        return state;
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::string encodeOwnerCommand(const OwnerCommand &command)
+{
+    const bool hasMap = command.phase == OwnerCommand::Phase::Prepare;
+    return toBytes({{"type", "command"},
+                    {"group", command.group},
+                    {"epoch", command.epoch},
+                    {"ballot", command.ballot},
+                    {"phase", static_cast<int>(command.phase)},
+                    {"change", switchToJson(command.change)},
+                    {"map", hasMap ? Json(command.map) : Json::array()}});
+}
+
+std::optional<OwnerCommand> decodeOwnerCommand(std::string_view bytes)
+{
+    const Json json = fromBytes(bytes);
+    try {
+        if (!json.is_object() || json.at("type") != "command")
+            return std::nullopt;
+        OwnerCommand command;
+        json.at("group").get_to(command.group);
+        json.at("epoch").get_to(command.epoch);
+        json.at("ballot").get_to(command.ballot);
+        const int phase = json.at("phase").get<int>();
+        if (phase < 0 || phase > static_cast<int>(OwnerCommand::Phase::Switch))
+            return std::nullopt;
+        command.phase = static_cast<OwnerCommand::Phase>(phase);
+        command.change = switchFromJson(json.at("change")).value_or(MapSwitch());
+        json.at("map").get_to(command.map);
+        return command;
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
 } // namespace Nutmegrill
--- a/Source/RelayShell/PeerCodec.h
+++ b/Source/RelayShell/PeerCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Experts/RankState.h"
 #include "Relay/EntryReport.h"
 #include "Relay/StoreMirror.h"
 
@@ -9,10 +10,15 @@
 
 namespace Nutmegrill {
 
-/// CBOR of what entries tell one another. Unknown fields are ignored; malformed bytes give nullopt.
+/// CBOR of what entries, and the agents of a model group, tell one another. Unknown fields are
+/// ignored; malformed bytes give nullopt.
 std::string encodeReport(const EntryReport &report);
 std::optional<EntryReport> decodeReport(std::string_view bytes);
 std::string encodeUpdate(const StoreMirror::Update &update);
 std::optional<StoreMirror::Update> decodeUpdate(std::string_view bytes);
+std::string encodeRankState(const RankState &state);
+std::optional<RankState> decodeRankState(std::string_view bytes);
+std::string encodeOwnerCommand(const OwnerCommand &command);
+std::optional<OwnerCommand> decodeOwnerCommand(std::string_view bytes);
 
 } // namespace Nutmegrill
--- /dev/null
+++ b/Source/RelayShell/RankAgent.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "Experts/RankSwitch.h"
+#include "Experts/SwitchOwner.h"
+#include "Http/ClientConnection.h"
+#include "Http/HttpListener.h"
+#include "Net/EventLoop.h"
+#include "Net/Metrics.h"
+#include "RelayShell/DatagramSocket.h"
+#include "RelayShell/EngineProtocol.h"
+#include "RelayShell/StateDecoder.h"
+#include "RelayShell/StateStore.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Nutmegrill {
+
+/// Process shell of an agent beside a model engine: reads the engine, talks to the agents of the
+/// other ranks, and gives the engine the orders that RankSwitch decides.
+class RankAgent
+{
+public:
+    struct Options
+    {
+        std::string name;
+        std::string ip;
+        std::uint16_t peerPort = 0;
+        std::string metricsAddress;
+        /// Address and service of the engine.
+        std::string engineAddress;
+        std::string service;
+        std::uint64_t incarnation = 0;
+    };
+
+    RankAgent(EventLoop &loop, const Options &options, const EngineProtocol &protocol,
+              const StateDecoder &decoder, StateStore &store);
+    ~RankAgent();
+    RankAgent(const RankAgent &) = delete;
+    RankAgent &operator=(const RankAgent &) = delete;
+
+    std::string startError() const;
+    void run();
+
+private:
+    using Answered = std::function<void(int status, const std::string &body)>;
+
+    void readEngineProfile();
+    void readPeers();
+    void tick();
+    void askEngine(const EngineProtocol::Request &request, std::chrono::milliseconds limit,
+                   Answered answered);
+    void readReport();
+    void readCounts();
+    void readExperts();
+    void giveOrder();
+    void sendState();
+    void driveOwner();
+    void takeDatagram(std::string_view bytes);
+    void sendToPeers(const std::string &bytes);
+    std::uint32_t rank() const;
+    void log(std::uint32_t number, const std::string &text);
+
+    EventLoop &loop;
+    Options options;
+    const EngineProtocol &protocol;
+    const StateDecoder &decoder;
+    StateStore &store;
+    Metrics metrics;
+    HttpListener metricsListener;
+    DatagramSocket peers;
+    std::set<std::string> peerAddresses;
+    std::shared_ptr<ClientConnection> engine;
+    std::unique_ptr<RankSwitch> rankSwitch;
+    std::unique_ptr<SwitchOwner> owner;
+    RankState state;
+    std::unique_ptr<EventLoop::Timer> ticker;
+    std::unique_ptr<EventLoop::Timer> terminateSignal;
+    std::unique_ptr<EventLoop::Timer> hangupSignal;
+    bool engineReachable = false;
+    bool expertsKnown = false;
+    Instant nextReportAt;
+    Instant nextCountsAt;
+    Instant nextStateAt;
+    Instant nextCommandAt;
+    Instant nextPeersAt;
+    Instant nextProfileAt;
+    Instant stopAt = NoDeadline;
+    std::uint32_t callsOpen = 0;
+};
+
+} // namespace Nutmegrill
--- a/Source/RelayShell/StateStore.h
+++ b/Source/RelayShell/StateStore.h
@@ -40,6 +40,9 @@
 
     /// All keys.
     virtual void readAll(Done done) = 0;
+    /// The rows of the instance list, and the configuration; they may be seconds old.
+    virtual void readBackends(Done done) = 0;
+    virtual void readConfiguration(Done done) = 0;
     /// Waits for changes after \a revision, up to \a wait.
     virtual void watch(std::uint64_t revision, std::chrono::milliseconds wait, Done done) = 0;
     /// Writes a key if its last change was at \a expected (0: it must not exist).
