--- a/Source/Experts/RankState.h
+++ b/Source/Experts/RankState.h
@@ -44,6 +44,10 @@
     EngineState engine;
     /// Where the agent is reached.
     std::string address;
+    /// Where the engine is reached.
+    std::string engineAddress;
+    /// Another agent has asked the engine, because the rank's own agent is silent.
+    bool isToldByOther = false;
     /// Differs between two starts of the agent; a higher one replaces a lower one.
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
--- a/Source/Relay/BackendRoster.cpp
+++ b/Source/Relay/BackendRoster.cpp
@@ -1,5 +1,6 @@
 #include "Relay/BackendRoster.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace Nutmegrill {
@@ -16,6 +17,8 @@
 
 bool BackendRoster::update(Instant now, const BackendRecord &record)
 {
+    std::uint64_t &latest = this->latestStart[record.address];
+    latest = std::max(latest, record.incarnation);
     const auto found = this->table.find(record.id);
     if (found == this->table.end()) {
         Row row;
@@ -58,6 +61,11 @@
     std::erase_if(this->table, [now](const auto &entry) {
         return entry.second.removedAt && now > *entry.second.removedAt + RememberRemoved;
     });
+    std::erase_if(this->latestStart, [this](const auto &entry) {
+        return std::none_of(this->table.begin(), this->table.end(), [&](const auto &row) {
+            return row.second.record.address == entry.first;
+        });
+    });
 }
 
 BackendRoster::Row *BackendRoster::find(const std::string &id)
@@ -66,9 +74,15 @@
     return found == this->table.end() ? nullptr : &found->second;
 }
 
+bool BackendRoster::isSuperseded(const Row &row) const
+{
+    const auto found = this->latestStart.find(row.record.address);
+    return found != this->latestStart.end() && row.record.incarnation < found->second;
+}
+
 bool BackendRoster::mayWork(const Row &row, Instant now) const
 {
-    return !row.record.isLeaving && now < row.usableUntil
+    return !row.record.isLeaving && !this->isSuperseded(row) && now < row.usableUntil
            && this->domainsOut.count(row.record.failureDomain) == 0;
 }
 
--- a/Source/Relay/BackendRoster.h
+++ b/Source/Relay/BackendRoster.h
@@ -4,6 +4,7 @@
 #include "Relay/BackendHealth.h"
 #include "Relay/BackendRecord.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -53,11 +54,16 @@
     const Rows &rows() const { return this->table; }
     Row *find(const std::string &id);
 
+    /// Whether a later start of a backend server has the address, so that this row is out of date.
+    bool isSuperseded(const Row &row) const;
+
     /// Whether new work may be sent there at all.
     bool mayWork(const Row &row, Instant now) const;
 
 private:
     Rows table;
+    /// Latest start that was reported for each address.
+    std::map<std::string, std::uint64_t> latestStart;
     std::set<std::string> domainsOut;
     std::optional<Instant> storeBackAt;
 };
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -29,6 +29,13 @@
 constexpr milliseconds LongestSilence{1200};
 /// A service counts as alive when any of its backend servers was heard this recently.
 constexpr milliseconds ServiceAlive{300};
+/// The longest streams of the sheets last this long at twice the usual pause between events.
+constexpr milliseconds LongestStream{4500};
+/// A service that has turned requests away for this long is not waited for by new ones.
+constexpr milliseconds LongestOutageWait{800};
+/// Pause that is stated to callers while a service turns requests away: a group that has lost a
+/// rank is back after one to four seconds.
+constexpr milliseconds OutageRetryAfter{1200};
 /// Time for a further attempt: below it an attempt is not worth its place.
 constexpr milliseconds LeastAttemptTime{60};
 /// Attempts that backend servers turned away as not run, per request.
@@ -122,6 +129,12 @@
         return;
     }
 
+    if (route->kind == Route::Kind::Stream && now + LongestStream > this->stopAt) {
+        // It would be cut by the end of the process; another entry can run it whole.
+        this->refuse(now, caller, request.id, 503, LeastRetryAfter, "planned stop", orders);
+        return;
+    }
+
     Exchange exchange;
     exchange.caller = caller;
     exchange.route = *route;
@@ -206,9 +219,9 @@
     if (BackendRoster::Row *row = this->backends.find(backend)) {
         if (head.isMisdirected)
             row->health.noteReplaced(now);
-        else
-            row->health.noteFailure(now);
     }
+    if (!head.isMisdirected)
+        this->circuits[exchange.service].noteRejected(now, backend);
     if (exchange.runs > 0)
         --exchange.runs;
     if (head.isMisdirected)
@@ -225,6 +238,7 @@
         return;
     exchange->attempt->heardAt = now;
     exchange->attempt->hasEvent = true;
+    this->circuits[exchange->service].noteServed();
     this->serviceHeardAt[exchange->service] = now;
     if (BackendRoster::Row *row = this->backends.find(exchange->attempt->backend))
         row->heardAt = now;
@@ -256,6 +270,7 @@
         row->heardAt = now;
         failed ? row->health.noteFailure(now) : row->health.noteSuccess(now);
     }
+    this->circuits[exchange->service].noteServed();
     this->loadOf(*exchange).noteHold(now - running.sentAt);
     this->releasePlace(running.backend);
     this->attempts.erase(attempt);
@@ -265,8 +280,8 @@
         this->finish(now, *exchange, "stream", 200, orders);
     } else if (failed && exchange->route.kind == Route::Kind::Idempotent
                && exchange->runs < exchange->route.maxRuns
-               && exchange->deadline - now > LeastAttemptTime + this->loadOf(*exchange).meanHold()
-               && this->retriesOf(exchange->service).take(now, this->peers.entryCount(now))) {
+               && exchange->deadline - now
+                          > LeastAttemptTime + this->loadOf(*exchange).meanHold()) {
         exchange->failedOn.insert(running.backend);
         if (!this->place(now, *exchange, orders))
             this->giveUp(now, *exchange, "failure without another backend server", orders);
@@ -316,8 +331,7 @@
     const bool allowed =
             exchange.isCertainlyNotRun()
             || (exchange.route.mayRunAgain() && exchange.runs < exchange.route.maxRuns);
-    if (!allowed || exchange.sends >= MostSends || exchange.deadline - now < LeastAttemptTime
-        || !this->retriesOf(exchange.service).take(now, this->peers.entryCount(now))) {
+    if (!allowed || exchange.sends >= MostSends || exchange.deadline - now < LeastAttemptTime) {
         this->giveUp(now, exchange, why, orders);
         return;
     }
@@ -435,6 +449,9 @@
 
 bool RelayNode::place(Instant now, Exchange &exchange, Orders &orders)
 {
+    ServiceCircuit &circuit = this->circuits[exchange.service];
+    if (!circuit.maySend(now))
+        return false;
     const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
     const std::uint32_t entries = this->peers.entryCount(now);
     const double coldRate = service == nullptr ? 0 : service->coldRequestsPerSecond;
@@ -452,8 +469,9 @@
                               row.health.failureShare(now), isCold});
     }
     const std::optional<std::string> chosen = placeRequest(candidates, this->random);
-    if (!chosen)
+    if (!chosen || (exchange.sends > 0 && !this->retriesOf(exchange.service).take(now, entries)))
         return false;
+    circuit.noteSent(now);
 
     const BackendRoster::Row &row = *this->backends.find(*chosen);
     BackendUse &use = this->uses[*chosen];
@@ -501,6 +519,9 @@
     const std::uint32_t places = this->usablePlaces(exchange.service, now);
     if (places == 0)
         return "no usable backend server";
+    const ServiceCircuit &circuit = this->circuits[exchange.service];
+    if (circuit.isOpen() && exchange.arrivedAt > *circuit.openSince() + LongestOutageWait)
+        return "the service turns requests away";
     const milliseconds wait = this->loadOf(exchange).expectedWait(
             ahead, places, this->shareOfPlaces(exchange.service, now));
     const Instant latest =
@@ -515,6 +536,8 @@
 std::chrono::milliseconds RelayNode::comeBackAfter(Instant now, const Exchange &exchange,
                                                    milliseconds wait)
 {
+    if (this->circuits[exchange.service].isOpen())
+        wait = std::max(wait, OutageRetryAfter);
     // Spread over as much time again, so that refused callers do not return together.
     const milliseconds longest = toMilliseconds(exchange.deadline - now) / RetryAfterShare;
     const milliseconds spread(
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -9,6 +9,7 @@
 #include "Relay/RelayOrder.h"
 #include "Relay/RetryShare.h"
 #include "Relay/RouteTable.h"
+#include "Relay/ServiceCircuit.h"
 #include "Relay/ServiceLoad.h"
 #include "Relay/StreamEvent.h"
 
@@ -56,6 +57,9 @@
     std::uint64_t configurationVersion() const;
     const Configuration *configuration() const;
 
+    /// A planned stop has begun; the process ends at \a end at the latest.
+    void beginStop(Instant end) { this->stopAt = end; }
+
     BackendRoster &roster() { return this->backends; }
     EntryTable &entries() { return this->peers; }
 
@@ -118,7 +122,9 @@
     std::map<std::string, BackendUse> uses;
     std::map<std::string, ServiceLoad> loads;
     std::map<std::string, RetryShare> retries;
+    std::map<std::string, ServiceCircuit> circuits;
     std::map<std::string, Instant> serviceHeardAt;
+    Instant stopAt = NoDeadline;
     AttemptId nextAttempt = 1;
 };
 
--- /dev/null
+++ b/Source/RelayShell/EngineLink.cpp
@@ -0,0 +1,66 @@
+#include "RelayShell/EngineLink.h"
+
+#include "Http/ClientConnection.h"
+#include "Net/EventLoop.h"
+
+#include <utility>
+
+namespace Nutmegrill {
+
+namespace {
+
+/// The engine is on the same machine or in the same region.
+constexpr std::chrono::milliseconds ConnectLimit{300};
+
+} // namespace
+
+EngineLink::EngineLink(EventLoop &loop, std::string address)
+    : loop(loop), engineAddress(std::move(address))
+{}
+
+EngineLink::~EngineLink() = default;
+
+void EngineLink::ask(const EngineProtocol::Request &request, std::chrono::milliseconds limit,
+                     Answered answered)
+{
+    if (this->connection == nullptr || !this->connection->isReusable()
+        || this->connection->idleDeadline() <= this->loop.now())
+        this->connection =
+                std::make_shared<ClientConnection>(this->loop, this->engineAddress, ConnectLimit);
+    const auto used = this->connection;
+    const auto status = std::make_shared<int>(0);
+    const auto body = std::make_shared<std::string>();
+    // Set to null by whichever comes first: the answer, the failure or the time limit.
+    const auto pending = std::make_shared<Answered>(std::move(answered));
+    const std::weak_ptr<bool> guard = this->alive;
+    const auto finish = [this, guard, pending, status, body](bool whole) {
+        if (!*pending || guard.expired())
+            return;
+        --this->callsOpen;
+        const Answered done = std::exchange(*pending, nullptr);
+        done(whole ? *status : 0, *body);
+    };
+    ++this->callsOpen;
+    ClientConnection::Handlers handlers;
+    handlers.onHead = [status](const HttpHead &head) {
+        *status = head.status;
+        return true;
+    };
+    handlers.onData = [body](std::string_view data) { body->append(data); };
+    handlers.onEnd = [finish] { finish(true); };
+    handlers.onFailure = [finish](ClientConnection::Failure) { finish(false); };
+    this->loop.after(limit, [used, pending, finish] {
+        if (!*pending)
+            return;
+        used->close();
+        finish(false);
+    });
+    std::string text = request.method + " " + request.target
+                       + " HTTP/1.1\r\nHost: " + this->engineAddress + "\r\n";
+    if (!request.body.empty())
+        text += "Content-Type: application/json\r\nContent-Length: "
+                + std::to_string(request.body.size()) + "\r\n";
+    used->send(text + "\r\n" + request.body, std::move(handlers));
+}
+
+} // namespace Nutmegrill
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -134,6 +134,8 @@
                     {"armed", switchToJson(engine.armed)},
                     {"held", optionalToJson(engine.heldStep)},
                     {"address", state.address},
+                    {"engine", state.engineAddress},
+                    {"told", state.isToldByOther},
                     {"incarnation", state.incarnation},
                     {"sequence", state.sequence},
                     {"ballot", state.ballot},
@@ -163,6 +165,8 @@
         engine.armed = switchFromJson(json.at("armed"));
         engine.heldStep = optionalFromJson(json.at("held"));
         json.at("address").get_to(state.address);
+        json.at("engine").get_to(state.engineAddress);
+        json.at("told").get_to(state.isToldByOther);
         json.at("incarnation").get_to(state.incarnation);
         json.at("sequence").get_to(state.sequence);
         json.at("ballot").get_to(state.ballot);
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -4,6 +4,7 @@
 #include "Relay/RelayLog.h"
 #include "RelayShell/PeerCodec.h"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -24,7 +25,6 @@
 /// Agents come and go with instances; stale reads of the list are cheap.
 constexpr milliseconds PeersPeriod{4000};
 constexpr milliseconds ProfilePeriod{1000};
-constexpr milliseconds EngineConnectLimit{300};
 constexpr milliseconds EngineAnswerLimit{300};
 /// An order without an answer within this time is given again; the engine answers orders within a
 /// few milliseconds.
@@ -32,6 +32,25 @@
 /// A change in hand is carried through before a planned stop, which takes some tenths of a second.
 constexpr milliseconds StopLimit{3000};
 constexpr std::size_t MetricsConnections = 16;
+/// Agents report every 40 ms during a change. One that misses five reports is stood in for.
+constexpr milliseconds SilentTime{250};
+/// An agent that was not heard for this long is not the owner.
+constexpr milliseconds LiveTime{1500};
+
+const char *nameOf(EngineOrder::Kind kind)
+{
+    switch (kind) {
+    case EngineOrder::Kind::Prepare:
+        return "prepare";
+    case EngineOrder::Kind::Hold:
+        return "hold";
+    case EngineOrder::Kind::Arm:
+        return "arm";
+    case EngineOrder::Kind::Release:
+        return "release";
+    }
+    return "";
+}
 
 } // namespace
 
@@ -46,8 +65,10 @@
                                                 this->metrics.text());
                       }),
       peers(loop, options.ip + ":" + std::to_string(options.peerPort),
-            [this](std::string_view bytes) { this->takeDatagram(bytes); })
+            [this](std::string_view bytes) { this->takeDatagram(bytes); }),
+      engine(loop, options.engineAddress)
 {
+    this->state.engineAddress = options.engineAddress;
     this->state.address = options.ip + ":" + std::to_string(options.peerPort);
     this->state.incarnation = options.incarnation;
     this->rankSwitch = std::make_unique<RankSwitch>();
@@ -148,46 +169,6 @@
     });
 }
 
-void RankAgent::askEngine(const EngineProtocol::Request &request, milliseconds limit,
-                          Answered answered)
-{
-    if (this->engine == nullptr || !this->engine->isReusable())
-        this->engine = std::make_shared<ClientConnection>(this->loop, this->options.engineAddress,
-                                                          EngineConnectLimit);
-    const auto used = this->engine;
-    const auto status = std::make_shared<int>(0);
-    const auto body = std::make_shared<std::string>();
-    const auto pending = std::make_shared<Answered>(std::move(answered));
-    const auto finish = [this, pending, status, body](bool whole) {
-        if (!*pending)
-            return;
-        --this->callsOpen;
-        const Answered done = std::exchange(*pending, nullptr);
-        done(whole ? *status : 0, *body);
-    };
-    ++this->callsOpen;
-    ClientConnection::Handlers handlers;
-    handlers.onHead = [status](const HttpHead &head) {
-        *status = head.status;
-        return true;
-    };
-    handlers.onData = [body](std::string_view data) { body->append(data); };
-    handlers.onEnd = [finish] { finish(true); };
-    handlers.onFailure = [finish](ClientConnection::Failure) { finish(false); };
-    this->loop.after(limit, [used, pending, finish] {
-        if (!*pending)
-            return;
-        used->close();
-        finish(false);
-    });
-    std::string text = request.method + " " + request.target
-                       + " HTTP/1.1\r\nHost: " + this->options.engineAddress + "\r\n";
-    if (!request.body.empty())
-        text += "Content-Type: application/json\r\nContent-Length: "
-                + std::to_string(request.body.size()) + "\r\n";
-    used->send(text + "\r\n" + request.body, std::move(handlers));
-}
-
 void RankAgent::tick()
 {
     const Instant now = this->loop.now();
@@ -200,14 +181,15 @@
         this->readEngineProfile();
     }
     // One call to the engine at a time, the most urgent first.
-    if (this->callsOpen == 0)
+    if (!this->engine.isBusy())
         this->giveOrder();
-    if (this->callsOpen == 0 && now >= this->nextReportAt)
+    if (!this->engine.isBusy() && now >= this->nextReportAt)
         this->readReport();
-    if (this->callsOpen == 0 && now >= this->nextCountsAt)
+    if (!this->engine.isBusy() && now >= this->nextCountsAt)
         this->readCounts();
-    if (this->callsOpen == 0 && !this->expertsKnown && this->engineReachable)
+    if (!this->engine.isBusy() && !this->expertsKnown && this->engineReachable)
         this->readExperts();
+    this->standInForSilentRanks();
     this->driveOwner();
     if (now >= this->nextStateAt)
         this->sendState();
@@ -220,7 +202,7 @@
 {
     this->nextReportAt =
             this->loop.now() + (this->rankSwitch->isBusy() ? BusyReportPeriod : ReportPeriod);
-    this->askEngine(
+    this->engine.ask(
             this->protocol.reportRequest(), EngineAnswerLimit,
             [this](int status, const std::string &body) {
                 const auto report = status == 200 ? this->protocol.readReport(body) : std::nullopt;
@@ -251,26 +233,26 @@
 void RankAgent::readCounts()
 {
     this->nextCountsAt = this->loop.now() + CountsPeriod;
-    this->askEngine(this->protocol.countsRequest(), EngineAnswerLimit,
-                    [this](int status, const std::string &body) {
-                        auto counts =
-                                status == 200 ? this->protocol.readCounts(body) : std::nullopt;
-                        if (counts)
-                            this->state.counts = std::move(*counts);
-                    });
+    this->engine.ask(this->protocol.countsRequest(), EngineAnswerLimit,
+                     [this](int status, const std::string &body) {
+                         auto counts =
+                                 status == 200 ? this->protocol.readCounts(body) : std::nullopt;
+                         if (counts)
+                             this->state.counts = std::move(*counts);
+                     });
 }
 
 void RankAgent::readExperts()
 {
-    this->askEngine(this->protocol.expertsRequest(), EngineAnswerLimit,
-                    [this](int status, const std::string &body) {
-                        auto experts =
-                                status == 200 ? this->protocol.readExperts(body) : std::nullopt;
-                        if (!experts)
-                            return;
-                        this->state.experts = std::move(*experts);
-                        this->expertsKnown = true;
-                    });
+    this->engine.ask(this->protocol.expertsRequest(), EngineAnswerLimit,
+                     [this](int status, const std::string &body) {
+                         auto experts =
+                                 status == 200 ? this->protocol.readExperts(body) : std::nullopt;
+                         if (!experts)
+                             return;
+                         this->state.experts = std::move(*experts);
+                         this->expertsKnown = true;
+                     });
 }
 
 void RankAgent::giveOrder()
@@ -278,19 +260,111 @@
     const auto order = this->rankSwitch->nextOrder(this->loop.now());
     if (!order)
         return;
-    this->askEngine(this->protocol.orderRequest(*order), OrderAnswerLimit,
-                    [this, order](int status, const std::string &) {
-                        const OrderAnswer answer = this->protocol.readOrderAnswer(status);
-                        this->log(RelayLog::EngineOrdered,
-                                  "kind=" + std::to_string(static_cast<int>(order->kind))
-                                          + " version=" + std::to_string(order->change.version)
-                                          + " step=" + std::to_string(order->change.step)
-                                          + " epoch=" + std::to_string(order->epoch)
-                                          + " status=" + std::to_string(status));
-                        this->rankSwitch->answered(this->loop.now(), *order, answer);
-                        this->nextReportAt = this->loop.now();
-                        this->nextStateAt = this->loop.now();
-                    });
+    this->engine.ask(this->protocol.orderRequest(*order), OrderAnswerLimit,
+                     [this, order](int status, const std::string &) {
+                         const OrderAnswer answer = this->protocol.readOrderAnswer(status);
+                         this->logOrder(*order, this->rank(), status);
+                         this->rankSwitch->answered(this->loop.now(), *order, answer);
+                         this->nextReportAt = this->loop.now();
+                         this->nextStateAt = this->loop.now();
+                     });
+}
+
+void RankAgent::logOrder(const EngineOrder &order, std::uint32_t rank, int status)
+{
+    this->log(RelayLog::EngineOrdered,
+              std::string("kind=") + nameOf(order.kind) + " rank=" + std::to_string(rank)
+                      + " version=" + std::to_string(order.change.version) + " step="
+                      + std::to_string(order.change.step) + " epoch=" + std::to_string(order.epoch)
+                      + " status=" + std::to_string(status));
+}
+
+std::uint32_t RankAgent::lowestLiveRank() const
+{
+    for (const auto &[rank, known] : this->others) {
+        if (rank < this->rank() && this->loop.now() < known.second + LiveTime)
+            return rank;
+    }
+    return this->rank();
+}
+
+void RankAgent::standInForSilentRanks()
+{
+    if (!this->rankSwitch->isSwitching()) {
+        this->standIns.clear();
+        return;
+    }
+    const Instant now = this->loop.now();
+    for (const auto &[rank, known] : this->others) {
+        if (now < known.second + SilentTime || known.first.engineAddress.empty()) {
+            this->standIns.erase(rank);
+            continue;
+        }
+        // One agent is enough; the others take over when it falls silent as well.
+        const bool isFirst =
+                std::none_of(this->others.begin(), this->others.end(), [&](const auto &other) {
+                    return other.first < this->rank() && now < other.second.second + SilentTime;
+                });
+        if (!isFirst)
+            continue;
+        StandIn &standIn = this->standIns[rank];
+        if (standIn.engine == nullptr) {
+            standIn.engine = std::make_unique<EngineLink>(this->loop, known.first.engineAddress);
+            this->log(RelayLog::OwnerDecided,
+                      "stands in for rank=" + std::to_string(rank) + " silent_ms="
+                              + std::to_string(
+                                      std::chrono::duration_cast<milliseconds>(now - known.second)
+                                              .count()));
+        }
+        this->workFor(rank, standIn);
+    }
+}
+
+void RankAgent::workFor(std::uint32_t rank, StandIn &standIn)
+{
+    const Instant now = this->loop.now();
+    if (standIn.engine->isBusy())
+        return;
+    for (const auto &[number, known] : this->others) {
+        if (number != rank)
+            standIn.rankSwitch.peerReported(known.first);
+    }
+    RankState own;
+    this->rankSwitch->describe(own);
+    standIn.rankSwitch.peerReported(own);
+    if (const auto order = standIn.rankSwitch.nextOrder(now)) {
+        standIn.engine->ask(this->protocol.orderRequest(*order), OrderAnswerLimit,
+                            [this, rank, order](int status, const std::string &) {
+                                this->logOrder(*order, rank, status);
+                                const auto found = this->standIns.find(rank);
+                                if (found == this->standIns.end())
+                                    return;
+                                found->second.rankSwitch.answered(
+                                        this->loop.now(), *order,
+                                        this->protocol.readOrderAnswer(status));
+                                found->second.nextReportAt = this->loop.now();
+                            });
+        return;
+    }
+    if (now < standIn.nextReportAt)
+        return;
+    standIn.nextReportAt = now + BusyReportPeriod;
+    standIn.engine->ask(this->protocol.reportRequest(), EngineAnswerLimit,
+                        [this, rank](int status, const std::string &body) {
+                            const auto found = this->standIns.find(rank);
+                            const auto report =
+                                    status == 200 ? this->protocol.readReport(body) : std::nullopt;
+                            if (found == this->standIns.end() || !report || report->rank != rank)
+                                return;
+                            found->second.rankSwitch.engineReported(*report);
+                            // The others learn from this agent that the silent rank is armed.
+                            RankState seen = this->others[rank].first;
+                            seen.engine = *report;
+                            seen.isToldByOther = true;
+                            this->others[rank].first = seen;
+                            this->rankSwitch->peerReported(seen);
+                            this->sendToPeers(encodeRankState(seen));
+                        });
 }
 
 void RankAgent::sendState()
@@ -306,7 +380,18 @@
         sent.experts.clear();
     if (this->owner != nullptr)
         this->owner->report(now, sent);
-    this->sendToPeers(encodeRankState(sent));
+    const std::uint32_t ownerRank = this->lowestLiveRank();
+    if (const auto found = this->others.find(ownerRank); found != this->others.end())
+        this->peers.send(found->second.first.address, encodeRankState(sent));
+    // Only the owner plans; the others need neither experts nor counts.
+    sent.experts.clear();
+    sent.counts.clear();
+    const std::string brief = encodeRankState(sent);
+    for (const std::string &address : this->peerAddresses) {
+        const auto found = this->others.find(ownerRank);
+        if (found == this->others.end() || found->second.first.address != address)
+            this->peers.send(address, brief);
+    }
 }
 
 void RankAgent::driveOwner()
@@ -329,8 +414,20 @@
 void RankAgent::takeDatagram(std::string_view bytes)
 {
     if (const auto state = decodeRankState(bytes)) {
+        const std::uint32_t from = state->engine.rank;
+        if (from == this->rank()) {
+            // Told by an agent that stands in for this one, or by the former agent of the rank.
+            return;
+        }
+        auto &[known, heardAt] = this->others[from];
+        if (std::make_pair(state->incarnation, state->sequence)
+            > std::make_pair(known.incarnation, known.sequence)) {
+            known = *state;
+            if (!state->isToldByOther)
+                heardAt = this->loop.now();
+        }
         this->rankSwitch->peerReported(*state);
-        if (this->owner != nullptr)
+        if (this->owner != nullptr && !state->isToldByOther)
             this->owner->report(this->loop.now(), *state);
         return;
     }
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -2,20 +2,21 @@
 
 #include "Experts/RankSwitch.h"
 #include "Experts/SwitchOwner.h"
-#include "Http/ClientConnection.h"
 #include "Http/HttpListener.h"
 #include "Net/EventLoop.h"
 #include "Net/Metrics.h"
 #include "RelayShell/DatagramSocket.h"
+#include "RelayShell/EngineLink.h"
 #include "RelayShell/EngineProtocol.h"
 #include "RelayShell/StateDecoder.h"
 #include "RelayShell/StateStore.h"
 
 #include <cstdint>
-#include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace Nutmegrill {
 
@@ -46,22 +47,32 @@
     void run();
 
 private:
-    using Answered = std::function<void(int status, const std::string &body)>;
+    /// Stands in for the agent of a rank that fell silent in the middle of a change, so that the
+    /// group is not held for as long as that agent is gone.
+    struct StandIn
+    {
+        std::unique_ptr<EngineLink> engine;
+        RankSwitch rankSwitch;
+        Instant nextReportAt;
+    };
 
     void readEngineProfile();
     void readPeers();
     void tick();
-    void askEngine(const EngineProtocol::Request &request, std::chrono::milliseconds limit,
-                   Answered answered);
     void readReport();
     void readCounts();
     void readExperts();
     void giveOrder();
+    void standInForSilentRanks();
+    void workFor(std::uint32_t rank, StandIn &standIn);
+    void logOrder(const EngineOrder &order, std::uint32_t rank, int status);
     void sendState();
     void driveOwner();
     void takeDatagram(std::string_view bytes);
     void sendToPeers(const std::string &bytes);
     std::uint32_t rank() const;
+    /// Lowest rank whose agent was heard lately, the own one included: the owner of the group.
+    std::uint32_t lowestLiveRank() const;
     void log(std::uint32_t number, const std::string &text);
 
     EventLoop &loop;
@@ -73,7 +84,10 @@
     HttpListener metricsListener;
     DatagramSocket peers;
     std::set<std::string> peerAddresses;
-    std::shared_ptr<ClientConnection> engine;
+    EngineLink engine;
+    /// Latest states of the other ranks.
+    std::map<std::uint32_t, std::pair<RankState, Instant>> others;
+    std::map<std::uint32_t, StandIn> standIns;
     std::unique_ptr<RankSwitch> rankSwitch;
     std::unique_ptr<SwitchOwner> owner;
     RankState state;
@@ -89,7 +103,6 @@
     Instant nextPeersAt;
     Instant nextProfileAt;
     Instant stopAt = NoDeadline;
-    std::uint32_t callsOpen = 0;
 };
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -515,6 +515,7 @@
     this->stopAt = this->loop.now() + this->options.graceTime * ExitPercent / 100;
     this->log(RelayLog::StopBegan, LogRecord::Level::Info,
               "open_requests=" + std::to_string(this->node.openRequests()));
+    this->node.beginStop(this->stopAt);
     this->callers.announceClose();
     if (this->lease != 0)
         this->store.endLease(this->lease);
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -37,7 +37,7 @@
         /// Time from SIGTERM until the process is killed.
         std::chrono::milliseconds graceTime{8000};
         /// How long a directory answer may be used.
-        std::chrono::seconds directoryLifetime{2};
+        std::chrono::seconds directoryLifetime{1};
         std::size_t maxConnections = 3000;
         std::uint64_t incarnation = 0;
         RelayNode::Settings node;
