--- a/Source/Experts/SwitchOwner.cpp
+++ b/Source/Experts/SwitchOwner.cpp
@@ -14,11 +14,11 @@
 /// An agent that was not heard for this long is not counted on; agents report every 250 ms.
 constexpr milliseconds LiveTime{1500};
 /// Demand shifts every few seconds, so counts are weighed by age with this half-life.
-constexpr milliseconds DemandHalfLife{1500};
+constexpr milliseconds DemandHalfLife{900};
 constexpr milliseconds TrendHalfLife{6000};
-constexpr milliseconds ObservationPeriod{500};
+constexpr milliseconds ObservationPeriod{300};
 /// Smallest pause between two plans. A change takes about a second from plan to step.
-constexpr milliseconds PlanPeriod{1000};
+constexpr milliseconds PlanPeriod{600};
 constexpr milliseconds SurveyLimit{1500};
 /// Copying three experts a layer takes half a second; late orders are repeated meanwhile.
 constexpr milliseconds PrepareLimit{4000};
@@ -185,12 +185,25 @@
     OwnerCommand next;
     next.group = engine.group;
     next.epoch = engine.epoch;
-    next.ballot = (ballot / BallotStride + 1) * BallotStride + this->ranks.begin()->first;
+    // After a change that all ranks have completed under the own ballot, a further survey would
+    // tell nothing new: no command of it can do anything any more.
+    const bool surveyed =
+            this->completedBallot == ballot && ballot != 0
+            && std::all_of(this->ranks.begin(), this->ranks.end(), [&](const auto &entry) {
+                   return entry.second.state.ballot == ballot && !entry.second.state.engine.armed;
+               });
+    next.ballot = surveyed
+                          ? ballot
+                          : (ballot / BallotStride + 1) * BallotStride + this->ranks.begin()->first;
     next.change.version = version + 1;
     next.map = this->unpadded(plan->map).slots;
     this->command = next;
     this->epoch = engine.epoch;
-    this->enter(OwnerCommand::Phase::Survey, now, SurveyLimit);
+    if (surveyed)
+        this->enter(OwnerCommand::Phase::Prepare, now, PrepareLimit);
+    else
+        this->enter(OwnerCommand::Phase::Survey, now, SurveyLimit);
+    this->completedBallot = 0;
     std::ostringstream text;
     text << "plan version=" << next.change.version << " epoch=" << next.epoch
          << " ballot=" << next.ballot << " skew_before=" << plan->skewBefore
@@ -278,6 +291,7 @@
         if (all([&](const RankState &state) { return state.engine.mapVersion >= version; })) {
             this->note = "changed version=" + std::to_string(version)
                          + " step=" + std::to_string(this->command->change.step);
+            this->completedBallot = ballot;
             this->command.reset();
             return std::nullopt;
         }
--- a/Source/Experts/SwitchOwner.h
+++ b/Source/Experts/SwitchOwner.h
@@ -73,6 +73,8 @@
     Instant nextPlanAt;
     Instant nextObservationAt;
     std::uint64_t epoch = 0;
+    /// Ballot of the last change that all ranks completed; 0 after any other outcome.
+    std::uint64_t completedBallot = 0;
     std::uint64_t observations = 0;
     std::string note;
 };
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -18,7 +18,7 @@
 /// The engine's report is free on its own machine; the shorter period holds during a change.
 constexpr milliseconds ReportPeriod{250};
 constexpr milliseconds BusyReportPeriod{40};
-constexpr milliseconds CountsPeriod{500};
+constexpr milliseconds CountsPeriod{300};
 constexpr milliseconds StatePeriod{250};
 constexpr milliseconds BusyStatePeriod{40};
 constexpr milliseconds CommandPeriod{60};
@@ -397,15 +397,20 @@
 void RankAgent::driveOwner()
 {
     const Instant now = this->loop.now();
-    if (this->owner == nullptr || !this->rankSwitch->engine() || now < this->nextCommandAt
-        || this->stopAt != NoDeadline)
+    if (this->owner == nullptr || !this->rankSwitch->engine() || this->stopAt != NoDeadline)
         return;
-    this->nextCommandAt = now + CommandPeriod;
     const auto command = this->owner->tick(now, this->rank());
     if (const std::string note = this->owner->takeNote(); !note.empty())
         this->log(RelayLog::OwnerDecided, note);
     if (!command)
         return;
+    const bool isNew = !this->lastCommand || this->lastCommand->phase != command->phase
+                       || this->lastCommand->change != command->change
+                       || this->lastCommand->ballot != command->ballot;
+    if (!isNew && now < this->nextCommandAt)
+        return;
+    this->nextCommandAt = now + CommandPeriod;
+    this->lastCommand = command;
     this->rankSwitch->commanded(*command);
     this->nextStateAt = now;
     this->sendToPeers(encodeOwnerCommand(*command));
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -91,6 +92,7 @@
     std::unique_ptr<RankSwitch> rankSwitch;
     std::unique_ptr<SwitchOwner> owner;
     RankState state;
+    std::optional<OwnerCommand> lastCommand;
     std::unique_ptr<EventLoop::Timer> ticker;
     std::unique_ptr<EventLoop::Timer> terminateSignal;
     std::unique_ptr<EventLoop::Timer> hangupSignal;
