--- a/Source/Experts/RankState.h
+++ b/Source/Experts/RankState.h
@@ -59,6 +59,8 @@
     std::uint64_t highestVersion = 0;
     /// Version that the engine has refused to prepare.
     std::uint64_t refusedVersion = 0;
+    /// Orders without an answer since the agent's start.
+    std::uint64_t lostOrders = 0;
     /// Experts that the rank holds, by layer; sent to the owner only.
     std::vector<std::vector<std::uint32_t>> experts;
     /// How often the requests of this rank chose each expert since its start, layer after layer;
--- a/Source/Experts/RankSwitch.cpp
+++ b/Source/Experts/RankSwitch.cpp
@@ -9,7 +9,7 @@
 
 /// Pause before an order is repeated. The engine is on the same machine and answers within a few
 /// milliseconds; its report shows what an order did.
-constexpr std::chrono::milliseconds RepeatPause{40};
+constexpr std::chrono::milliseconds RepeatPause{20};
 
 } // namespace
 
@@ -162,6 +162,7 @@
 void RankSwitch::answered(Instant now, const EngineOrder &order, OrderAnswer answer)
 {
     this->orderOpen = false;
+    this->lostOrders += answer == OrderAnswer::Unknown ? 1 : 0;
     this->nextOrderAt = answer == OrderAnswer::Accepted ? now : now + RepeatPause;
     if (!this->state || order.epoch != this->state->epoch)
         return;
@@ -169,7 +170,7 @@
     case EngineOrder::Kind::Prepare:
         if (answer == OrderAnswer::Accepted) {
             // The copy takes a while; the report shows its end. A repeat would be refused.
-            this->nextOrderAt = now + 5 * RepeatPause;
+            this->nextOrderAt = now + 10 * RepeatPause;
         } else if (answer == OrderAnswer::Refused && this->toPrepare
                    && this->toPrepare->version == order.change.version) {
             // Also the answer to a repeat of an order that was carried out without an answer: then
@@ -204,6 +205,7 @@
     description.ballot = this->ballot;
     description.switching = this->target;
     description.highestVersion = this->highestVersion;
+    description.lostOrders = this->lostOrders;
     description.refusedVersion = this->refusedVersion;
 }
 
--- a/Source/Experts/RankSwitch.h
+++ b/Source/Experts/RankSwitch.h
@@ -71,6 +71,7 @@
     /// Ranks of the present epoch that said that they are armed, and for what.
     std::map<std::uint32_t, MapSwitch> armedPeers;
     std::map<std::uint32_t, MapSwitch> switchingPeers;
+    std::uint64_t lostOrders = 0;
     bool orderOpen = false;
     Instant nextOrderAt;
 };
--- a/Source/Experts/SwitchOwner.cpp
+++ b/Source/Experts/SwitchOwner.cpp
@@ -25,9 +25,15 @@
 constexpr milliseconds SwitchLimit{15000};
 /// Time from the command to the step of the change: orders and reports of a dozen agents need some
 /// tens of milliseconds, and a step that comes too early is held, which costs every stream.
-constexpr milliseconds StepLead{500};
+constexpr milliseconds StepLead{400};
+/// While orders get lost, hold and arm are repeated several times at some ranks.
+constexpr milliseconds LossyStepLead{1100};
+constexpr milliseconds LostOrderMemory{8000};
 constexpr std::uint64_t LeastLeadSteps = 4;
-constexpr milliseconds UsualStep{80};
+constexpr std::chrono::microseconds UsualStep = milliseconds(80);
+constexpr std::chrono::microseconds ShortestStep = milliseconds(10);
+/// Span over which the length of a step is measured.
+constexpr milliseconds StepWindow{1000};
 /// Ballots of different ranks differ in the remainder.
 constexpr std::uint64_t BallotStride = 1024;
 constexpr std::uint64_t LeastObservations = 2;
@@ -50,7 +56,13 @@
     if (std::make_pair(state.incarnation, state.sequence)
         <= std::make_pair(known.incarnation, known.sequence))
         return;
-    if (rank.firstStepAt == Instant() || state.engine.epoch != known.engine.epoch) {
+    if (state.lostOrders > known.lostOrders && state.incarnation == known.incarnation)
+        this->lostOrderAt = now;
+    const auto span = now - rank.firstStepAt;
+    const std::uint64_t steps = state.engine.step - std::min(state.engine.step, rank.firstStep);
+    if (state.engine.epoch == known.engine.epoch && span >= StepWindow && steps > 0)
+        rank.stepTime = span / static_cast<std::int64_t>(steps);
+    if (state.engine.epoch != known.engine.epoch || span >= StepWindow) {
         rank.firstStep = state.engine.step;
         rank.firstStepAt = now;
     }
@@ -226,21 +238,17 @@
     this->nextPlanAt = now + PlanPeriod;
 }
 
-std::uint64_t SwitchOwner::chooseStep() const
+std::uint64_t SwitchOwner::chooseStep(Instant now) const
 {
     std::uint64_t latest = 0;
     std::chrono::microseconds step = UsualStep;
     for (const auto &[number, rank] : this->ranks) {
-        const std::uint64_t present = rank.state.engine.step;
-        latest = std::max(latest, present);
-        const auto span = rank.heardAt - rank.firstStepAt;
-        if (present > rank.firstStep + LeastLeadSteps)
-            step = std::min(step,
-                            std::chrono::microseconds(
-                                    span / static_cast<std::int64_t>(present - rank.firstStep)));
+        latest = std::max(latest, rank.state.engine.step);
+        step = std::min(step, rank.stepTime);
     }
-    const auto lead =
-            static_cast<std::uint64_t>(StepLead / std::max(step, std::chrono::microseconds(1)));
+    const bool ordersGetLost = this->lostOrderAt && now < *this->lostOrderAt + LostOrderMemory;
+    const std::chrono::microseconds wanted = ordersGetLost ? LossyStepLead : StepLead;
+    const auto lead = static_cast<std::uint64_t>(wanted / std::max(step, ShortestStep));
     return latest + std::max(LeastLeadSteps, lead);
 }
 
@@ -283,7 +291,7 @@
         break;
     case OwnerCommand::Phase::Prepare:
         if (all([&](const RankState &state) { return state.engine.preparedVersion == version; })) {
-            this->command->change.step = this->chooseStep();
+            this->command->change.step = this->chooseStep(now);
             this->enter(OwnerCommand::Phase::Switch, now, SwitchLimit);
         }
         break;
--- a/Source/Experts/SwitchOwner.h
+++ b/Source/Experts/SwitchOwner.h
@@ -5,6 +5,7 @@
 #include "Experts/PlacementPlanner.h"
 #include "Experts/RankState.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -49,6 +50,7 @@
         /// First step and time of a span over which the length of a step is measured.
         std::uint64_t firstStep = 0;
         Instant firstStepAt;
+        std::chrono::microseconds stepTime = std::chrono::milliseconds(80);
     };
 
     bool isLive(const Rank &rank, Instant now) const;
@@ -61,7 +63,7 @@
     ExpertMap unpadded(const ExpertMap &map) const;
     void enter(OwnerCommand::Phase next, Instant now, std::chrono::milliseconds limit);
     void abandon(Instant now, const std::string &why);
-    std::uint64_t chooseStep() const;
+    std::uint64_t chooseStep(Instant now) const;
 
     Settings settings;
     PlacementPlanner planner;
@@ -76,6 +78,8 @@
     /// Ballot of the last change that all ranks completed; 0 after any other outcome.
     std::uint64_t completedBallot = 0;
     std::uint64_t observations = 0;
+    /// When an agent last had an order without an answer.
+    std::optional<Instant> lostOrderAt;
     std::string note;
 };
 
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -236,6 +236,9 @@
     Exchange *exchange = this->byAttempt(attempt);
     if (exchange == nullptr)
         return;
+    if (exchange->attempt->hasEvent)
+        this->paces[exchange->service].notePause(now, now - exchange->attempt->heardAt,
+                                                 exchange->route.pauseTarget);
     exchange->attempt->heardAt = now;
     exchange->attempt->hasEvent = true;
     this->circuits[exchange->service].noteServed();
@@ -455,6 +458,7 @@
     const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
     const std::uint32_t entries = this->peers.entryCount(now);
     const double coldRate = service == nullptr ? 0 : service->coldRequestsPerSecond;
+    const PaceLimit &pace = this->paces[exchange.service];
     std::vector<PlacementCandidate> candidates;
     for (const auto &[id, row] : this->backends.rows()) {
         if (row.record.service != exchange.service || !this->backends.mayWork(row, now)
@@ -464,7 +468,7 @@
         const bool isCold = coldRate > 0 && now < row.coldUntil;
         if (coldRate > 0 && !use.cold.hasRoom(now, coldRate, entries))
             continue;
-        candidates.push_back({id, row.record.slots,
+        candidates.push_back({id, pace.limit(row.record.slots),
                               use.running + this->peers.runningElsewhere(id, now),
                               row.health.failureShare(now), isCold});
     }
@@ -547,11 +551,13 @@
 
 std::uint32_t RelayNode::usablePlaces(const std::string &service, Instant now) const
 {
+    const auto pace = this->paces.find(service);
     std::uint32_t places = 0;
     for (const auto &[id, row] : this->backends.rows()) {
         if (row.record.service == service && this->backends.mayWork(row, now)
             && !row.health.isSuspended(now))
-            places += row.record.slots;
+            places += pace == this->paces.end() ? row.record.slots
+                                                : pace->second.limit(row.record.slots);
     }
     return places;
 }
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -6,6 +6,7 @@
 #include "Relay/ColdShare.h"
 #include "Relay/EntryTable.h"
 #include "Relay/Exchange.h"
+#include "Relay/PaceLimit.h"
 #include "Relay/RelayOrder.h"
 #include "Relay/RetryShare.h"
 #include "Relay/RouteTable.h"
@@ -123,6 +124,7 @@
     std::map<std::string, ServiceLoad> loads;
     std::map<std::string, RetryShare> retries;
     std::map<std::string, ServiceCircuit> circuits;
+    std::map<std::string, PaceLimit> paces;
     std::map<std::string, Instant> serviceHeardAt;
     Instant stopAt = NoDeadline;
     AttemptId nextAttempt = 1;
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -28,7 +28,7 @@
 constexpr milliseconds EngineAnswerLimit{300};
 /// An order without an answer within this time is given again; the engine answers orders within a
 /// few milliseconds.
-constexpr milliseconds OrderAnswerLimit{80};
+constexpr milliseconds OrderAnswerLimit{50};
 /// A change in hand is carried through before a planned stop, which takes some tenths of a second.
 constexpr milliseconds StopLimit{3000};
 constexpr std::size_t MetricsConnections = 16;
