--- /dev/null
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -0,0 +1,338 @@
+#include "RelayScene.h"
+
+#include <chrono>
+#include <set>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class RelayNodeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayNodeTest);
+    CPPUNIT_TEST(requestGoesToItsServiceWithItsAccount);
+    CPPUNIT_TEST(unknownPathAndKeyAreRefused);
+    CPPUNIT_TEST(entryWithoutConfigurationAnswers503);
+    CPPUNIT_TEST(olderConfigurationIsNotTaken);
+    CPPUNIT_TEST(recordIsNotSentAgainAfterABreak);
+    CPPUNIT_TEST(recordThatWasNotRunIsSentAgain);
+    CPPUNIT_TEST(unsentRecordIsRefusedAsNotRun);
+    CPPUNIT_TEST(unknownOutcomeIsNotReportedAsNotRun);
+    CPPUNIT_TEST(brokenStreamGoesOnElsewhere);
+    CPPUNIT_TEST(streamThatCannotGoOnIsCut);
+    CPPUNIT_TEST(failureIsPassedOnWhenNoOtherServerDoesBetter);
+    CPPUNIT_TEST(silentStreamGoesOnElsewhere);
+    CPPUNIT_TEST(silentGroupKeepsItsStreams);
+    CPPUNIT_TEST(answerIsDueAtTheTimeLimitOfTheRoute);
+    CPPUNIT_TEST(callerThatLeavesFreesItsPlace);
+    CPPUNIT_TEST(leavingServerGetsNothing);
+    CPPUNIT_TEST(domainThatIsOutGetsNothing);
+    CPPUNIT_TEST(coldServerGetsItsShare);
+    CPPUNIT_TEST(groupThatFormsAgainCostsFewRepeats);
+    CPPUNIT_TEST(streamThatTheStopWouldCutIsRefused);
+    CPPUNIT_TEST(crowdIsRefusedAtOnce);
+    CPPUNIT_TEST(smallAccountIsServedBesideALargeOne);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void requestGoesToItsServiceWithItsAccount()
+    {
+        RelayScene scene;
+        const auto caller = scene.arrive("/record/7", "key-2");
+        const auto *start = scene.attemptOf(caller);
+        CPPUNIT_ASSERT(start != nullptr);
+        CPPUNIT_ASSERT_EQUAL('p', start->backend.front());
+        CPPUNIT_ASSERT_EQUAL(std::string("account-2"), start->account);
+        // The route's limit is shorter than the caller's deadline.
+        CPPUNIT_ASSERT_EQUAL(milliseconds(800).count(), start->timeLeft.count());
+    }
+
+    void unknownPathAndKeyAreRefused()
+    {
+        RelayScene scene;
+        CPPUNIT_ASSERT_EQUAL(404, scene.refusalOf(scene.arrive("/none/"))->status);
+        CPPUNIT_ASSERT_EQUAL(401, scene.refusalOf(scene.arrive("/record/", "key-9"))->status);
+    }
+
+    // Guards against 404 and 401 from an entry that knows no configuration.
+    void entryWithoutConfigurationAnswers503()
+    {
+        RelayNode node({});
+        RelayNode::Orders orders;
+        node.requestArrived(Instant(), 1, {}, orders);
+        CPPUNIT_ASSERT_EQUAL(503, std::get<RelayOrder::Refuse>(orders.front()).status);
+    }
+
+    void olderConfigurationIsNotTaken()
+    {
+        RelayScene scene;
+        auto older = std::make_shared<Configuration>();
+        older->version = 1;
+        scene.node.configure(scene.now, older, scene.orders);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), scene.node.configuration()->routes.size());
+    }
+
+    // Guards against a delivery record that is executed twice.
+    void recordIsNotSentAgainAfterABreak()
+    {
+        RelayScene scene;
+        const auto caller = scene.arrive("/record/");
+        scene.fail(caller, AttemptFailure::Broken);
+        scene.pass(seconds(2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scene.attemptsOf(caller));
+        CPPUNIT_ASSERT_EQUAL(502, scene.refusalOf(caller)->status);
+    }
+
+    void recordThatWasNotRunIsSentAgain()
+    {
+        RelayScene scene;
+        const auto caller = scene.arrive("/record/");
+        scene.reject(caller);
+        scene.pass(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scene.attemptsOf(caller));
+        // After it may have run, it is not sent a third time.
+        scene.fail(caller, AttemptFailure::Broken);
+        scene.pass(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scene.attemptsOf(caller));
+        CPPUNIT_ASSERT_EQUAL(502, scene.refusalOf(caller)->status);
+    }
+
+    void unsentRecordIsRefusedAsNotRun()
+    {
+        RelayScene scene(0, 0);
+        const auto caller = scene.arrive("/record/");
+        CPPUNIT_ASSERT_EQUAL(503, scene.refusalOf(caller)->status);
+        CPPUNIT_ASSERT(scene.refusalOf(caller)->retryAfter.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), scene.attemptsOf(caller));
+    }
+
+    // Guards against 503, which promises that a request has not run, after a silent server.
+    void unknownOutcomeIsNotReportedAsNotRun()
+    {
+        RelayScene scene;
+        const auto caller = scene.arrive("/record/");
+        scene.pass(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(504, scene.refusalOf(caller)->status);
+    }
+
+    // Guards against missing and repeated events of a stream that broke off.
+    void brokenStreamGoesOnElsewhere()
+    {
+        RelayScene scene;
+        const auto caller = scene.arrive("/stream/");
+        const std::string first = scene.attemptOf(caller)->backend;
+        scene.streamHead(caller);
+        scene.event(caller, 1);
+        scene.event(caller, 2);
+        scene.fail(caller, AttemptFailure::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scene.attemptsOf(caller));
+        CPPUNIT_ASSERT(scene.attemptOf(caller)->backend != first);
+        CPPUNIT_ASSERT(scene.attemptOf(caller)->lastEvent == std::uint64_t(2));
+        scene.streamHead(caller);
+        scene.event(caller, 2);
+        scene.event(caller, 3);
+        scene.end(caller);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scene.count<RelayOrder::OpenStream>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), scene.count<RelayOrder::SendEvent>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scene.count<RelayOrder::EndStream>());
+    }
+
+    // Guards against a stream that looks complete although it broke off.
+    void streamThatCannotGoOnIsCut()
+    {
+        RelayScene scene;
+        const auto caller = scene.arrive("/stream/");
+        for (int run = 0; run < 2; ++run) {
+            scene.streamHead(caller);
+            scene.event(caller, static_cast<std::uint64_t>(run) + 1);
+            scene.fail(caller, AttemptFailure::Broken);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scene.attemptsOf(caller));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scene.count<RelayOrder::CutCaller>());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), scene.count<RelayOrder::EndStream>());
+    }
+
+    void failureIsPassedOnWhenNoOtherServerDoesBetter()
+    {
+        RelayScene scene;
+        const auto caller = scene.arrive("/lookup/");
+        scene.head(caller, 500);
+        scene.end(caller);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scene.attemptsOf(caller));
+        const auto second = scene.attemptOf(caller)->attempt;
+        scene.head(caller, 500);
+        scene.end(caller);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scene.count<RelayOrder::RelayAnswer>());
+        for (const auto &order : scene.orders) {
+            if (const auto *relayed = std::get_if<RelayOrder::RelayAnswer>(&order))
+                CPPUNIT_ASSERT_EQUAL(second, relayed->attempt);
+        }
+    }
+
+    // Load pattern: one server takes requests and shows nothing, the others work.
+    void silentStreamGoesOnElsewhere()
+    {
+        RelayScene scene;
+        const auto silent = scene.arrive("/stream/");
+        const auto other = scene.arrive("/stream/");
+        scene.streamHead(other);
+        for (std::uint64_t id = 1; id < 20; ++id) {
+            scene.event(other, id);
+            scene.pass(milliseconds(80));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scene.attemptsOf(silent));
+    }
+
+    // Load pattern: all ranks of a group stall together; moving would multiply the load.
+    void silentGroupKeepsItsStreams()
+    {
+        RelayScene scene;
+        const auto caller = scene.arrive("/stream/");
+        scene.pass(seconds(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scene.attemptsOf(caller));
+    }
+
+    void answerIsDueAtTheTimeLimitOfTheRoute()
+    {
+        RelayScene scene;
+        const auto caller = scene.arrive("/stream/");
+        scene.streamHead(caller);
+        scene.pass(milliseconds(7900));
+        CPPUNIT_ASSERT(scene.refusalOf(caller) == nullptr);
+        scene.pass(milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(504, scene.refusalOf(caller)->status);
+    }
+
+    // Guards against a server that works on for a caller that has left.
+    void callerThatLeavesFreesItsPlace()
+    {
+        RelayScene scene(1, 0);
+        const auto caller = scene.arrive("/stream/");
+        scene.node.callerGone(scene.now, caller, scene.orders);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scene.count<RelayOrder::CancelAttempt>());
+        EntryReport report;
+        scene.node.fillReport(report);
+        CPPUNIT_ASSERT(report.running.empty());
+    }
+
+    void leavingServerGetsNothing()
+    {
+        RelayScene scene(2, 0);
+        BackendRecord leaving = RelayScene::record("m0", "model");
+        leaving.isLeaving = true;
+        scene.node.roster().update(scene.now, leaving);
+        for (int number = 0; number < 8; ++number)
+            CPPUNIT_ASSERT_EQUAL(std::string("m1"),
+                                 scene.attemptOf(scene.arrive("/stream/"))->backend);
+    }
+
+    void domainThatIsOutGetsNothing()
+    {
+        RelayScene scene(2, 0);
+        scene.node.roster().setDomainsOut({"north"});
+        CPPUNIT_ASSERT_EQUAL(503, scene.refusalOf(scene.arrive("/stream/"))->status);
+        scene.node.roster().setDomainsOut({});
+        CPPUNIT_ASSERT(scene.attemptOf(scene.arrive("/stream/")) != nullptr);
+    }
+
+    // Guards against many entries that together overload a server in a cold start.
+    void coldServerGetsItsShare()
+    {
+        RelayScene scene(1, 0);
+        BackendRecord wide = RelayScene::record("m0", "model");
+        wide.slots = 1000;
+        scene.node.roster().update(scene.now, wide);
+        for (std::uint32_t other = 1; other < 6; ++other) {
+            EntryReport report;
+            report.sequence = 1;
+            report.peerAddress = "10.0.1." + std::to_string(other) + ":7000";
+            scene.node.entries().update(scene.now, report);
+        }
+        std::size_t sent = 0;
+        for (int number = 0; number < 50; ++number)
+            sent += scene.attemptOf(scene.arrive("/stream/")) != nullptr ? 1 : 0;
+        CPPUNIT_ASSERT(sent >= 1);
+        CPPUNIT_ASSERT(6 * sent <= 26);
+    }
+
+    // Load pattern of trouble-2: a group without one rank rejects everything until it has formed
+    // again. Guards against repeats that use up the shared limit and against waits without end.
+    void groupThatFormsAgainCostsFewRepeats()
+    {
+        RelayScene scene(12, 0);
+        std::size_t sends = 0;
+        std::set<RelayOrder::CallerId> callers;
+        for (int tick = 0; tick < 50; ++tick) {
+            callers.insert(scene.arrive("/stream/"));
+            scene.pass(milliseconds(20));
+            for (const auto caller : callers) {
+                const std::size_t before = scene.attemptsOf(caller);
+                if (before > sends)
+                    sends = before;
+                EntryReport report;
+                scene.node.fillReport(report);
+                if (scene.attemptOf(caller) != nullptr && !report.running.empty()
+                    && report.running.count(scene.attemptOf(caller)->backend) != 0)
+                    scene.reject(caller);
+            }
+        }
+        std::size_t attempts = scene.count<RelayOrder::StartAttempt>();
+        // Fifty requests in a second: without the circuit each is sent up to four times.
+        CPPUNIT_ASSERT(attempts < 30);
+        CPPUNIT_ASSERT(scene.count<RelayOrder::Refuse>() > 0);
+    }
+
+    // Guards against hunt-e089-19: a stream that began 4.5 s after SIGTERM was cut at the end.
+    void streamThatTheStopWouldCutIsRefused()
+    {
+        RelayScene scene;
+        scene.node.beginStop(scene.now + milliseconds(7680));
+        CPPUNIT_ASSERT(scene.attemptOf(scene.arrive("/stream/")) != nullptr);
+        scene.pass(milliseconds(4400));
+        const auto late = scene.arrive("/stream/");
+        CPPUNIT_ASSERT_EQUAL(503, scene.refusalOf(late)->status);
+        CPPUNIT_ASSERT(scene.attemptOf(scene.arrive("/record/")) != nullptr);
+    }
+
+    // Load pattern: far more callers at once than places. Those that cannot get a place in time are
+    // told so at once, with different times to come back.
+    void crowdIsRefusedAtOnce()
+    {
+        RelayScene scene(1, 0);
+        std::set<std::int64_t> pauses;
+        std::size_t refused = 0;
+        for (int number = 0; number < 200; ++number) {
+            if (const auto *refusal = scene.refusalOf(scene.arrive("/stream/"))) {
+                ++refused;
+                CPPUNIT_ASSERT_EQUAL(503, refusal->status);
+                pauses.insert(refusal->retryAfter->count());
+            }
+        }
+        CPPUNIT_ASSERT(refused > 150);
+        CPPUNIT_ASSERT(pauses.size() > refused / 2);
+    }
+
+    // Load pattern: one account has a backlog, another one sends a single request.
+    void smallAccountIsServedBesideALargeOne()
+    {
+        RelayScene scene(1, 0);
+        std::vector<RelayOrder::CallerId> large;
+        for (int number = 0; number < 20; ++number)
+            large.push_back(scene.arrive("/stream/", "key-1"));
+        const auto small = scene.arrive("/stream/", "key-2");
+        CPPUNIT_ASSERT(scene.attemptOf(small) == nullptr);
+        CPPUNIT_ASSERT(scene.refusalOf(small) == nullptr);
+        scene.streamHead(large.front());
+        scene.event(large.front(), 1);
+        scene.end(large.front());
+        CPPUNIT_ASSERT(scene.attemptOf(small) != nullptr);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayNodeTest);
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Relay/RelayScene.cpp
@@ -0,0 +1,170 @@
+#include "RelayScene.h"
+
+#include "Core/Hash.h"
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+Route route(const std::string &prefix, Route::Kind kind, const std::string &service)
+{
+    Route made;
+    made.name = prefix;
+    made.host = "host.example";
+    made.pathPrefix = prefix;
+    made.kind = kind;
+    made.targets = {{service, 1}};
+    made.timeout = kind == Route::Kind::Stream ? milliseconds(8000) : milliseconds(800);
+    made.latencyTarget = kind == Route::Kind::Stream ? milliseconds(400) : milliseconds(300);
+    made.pauseTarget = kind == Route::Kind::Stream ? milliseconds(120) : milliseconds(0);
+    made.maxRuns = kind == Route::Kind::NonIdempotent ? 1 : 2;
+    made.isResumable = kind == Route::Kind::Stream;
+    return made;
+}
+
+ConfigurationPtr configuration()
+{
+    auto made = std::make_shared<Configuration>();
+    made->version = 1;
+    made->routes = {route("/stream/", Route::Kind::Stream, "model"),
+                    route("/record/", Route::Kind::NonIdempotent, "plain"),
+                    route("/lookup/", Route::Kind::Idempotent, "plain")};
+    ServiceDeclaration model;
+    model.name = "model";
+    model.coldRequestsPerSecond = 26;
+    ServiceDeclaration plain;
+    plain.name = "plain";
+    made->services = {model, plain};
+    for (const std::string name : {"1", "2"}) {
+        ClientAccount account;
+        account.name = "account-" + name;
+        account.keyHash = sha256Hex("key-" + name);
+        made->clientAccounts.push_back(account);
+    }
+    return made;
+}
+
+RelayNode::Settings settings()
+{
+    RelayNode::Settings made;
+    made.retryLimit = {0.2, 88};
+    return made;
+}
+
+} // namespace
+
+BackendRecord RelayScene::record(const std::string &id, const std::string &service)
+{
+    BackendRecord record;
+    record.id = id;
+    record.service = service;
+    record.address = "10.0.0.1:" + std::to_string(1000 + hash64(id) % 60000);
+    record.failureDomain = "north";
+    record.slots = service == "model" ? 12 : 6;
+    return record;
+}
+
+RelayScene::RelayScene(std::uint32_t modelServers, std::uint32_t plainServers) : node(settings())
+{
+    this->node.configure(this->now, configuration(), this->orders);
+    for (std::uint32_t number = 0; number < modelServers; ++number)
+        this->node.roster().update(this->now, record("m" + std::to_string(number), "model"));
+    for (std::uint32_t number = 0; number < plainServers; ++number)
+        this->node.roster().update(this->now, record("p" + std::to_string(number), "plain"));
+}
+
+RelayOrder::CallerId RelayScene::arrive(const std::string &path, const std::string &key,
+                                        std::optional<std::uint64_t> lastEvent)
+{
+    RelayRequest request;
+    request.id = "request-" + std::to_string(++this->lastCaller);
+    request.host = "host.example";
+    request.path = path;
+    request.key = key;
+    request.timeLeft = path.find("/stream/") == 0 ? milliseconds(8000) : milliseconds(1500);
+    request.lastEvent = lastEvent;
+    this->node.requestArrived(this->now, this->lastCaller, request, this->orders);
+    return this->lastCaller;
+}
+
+const RelayOrder::StartAttempt *RelayScene::attemptOf(RelayOrder::CallerId caller) const
+{
+    const RelayOrder::StartAttempt *found = nullptr;
+    for (const auto &order : this->orders) {
+        if (const auto *start = std::get_if<RelayOrder::StartAttempt>(&order);
+            start != nullptr && start->caller == caller)
+            found = start;
+    }
+    return found;
+}
+
+std::size_t RelayScene::attemptsOf(RelayOrder::CallerId caller) const
+{
+    std::size_t number = 0;
+    for (const auto &order : this->orders) {
+        const auto *start = std::get_if<RelayOrder::StartAttempt>(&order);
+        number += start != nullptr && start->caller == caller ? 1 : 0;
+    }
+    return number;
+}
+
+const RelayOrder::Refuse *RelayScene::refusalOf(RelayOrder::CallerId caller) const
+{
+    for (const auto &order : this->orders) {
+        if (const auto *refusal = std::get_if<RelayOrder::Refuse>(&order);
+            refusal != nullptr && refusal->caller == caller)
+            return refusal;
+    }
+    return nullptr;
+}
+
+void RelayScene::head(RelayOrder::CallerId caller, int status, bool notRun)
+{
+    AnswerHead answer;
+    answer.status = status;
+    answer.notRun = notRun;
+    this->node.headArrived(this->now, this->attemptOf(caller)->attempt, answer, this->orders);
+}
+
+void RelayScene::streamHead(RelayOrder::CallerId caller)
+{
+    AnswerHead answer;
+    answer.status = 200;
+    answer.isStream = true;
+    this->node.headArrived(this->now, this->attemptOf(caller)->attempt, answer, this->orders);
+}
+
+void RelayScene::event(RelayOrder::CallerId caller, std::uint64_t id)
+{
+    this->node.eventArrived(this->now, this->attemptOf(caller)->attempt,
+                            {id, "id: " + std::to_string(id) + "\n\n"}, this->orders);
+}
+
+void RelayScene::end(RelayOrder::CallerId caller)
+{
+    this->node.answerEnded(this->now, this->attemptOf(caller)->attempt, this->orders);
+}
+
+void RelayScene::fail(RelayOrder::CallerId caller, AttemptFailure failure)
+{
+    this->node.attemptFailed(this->now, this->attemptOf(caller)->attempt, failure, this->orders);
+}
+
+void RelayScene::reject(RelayOrder::CallerId caller)
+{
+    this->head(caller, 503, true);
+    this->end(caller);
+}
+
+void RelayScene::pass(milliseconds span)
+{
+    static constexpr milliseconds Tick(20);
+    for (const Instant end = this->now + span; this->now < end;) {
+        this->now += Tick;
+        this->node.tick(this->now, this->orders);
+    }
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Relay/RosterTest.cpp
@@ -0,0 +1,213 @@
+#include "Core/RandomSource.h"
+#include "RelayScene.h"
+#include "Relay/BackendHealth.h"
+#include "Relay/BackendRoster.h"
+#include "Relay/EntryTable.h"
+#include "Relay/PaceLimit.h"
+#include "Relay/Placement.h"
+#include "Relay/StoreMirror.h"
+
+#include <chrono>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class RosterTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RosterTest);
+    CPPUNIT_TEST(removedServerGetsNoWork);
+    CPPUNIT_TEST(lapsedRowsStayInUseUntilTheyAreBack);
+    CPPUNIT_TEST(addressBelongsToItsLatestStart);
+    CPPUNIT_TEST(suspensionsAreShortAndGrow);
+    CPPUNIT_TEST(placementTakesTheLeastLoadedSoundServer);
+    CPPUNIT_TEST(paceLimitFallsAndRises);
+    CPPUNIT_TEST(silentAndLeavingEntriesAreNotNamed);
+    CPPUNIT_TEST(oldReportsAreIgnored);
+    CPPUNIT_TEST(sharesStayBelowTheLimitOfAllEntries);
+    CPPUNIT_TEST(mirrorNeverGoesBack);
+    CPPUNIT_TEST(mirrorTellsWhatAnotherEntryLacks);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void removedServerGetsNoWork()
+    {
+        BackendRoster roster;
+        roster.update(this->start, RelayScene::record("a", "model"));
+        roster.remove(this->start + seconds(5), "a");
+        CPPUNIT_ASSERT(!roster.mayWork(*roster.find("a"), this->start + seconds(5)));
+    }
+
+    // Guards against an outage of the store that empties the list although all servers live.
+    void lapsedRowsStayInUseUntilTheyAreBack()
+    {
+        BackendRoster roster;
+        roster.update(this->start, RelayScene::record("a", "model"));
+        roster.update(this->start, RelayScene::record("b", "model"));
+        const Instant back = this->start + seconds(10);
+        roster.storeReturned(back);
+        roster.remove(back, "a");
+        roster.remove(back, "b");
+        CPPUNIT_ASSERT(roster.mayWork(*roster.find("a"), back + seconds(1)));
+        roster.update(back + milliseconds(1500), RelayScene::record("a", "model"));
+        const Instant later = back + milliseconds(2300);
+        CPPUNIT_ASSERT(roster.mayWork(*roster.find("a"), later));
+        CPPUNIT_ASSERT(!roster.mayWork(*roster.find("b"), later));
+    }
+
+    // Guards against requests to the row of a crashed server whose machine runs its next start.
+    void addressBelongsToItsLatestStart()
+    {
+        BackendRoster roster;
+        BackendRecord before = RelayScene::record("a", "model");
+        before.incarnation = 1000;
+        BackendRecord after = before;
+        after.id = "b";
+        after.incarnation = 2000;
+        roster.update(this->start, after);
+        roster.update(this->start, before);
+        CPPUNIT_ASSERT(!roster.mayWork(*roster.find("a"), this->start));
+        CPPUNIT_ASSERT(roster.mayWork(*roster.find("b"), this->start));
+    }
+
+    void suspensionsAreShortAndGrow()
+    {
+        BackendHealth health;
+        health.noteUnreachable(this->start);
+        CPPUNIT_ASSERT(health.isSuspended(this->start + milliseconds(400)));
+        CPPUNIT_ASSERT(!health.isSuspended(this->start + milliseconds(600)));
+        health.noteUnreachable(this->start + milliseconds(600));
+        CPPUNIT_ASSERT(health.isSuspended(this->start + milliseconds(1500)));
+        health.noteSuccess(this->start + seconds(2));
+        CPPUNIT_ASSERT(!health.isSuspended(this->start + seconds(2)));
+    }
+
+    void placementTakesTheLeastLoadedSoundServer()
+    {
+        RandomSource random(1);
+        std::vector<PlacementCandidate> servers = {
+                {"full", 12, 12, 0, false}, {"busy", 12, 9, 0, false}, {"free", 12, 4, 0, false}};
+        CPPUNIT_ASSERT_EQUAL(std::string("free"), *placeRequest(servers, random));
+        servers[2].failureShare = 0.6;
+        CPPUNIT_ASSERT_EQUAL(std::string("busy"), *placeRequest(servers, random));
+        servers[1].running = 12;
+        CPPUNIT_ASSERT_EQUAL(std::string("free"), *placeRequest(servers, random));
+        servers[2].running = 12;
+        CPPUNIT_ASSERT(!placeRequest(servers, random).has_value());
+    }
+
+    // Load pattern of scale-1: pauses come close to their target while all places are taken.
+    void paceLimitFallsAndRises()
+    {
+        PaceLimit pace;
+        CPPUNIT_ASSERT_EQUAL(12U, pace.limit(12));
+        Instant now = this->start;
+        for (int event = 0; event < 400; ++event, now += milliseconds(10))
+            pace.notePause(now, milliseconds(130), milliseconds(120));
+        CPPUNIT_ASSERT(pace.limit(12) <= 6);
+        CPPUNIT_ASSERT(pace.limit(12) >= 4);
+        for (int event = 0; event < 1500; ++event, now += milliseconds(10))
+            pace.notePause(now, milliseconds(60), milliseconds(120));
+        CPPUNIT_ASSERT_EQUAL(12U, pace.limit(12));
+    }
+
+    void silentAndLeavingEntriesAreNotNamed()
+    {
+        EntryTable table;
+        table.update(this->start, this->report("a", 1));
+        EntryReport leaving = this->report("b", 1);
+        leaving.isLeaving = true;
+        table.update(this->start, leaving);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             table.servingAddresses(this->start + seconds(1)).size());
+        CPPUNIT_ASSERT(table.servingAddresses(this->start + seconds(4)).empty());
+        // For the shared limits it still counts.
+        CPPUNIT_ASSERT_EQUAL(3U, table.entryCount(this->start + seconds(4)));
+    }
+
+    void oldReportsAreIgnored()
+    {
+        EntryTable table;
+        EntryReport late = this->report("a", 4);
+        late.running["m0"] = 9;
+        table.update(this->start, this->report("a", 5));
+        CPPUNIT_ASSERT(!table.update(this->start, late));
+        CPPUNIT_ASSERT_EQUAL(0U, table.runningElsewhere("m0", this->start));
+    }
+
+    // Guards against a storm of repeats, and against an overloaded cold server, from many entries.
+    void sharesStayBelowTheLimitOfAllEntries()
+    {
+        static constexpr std::uint32_t Entries = 7;
+        std::vector<RetryShare> retries(Entries, RetryShare({0.2, 88}, seconds(10)));
+        std::vector<ColdShare> cold(Entries);
+        std::uint32_t repeats = 0;
+        std::uint32_t starts = 0;
+        for (int round = 0; round < 100; ++round) {
+            for (std::uint32_t entry = 0; entry < Entries; ++entry) {
+                retries[entry].noteFirst(this->start + milliseconds(round));
+                repeats += retries[entry].take(this->start + milliseconds(round), Entries) ? 1 : 0;
+                starts += cold[entry].take(this->start + milliseconds(round), 26, Entries) ? 1 : 0;
+            }
+        }
+        CPPUNIT_ASSERT(repeats > 0);
+        CPPUNIT_ASSERT(repeats <= 0.2 * 100 * Entries + 88);
+        CPPUNIT_ASSERT(starts > 0);
+        CPPUNIT_ASSERT(starts <= 26);
+    }
+
+    void mirrorNeverGoesBack()
+    {
+        StoreMirror mirror;
+        mirror.reset({{"k", "old", 3}}, 5);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.apply({{"k", "new", 8}}, 8).size());
+        // A peer that lags tells an older state, and a late answer an older value.
+        CPPUNIT_ASSERT(mirror.reset({{"k", "old", 3}}, 5).empty());
+        CPPUNIT_ASSERT(mirror.apply({{"k", "old", 3}}, 3).empty());
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), *mirror.items().at("k").value);
+        mirror.apply({{"k", std::nullopt, 9}}, 9);
+        CPPUNIT_ASSERT(mirror.apply({{"k", "new", 8}}, 9).empty());
+        CPPUNIT_ASSERT(mirror.items().empty());
+    }
+
+    void mirrorTellsWhatAnotherEntryLacks()
+    {
+        StoreMirror ahead;
+        ahead.reset({{"a", "1", 2}, {"b", "1", 3}}, 4);
+        ahead.apply({{"a", "2", 6}, {"b", std::nullopt, 7}}, 7);
+        StoreMirror behind;
+        behind.reset({{"a", "1", 2}, {"b", "1", 3}}, 4);
+        const auto update = ahead.since(behind.revision());
+        CPPUNIT_ASSERT(!update.isWhole);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), behind.apply(update.items, update.revision).size());
+        CPPUNIT_ASSERT(behind.items().size() == 1 && behind.revision() == 7);
+        StoreMirror fresh;
+        const auto whole = ahead.since(0);
+        CPPUNIT_ASSERT(whole.isWhole);
+        fresh.reset(whole.items, whole.revision);
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), *fresh.items().at("a").value);
+    }
+
+private:
+    EntryReport report(const std::string &name, std::uint64_t sequence) const
+    {
+        EntryReport made;
+        made.name = name;
+        made.incarnation = 1;
+        made.sequence = sequence;
+        made.peerAddress = name + ":7000";
+        made.callerAddress = name + ":80";
+        made.isServing = true;
+        return made;
+    }
+
+    Instant start{seconds(100)};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RosterTest);
+
+} // namespace Nutmegrill
