--- /dev/null
+++ b/Tests/Http/ConnectionTest.cpp
@@ -0,0 +1,293 @@
+#include "Http/ClientConnection.h"
+#include "Http/HttpListener.h"
+#include "Net/EventLoop.h"
+
+#include <arpa/inet.h>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds Limit{2000};
+
+/// A plain socket, so that bytes arrive exactly as a test wants them.
+class RawPeer
+{
+public:
+    RawPeer() : socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in local{};
+        local.sin_family = AF_INET;
+        local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(this->socket, reinterpret_cast<sockaddr *>(&local), sizeof(local));
+        listen(this->socket, 4);
+        socklen_t length = sizeof(local);
+        getsockname(this->socket, reinterpret_cast<sockaddr *>(&local), &length);
+        this->port = ntohs(local.sin_port);
+    }
+
+    ~RawPeer()
+    {
+        close(this->accepted);
+        close(this->socket);
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(this->port); }
+    void accept() { this->accepted = ::accept(this->socket, nullptr, nullptr); }
+    void send(const std::string &bytes) { ::send(this->accepted, bytes.data(), bytes.size(), 0); }
+    void endConnection() { shutdown(this->accepted, SHUT_RDWR); }
+
+private:
+    int socket;
+    int accepted = -1;
+    int port = 0;
+};
+
+/// Outcome of one request.
+struct Outcome
+{
+    int status = 0;
+    std::string body;
+    bool ended = false;
+    std::optional<ClientConnection::Failure> failure;
+
+    ClientConnection::Handlers handlers(const std::string &expectedId = {})
+    {
+        ClientConnection::Handlers made;
+        made.onHead = [this, expectedId](const HttpHead &head) {
+            const std::string *id = head.find("X-Id");
+            if (!expectedId.empty() && id != nullptr && *id != expectedId)
+                return false;
+            this->status = head.status;
+            return true;
+        };
+        made.onData = [this](std::string_view data) { this->body.append(data); };
+        made.onEnd = [this] { this->ended = true; };
+        made.onFailure = [this](ClientConnection::Failure why) { this->failure = why; };
+        return made;
+    }
+
+    bool isOver() const { return this->ended || this->failure; }
+};
+
+std::string freeAddress()
+{
+    return RawPeer().address();
+}
+
+} // namespace
+
+class ConnectionTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ConnectionTest);
+    CPPUNIT_TEST(wholeAnswerKeepsTheConnection);
+    CPPUNIT_TEST(bytesAfterAnAnswerEndTheConnection);
+    CPPUNIT_TEST(answerOfAnotherRequestIsSkipped);
+    CPPUNIT_TEST(brokenAnswerIsAFailure);
+    CPPUNIT_TEST(answerWithoutLengthEndsWithItsConnection);
+    CPPUNIT_TEST(bytesThatAreNoAnswerAreAFailure);
+    CPPUNIT_TEST(refusedConnectionSentNothing);
+    CPPUNIT_TEST(closedAnswerArrivesWhole);
+    CPPUNIT_TEST(abortedStreamDoesNotLookComplete);
+    CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
+    CPPUNIT_TEST(oversizedRequestsAreRefused);
+    CPPUNIT_TEST(ambiguousLengthIsRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void wholeAnswerKeepsTheConnection()
+    {
+        Outcome outcome;
+        this->exchange("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", outcome);
+        CPPUNIT_ASSERT(outcome.ended && this->client->isReusable());
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), outcome.body);
+    }
+
+    // Guards against an answer that a later request on the connection would take for its own.
+    void bytesAfterAnAnswerEndTheConnection()
+    {
+        Outcome outcome;
+        this->exchange("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", outcome);
+        CPPUNIT_ASSERT(outcome.ended && !this->client->isReusable());
+        CPPUNIT_ASSERT_EQUAL(std::string("ok"), outcome.body);
+    }
+
+    // Guards against a late second answer of the request before.
+    void answerOfAnotherRequestIsSkipped()
+    {
+        Outcome outcome;
+        this->exchange("HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 201 OK\r\n"
+                       "X-Id: new\r\nContent-Length: 3\r\n\r\nnew",
+                       outcome, "new");
+        CPPUNIT_ASSERT(outcome.ended && !this->client->isReusable());
+        CPPUNIT_ASSERT_EQUAL(201, outcome.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), outcome.body);
+    }
+
+    void brokenAnswerIsAFailure()
+    {
+        Outcome outcome;
+        this->exchange("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", outcome, {}, true);
+        CPPUNIT_ASSERT(outcome.failure == ClientConnection::Failure::Broken && !outcome.ended);
+        this->exchange("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", outcome,
+                       {}, true);
+        CPPUNIT_ASSERT(outcome.failure == ClientConnection::Failure::Broken);
+    }
+
+    void answerWithoutLengthEndsWithItsConnection()
+    {
+        Outcome outcome;
+        this->exchange("HTTP/1.1 200 OK\r\n\r\nall of it", outcome, {}, true);
+        CPPUNIT_ASSERT(outcome.ended && !this->client->isReusable());
+        CPPUNIT_ASSERT_EQUAL(std::string("all of it"), outcome.body);
+    }
+
+    void bytesThatAreNoAnswerAreAFailure()
+    {
+        Outcome outcome;
+        this->exchange("\x01\x02 no answer at all\r\n\r\n", outcome);
+        CPPUNIT_ASSERT(outcome.failure == ClientConnection::Failure::Malformed);
+    }
+
+    void refusedConnectionSentNothing()
+    {
+        Outcome outcome;
+        this->client = std::make_unique<ClientConnection>(this->loop, freeAddress(), Limit);
+        this->client->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", outcome.handlers());
+        this->loop.runUntil([&] { return outcome.isOver(); }, Limit);
+        CPPUNIT_ASSERT(outcome.failure == ClientConnection::Failure::NotConnected);
+    }
+
+    // Guards against a connection that is shut before its last answer is written: on the platform
+    // no caller got an answer on a connection that it had asked to close.
+    void closedAnswerArrivesWhole()
+    {
+        const std::string body(100000, 'b');
+        this->listen([&](HttpListener::Request &&request) {
+            this->listener->find(request.id)->reply(200, {}, {}, body);
+        });
+        Outcome outcome;
+        this->request("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", outcome);
+        CPPUNIT_ASSERT(outcome.ended);
+        CPPUNIT_ASSERT_EQUAL(body.size(), outcome.body.size());
+    }
+
+    void abortedStreamDoesNotLookComplete()
+    {
+        this->listen([&](HttpListener::Request &&request) {
+            auto *connection = this->listener->find(request.id);
+            connection->startStream(200, {}, {});
+            connection->sendPart("part");
+            this->loop.after(milliseconds(50), [connection] { connection->abort(); });
+        });
+        Outcome outcome;
+        this->request("GET / HTTP/1.1\r\nHost: x\r\n\r\n", outcome);
+        CPPUNIT_ASSERT(outcome.failure == ClientConnection::Failure::Broken && !outcome.ended);
+        CPPUNIT_ASSERT_EQUAL(std::string("part"), outcome.body);
+    }
+
+    void pipelinedRequestsAreAnsweredInOrder()
+    {
+        std::string seen;
+        this->listen([&](HttpListener::Request &&request) {
+            seen += request.head.target;
+            this->loop.after(milliseconds(20), [this, id = request.id] {
+                this->listener->find(id)->reply(200, {}, {}, {});
+            });
+        });
+        Outcome outcome;
+        this->request("GET /a HTTP/1.1\r\nHost: x\r\n\r\nPOST /b HTTP/1.1\r\nHost: x\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+                      outcome);
+        this->loop.runUntil([&] { return seen.size() == 4; }, Limit);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b"), seen);
+    }
+
+    void oversizedRequestsAreRefused()
+    {
+        bool handled = false;
+        this->listen([&](HttpListener::Request &&) { handled = true; });
+        ServerLimits limits;
+        limits.bodyBytes = 100;
+        this->listener->setLimits(limits);
+        Outcome body;
+        this->request("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 101\r\n\r\n"
+                              + std::string(101, 'x'),
+                      body);
+        CPPUNIT_ASSERT_EQUAL(413, body.status);
+        HttpParser::setHeaderLimit(4096);
+        Outcome head;
+        this->request("GET / HTTP/1.1\r\nHost: x\r\nLong: " + std::string(8000, 'x') + "\r\n\r\n",
+                      head);
+        CPPUNIT_ASSERT_EQUAL(431, head.status);
+        CPPUNIT_ASSERT(!handled);
+    }
+
+    // Guards against a second request that is hidden in the body of another one.
+    void ambiguousLengthIsRefused()
+    {
+        bool handled = false;
+        this->listen([&](HttpListener::Request &&) { handled = true; });
+        Outcome outcome;
+        this->request("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                      outcome);
+        CPPUNIT_ASSERT_EQUAL(400, outcome.status);
+        CPPUNIT_ASSERT(!handled);
+    }
+
+private:
+    /// Sends one request to a raw peer that answers with \a bytes.
+    void exchange(const std::string &bytes, Outcome &outcome, const std::string &expectedId = {},
+                  bool endConnection = false)
+    {
+        outcome = {};
+        RawPeer peer;
+        this->client = std::make_unique<ClientConnection>(this->loop, peer.address(), Limit);
+        this->client->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", outcome.handlers(expectedId));
+        this->loop.runUntil([] { return false; }, milliseconds(30));
+        peer.accept();
+        peer.send(bytes);
+        if (endConnection)
+            peer.endConnection();
+        this->loop.runUntil([&] { return outcome.isOver(); }, Limit);
+        CPPUNIT_ASSERT(outcome.isOver());
+    }
+
+    void listen(HttpListener::RequestHandler handler)
+    {
+        this->address = freeAddress();
+        this->listener = std::make_unique<HttpListener>(this->loop, this->address, 16,
+                                                        std::move(handler));
+        CPPUNIT_ASSERT(this->listener->isListening());
+    }
+
+    void request(const std::string &bytes, Outcome &outcome)
+    {
+        this->client = std::make_unique<ClientConnection>(this->loop, this->address, Limit);
+        this->client->send(bytes, outcome.handlers());
+        this->loop.runUntil([&] { return outcome.isOver(); }, Limit);
+        this->listener->tick(this->loop.now());
+    }
+
+    EventLoop loop;
+    std::string address;
+    std::unique_ptr<HttpListener> listener;
+    std::unique_ptr<ClientConnection> client;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ConnectionTest);
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Platform/AdapterTest.cpp
@@ -0,0 +1,197 @@
+#include "Http/HttpHead.h"
+#include "platform/PlatformDecoder.h"
+#include "platform/PlatformEngine.h"
+#include "platform/PlatformProtocol.h"
+
+#include <chrono>
+#include <string>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *ConfigurationText =
+        R"({"version":7,"routes":[{"name":"r1","hostname":"h.example","prefix":"/a/","kind":"streaming",
+        "timeoutMs":8000,"targetLatencyMs":400,"priority":1,"trafficSplit":[{"service":"s","weight":90},
+        {"service":"t","weight":10}],"attempts":2,"public":false,"canResume":true,"targetItlMs":120},
+        {"name":"r2","hostname":"h.example","prefix":"/b/","kind":"something new","timeoutMs":800,
+        "service":"t"}],
+        "services":[{"name":"s","maxConnections":278,"coldStartS":3.0,"coldPerS":26.0,"engine":{
+        "expertSets":4,"experts":72,"placements":8,"spares":3,"expertMb":780.0,"linkMbps":180000.0}},
+        {"name":"t","maxConnections":96,"coldStartS":0.0,"coldPerS":0.0}],
+        "limits":{"maxHeaderBytes":9000,"maxBodyBytes":100,"headerTimeoutMs":2000,"idleTimeoutMs":7000},
+        "tenants":[{"name":"x","apiKeys":["k1","k2"],"priority":1}]})";
+
+constexpr const char *WorkerText =
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"north","version":"v1","slots":12,
+        "state":"draining","coldLeftMs":1500,"seq":4,"born":1783282043789})";
+
+StateDecoder::Meaning decode(const std::string &key, const std::string &value)
+{
+    return PlatformDecoder().decode({key, value, 1});
+}
+
+} // namespace
+
+class AdapterTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(AdapterTest);
+    CPPUNIT_TEST(configurationIsTranslated);
+    CPPUNIT_TEST(workerIsTranslated);
+    CPPUNIT_TEST(valuesOfOtherWritersNameNoWorker);
+    CPPUNIT_TEST(keysHaveTheirMeanings);
+    CPPUNIT_TEST(requestHeadersAreReadAndReplaced);
+    CPPUNIT_TEST(answersAreTold);
+    CPPUNIT_TEST(engineReportIsTranslated);
+    CPPUNIT_TEST(malformedEngineAnswersAreRefused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void configurationIsTranslated()
+    {
+        const auto meaning = decode("op/config", ConfigurationText);
+        const auto &configuration = *std::get<ConfigurationPtr>(meaning);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), configuration.version);
+        const Route &stream = configuration.routes.at(0);
+        CPPUNIT_ASSERT(stream.kind == Route::Kind::Stream && stream.isResumable);
+        CPPUNIT_ASSERT(stream.pauseTarget == milliseconds(120) && stream.maxRuns == 2);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), stream.targets.size());
+        // A kind that is not known is never repeated.
+        CPPUNIT_ASSERT(configuration.routes.at(1).kind == Route::Kind::NonIdempotent);
+        CPPUNIT_ASSERT_EQUAL(26.0, configuration.services.at(0).coldRequestsPerSecond);
+        CPPUNIT_ASSERT_EQUAL(72U, configuration.services.at(0).experts.count);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(9000), configuration.callerLimits.headerBytes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             configuration.clientAccounts.at(0).furtherKeyHashes.size());
+    }
+
+    void workerIsTranslated()
+    {
+        const auto record = std::get<BackendRecord>(decode("servers/i-1", WorkerText));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), record.id);
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), record.failureDomain);
+        CPPUNIT_ASSERT(record.isLeaving && record.coldLeft == milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1783282043789), record.incarnation);
+    }
+
+    // Guards against a process that ends, or work that goes astray, on values of other writers.
+    void valuesOfOtherWritersNameNoWorker()
+    {
+        for (const std::string value :
+             {"", "{", "[]", "7", "\xff\xfe", R"({"service":"s"})",
+              R"({"service":1,"address":"10.0.0.9:80","zone":"n","slots":1,"state":"ready"})",
+              R"({"service":"s","address":"10.0.0.9:80","zone":"n","slots":1,"state":"odd"})",
+              R"({"service":"s","address":"10.0.0.9:80","zone":"n","slots":0,"state":"ready"})",
+              R"({"service":"s","address":"nowhere","zone":"n","slots":1,"state":"ready"})"}) {
+            const auto meaning = decode("servers/i-1", value);
+            const auto *unreadable = std::get_if<StateDecoder::Unreadable>(&meaning);
+            CPPUNIT_ASSERT_MESSAGE(value, unreadable != nullptr && unreadable->backend == "i-1");
+        }
+        const auto meaning = decode("op/config", "{}");
+        CPPUNIT_ASSERT(std::holds_alternative<StateDecoder::Unreadable>(meaning));
+    }
+
+    void keysHaveTheirMeanings()
+    {
+        const PlatformDecoder decoder;
+        const auto out = std::get<StateDecoder::DomainOut>(decode("op/evacuate/north", "{}"));
+        CPPUNIT_ASSERT(out.isOut && out.failureDomain == "north");
+        const auto back = decoder.decode({"op/evacuate/north", std::nullopt, 2});
+        CPPUNIT_ASSERT(!std::get<StateDecoder::DomainOut>(back).isOut);
+        const auto gone = decoder.decode({"servers/i-1", std::nullopt, 2});
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), std::get<StateDecoder::BackendGone>(gone).id);
+        const auto entry = decode(decoder.entryKey("e"), "10.0.0.1:7000");
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7000"),
+                             std::get<StateDecoder::EntryAnnounced>(entry).peerAddress);
+        CPPUNIT_ASSERT(std::holds_alternative<std::monostate>(decode("other/key", "{}")));
+    }
+
+    // Guards against a key, a tenant or an instance that the caller sets itself.
+    void requestHeadersAreReadAndReplaced()
+    {
+        const PlatformProtocol protocol;
+        HttpHead head;
+        head.method = "POST";
+        head.target = "/a/b?c=d%20e";
+        head.headers = {{"Host", "h.example"},      {"Attempt-Id", "9c41"},
+                        {"credential", "secret"},   {"Tenant", "forged"},
+                        {"Expect-Instance", "i-9"}, {"Deadline-Ms", "8000"},
+                        {"Token-Usage", "1460,80"}, {"Connection", "keep-alive, X-Own"},
+                        {"X-Own", "1"},             {"X-Other", "kept"},
+                        {"Last-Event-Id", "12"}};
+        const RelayRequest request = protocol.readRequest(head);
+        CPPUNIT_ASSERT_EQUAL(std::string("/a/b"), request.path);
+        CPPUNIT_ASSERT_EQUAL(std::string("secret"), request.key);
+        CPPUNIT_ASSERT_EQUAL(1460U, request.promptTokens);
+        CPPUNIT_ASSERT_EQUAL(80U, request.outputTokens);
+        CPPUNIT_ASSERT(request.lastEvent == std::uint64_t(12));
+        RelayOrder::StartAttempt start;
+        start.backend = "i-1";
+        start.account = "x";
+        start.timeLeft = milliseconds(700);
+        start.lastEvent = 14;
+        CPPUNIT_ASSERT_EQUAL(std::string("POST /a/b?c=d%20e HTTP/1.1\r\nHost: h.example\r\n"
+                                         "Attempt-Id: 9c41\r\nToken-Usage: 1460,80\r\n"
+                                         "X-Other: kept\r\nDeadline-Ms: 700\r\n"
+                                         "Expect-Instance: i-1\r\nTenant: x\r\n"
+                                         "Last-Event-Id: 14\r\nContent-Length: 2\r\n\r\nhi"),
+                             protocol.writeRequest(head, "hi", start));
+    }
+
+    void answersAreTold()
+    {
+        const PlatformProtocol protocol;
+        HttpHead head;
+        head.status = 200;
+        head.headers = {{"Attempt-Id", "a"}, {"Instance-Load", "3,1,8"}};
+        CPPUNIT_ASSERT(!protocol.readAnswer(head, "b").has_value());
+        // A success without the signature is not the worker's.
+        CPPUNIT_ASSERT(!protocol.readAnswer(head, "a")->isUsable);
+        head.headers.emplace_back("Response-Seal", "s");
+        const auto answer = protocol.readAnswer(head, "a");
+        CPPUNIT_ASSERT(answer->isUsable && answer->load->waiting == 1);
+        head.headers.emplace_back("Content-Encoding", "gzip");
+        CPPUNIT_ASSERT(!protocol.readAnswer(head, "a")->isUsable);
+        HttpHead rejected;
+        rejected.status = 503;
+        CPPUNIT_ASSERT(!protocol.readAnswer(rejected, "a")->notRun);
+        rejected.headers = {{"Not-Executed", "1"}};
+        CPPUNIT_ASSERT(protocol.readAnswer(rejected, "a")->notRun);
+        rejected.status = 421;
+        CPPUNIT_ASSERT(protocol.readAnswer(rejected, "a")->isMisdirected);
+        const auto own = protocol.ownHeaders("a", milliseconds(1250));
+        CPPUNIT_ASSERT_EQUAL(std::string("1.250"), own.at(1).second);
+    }
+
+    void engineReportIsTranslated()
+    {
+        const auto state = PlatformEngine().readReport(
+                R"({"group":{"name":"g","epoch":2,"rank":3,"state":"open"},"size":12,"step":71,
+                "map":4,"prepared":5,"armed":{"version":5,"step":80},"held":80})");
+        CPPUNIT_ASSERT(state->isOpen && state->ranks == 12 && state->rank == 3);
+        CPPUNIT_ASSERT(state->armed == (MapSwitch{5, 80}) && state->heldStep == std::uint64_t(80));
+        CPPUNIT_ASSERT(state->preparedVersion == std::uint64_t(5) && state->mapVersion == 4);
+    }
+
+    void malformedEngineAnswersAreRefused()
+    {
+        const PlatformEngine engine;
+        for (const std::string body : {"", "{}", "[1]", R"({"group":7,"counts":"x","map":1})"}) {
+            CPPUNIT_ASSERT(!engine.readReport(body));
+            CPPUNIT_ASSERT(!engine.readCounts(body));
+            CPPUNIT_ASSERT(!engine.readExperts(body));
+        }
+        CPPUNIT_ASSERT(engine.readOrderAnswer(202) == OrderAnswer::Accepted);
+        CPPUNIT_ASSERT(engine.readOrderAnswer(409) == OrderAnswer::Refused);
+        CPPUNIT_ASSERT(engine.readOrderAnswer(0) == OrderAnswer::Unknown);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdapterTest);
+
+} // namespace Nutmegrill
