--- a/Source/Experts/RankSwitch.cpp
+++ b/Source/Experts/RankSwitch.cpp
@@ -22,6 +22,7 @@
     this->highestVersion = 0;
     this->armedPeers.clear();
     this->switchingPeers.clear();
+    this->holderHolds.reset();
 }
 
 void RankSwitch::engineReported(const EngineState &engine)
@@ -89,6 +90,8 @@
         return;
     if (peer.engine.armed)
         this->armedPeers[peer.engine.rank] = *peer.engine.armed;
+    if (peer.engine.rank == Holder && peer.engine.heldStep)
+        this->holderHolds = peer.engine.heldStep;
     if (peer.switching)
         this->switchingPeers[peer.engine.rank] = *peer.switching;
     this->joinPeers();
@@ -111,6 +114,14 @@
     return this->state->armed == this->target;
 }
 
+bool RankSwitch::isStepHeld() const
+{
+    if (!this->switches.holdBeforeArm)
+        return true;
+    return this->state->rank == Holder ? this->state->heldStep == this->target->step
+                                       : this->holderHolds == this->target->step;
+}
+
 bool RankSwitch::allArmed() const
 {
     if (!this->switches.releaseWhenAllArmed)
@@ -138,7 +149,9 @@
             if (!isHeld)
                 return std::nullopt;
             order.kind = EngineOrder::Kind::Release;
-        } else if (!isHeld && this->switches.holdBeforeArm) {
+        } else if (!this->isStepHeld()) {
+            if (this->state->rank != Holder)
+                return std::nullopt;
             order.kind = EngineOrder::Kind::Hold;
         } else if (!this->isArmedHere()) {
             order.kind = EngineOrder::Kind::Arm;
--- a/Source/Experts/RankSwitch.h
+++ b/Source/Experts/RankSwitch.h
@@ -14,9 +14,12 @@
 /// step. Engines do not compare maps, orders can be carried out seconds late, and agents can die or
 /// pause at any point; still no step may begin with two maps (G1).
 ///
-/// 1. A rank is armed only after it holds the step of the change. So from the first armed rank on,
-///    the step does not begin before that rank is released.
-/// 2. A rank is released only when every rank of the epoch is known to be armed for that change.
+/// 1. A rank is armed only after the holder, one fixed rank, is known to hold the step of the
+/// change.
+///    So from the first armed rank on, the step does not begin before the holder is released. One
+///    holder is enough, and an agent of another rank that pauses after it has armed stops nobody.
+/// 2. The holder is released only when every rank of the epoch is known to be armed for that
+/// change.
 ///    Armed ranks stay armed, so this knowledge does not become wrong.
 /// 3. Once a rank may be armed, the change goes forward only: every agent that hears of it and has
 ///    the map prepared joins. An arm order that arrives late does what is intended anyway, or finds
@@ -24,13 +27,16 @@
 /// 4. An owner asks all agents to follow no lower ballot before it prepares a map. An agent that
 ///    carries a change through says so, and the owner then waits. So no map is prepared over
 ///    another one that a rank may be armed for.
-/// 5. A restarted agent whose rank holds a step cannot know whether an arm order is still on its
-///    way, so it carries the change through as well.
+/// 5. A restarted agent of the holder whose rank holds a step cannot know whether an arm order is
+///    still on its way somewhere, so it carries the change through as well, and the others join.
 ///
 /// All of this ends with the epoch: the engines then are at map 0 with nothing armed or held.
 class RankSwitch
 {
 public:
+    /// The rank that holds the step of a change.
+    static constexpr std::uint32_t Holder = 0;
+
     /// Mechanisms that tests turn off to show that their proofs notice.
     struct Switches
     {
@@ -67,6 +73,7 @@
 
     void beginEpoch();
     bool isArmedHere() const;
+    bool isStepHeld() const;
     bool allArmed() const;
     void joinPeers();
 
@@ -82,6 +89,8 @@
     /// Ranks of the present epoch that said that they are armed, and for what.
     std::map<std::uint32_t, MapSwitch> armedPeers;
     std::map<std::uint32_t, MapSwitch> switchingPeers;
+    /// Step that the holder's engine was last heard to hold.
+    std::optional<std::uint64_t> holderHolds;
     std::uint64_t lostOrders = 0;
     bool orderOpen = false;
     Instant nextOrderAt;
--- a/Source/Experts/SwitchOwner.cpp
+++ b/Source/Experts/SwitchOwner.cpp
@@ -303,6 +303,13 @@
             this->command.reset();
             return std::nullopt;
         }
+        if (now >= this->phaseStart + StepLead && all([&](const RankState &state) {
+                return !state.switching && !state.engine.armed
+                       && state.engine.step >= this->command->change.step;
+            })) {
+            this->abandon(now, "the step began before it was held");
+            return std::nullopt;
+        }
         break;
     }
     if (now >= this->phaseDeadline) {
--- a/Tests/Experts/RankSwitchTest.cpp
+++ b/Tests/Experts/RankSwitchTest.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(ordersNameTheEpoch);
     CPPUNIT_TEST(lateHoldIsReleased);
     CPPUNIT_TEST(lowerBallotIsIgnored);
+    CPPUNIT_TEST(pausedAgentThatHasArmedStopsNobody);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -104,9 +105,16 @@
         engine.preparedVersion = 3;
         rank.engineReported(engine);
         rank.commanded(this->command(OwnerCommand::Phase::Switch, 1, {3, 20}));
+        // Only the holder's agent holds; this one waits until it has heard of that.
+        CPPUNIT_ASSERT(!rank.nextOrder(Instant()).has_value());
+        RankState holder;
+        holder.engine = engine;
+        holder.engine.rank = RankSwitch::Holder;
+        holder.engine.heldStep = 20;
+        rank.peerReported(holder);
         const auto order = rank.nextOrder(Instant());
         CPPUNIT_ASSERT(order.has_value());
-        CPPUNIT_ASSERT(order->kind == EngineOrder::Kind::Hold);
+        CPPUNIT_ASSERT(order->kind == EngineOrder::Kind::Arm);
         CPPUNIT_ASSERT_EQUAL(engine.epoch, order->epoch);
         engine.epoch = 8;
         engine.preparedVersion.reset();
@@ -128,6 +136,32 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(40), order->change.step);
     }
 
+    // inc-f77e: an agent paused for four seconds just after it had armed its rank, and its own hold
+    // stopped the group for as long.
+    void pausedAgentThatHasArmedStopsNobody()
+    {
+        RankSwitch holder;
+        EngineState engine = this->openEngine();
+        engine.rank = RankSwitch::Holder;
+        engine.preparedVersion = 3;
+        holder.engineReported(engine);
+        holder.commanded(this->command(OwnerCommand::Phase::Switch, 1, {3, 20}));
+        for (const auto kind : {EngineOrder::Kind::Hold, EngineOrder::Kind::Arm}) {
+            const auto order = holder.nextOrder(Instant());
+            CPPUNIT_ASSERT(order.has_value() && order->kind == kind);
+            holder.answered(Instant(), *order, OrderAnswer::Accepted);
+        }
+        CPPUNIT_ASSERT(!holder.nextOrder(Instant()).has_value());
+        // The last word of the other agent before its pause.
+        RankState other;
+        other.engine = this->openEngine();
+        other.engine.armed = MapSwitch{3, 20};
+        CPPUNIT_ASSERT(!other.engine.heldStep.has_value());
+        holder.peerReported(other);
+        const auto order = holder.nextOrder(Instant());
+        CPPUNIT_ASSERT(order.has_value() && order->kind == EngineOrder::Kind::Release);
+    }
+
     // Guards against an owner that was paused and goes on with an old plan.
     void lowerBallotIsIgnored()
     {
--- a/Tests/Experts/SwitchWorld.cpp
+++ b/Tests/Experts/SwitchWorld.cpp
@@ -18,8 +18,8 @@
 
 SwitchWorld::SwitchWorld(std::uint32_t ranks, std::uint64_t seed, const Faults &faults,
                          RankSwitch::Switches switches)
-    : ranks(ranks), random(seed), faults(faults), switches(switches), engines(ranks),
-      agents(ranks), counts(ranks, std::vector<std::uint64_t>(Experts, 0))
+    : ranks(ranks), random(seed), faults(faults), switches(switches), engines(ranks), agents(ranks),
+      counts(ranks, std::vector<std::uint64_t>(Experts, 0))
 {
     for (std::uint32_t rank = 0; rank < ranks; ++rank) {
         EngineState &state = this->engines[rank].state;
@@ -87,9 +87,9 @@
     if (this->now < this->nextStepAt)
         return {};
     const std::uint64_t next = this->currentStep + 1;
-    const bool isHeld = std::any_of(this->engines.begin(), this->engines.end(), [&](const Engine &engine) {
-        return engine.state.heldStep == next;
-    });
+    const bool isHeld =
+            std::any_of(this->engines.begin(), this->engines.end(),
+                        [&](const Engine &engine) { return engine.state.heldStep == next; });
     if (isHeld)
         return {};
     this->nextStepAt = this->now + StepTime;
@@ -106,8 +106,8 @@
     for (const Engine &engine : this->engines) {
         if (engine.state.mapVersion != this->engines.front().state.mapVersion)
             return "step " + std::to_string(next) + " began with maps "
-                    + std::to_string(this->engines.front().state.mapVersion) + " and "
-                    + std::to_string(engine.state.mapVersion);
+                   + std::to_string(this->engines.front().state.mapVersion) + " and "
+                   + std::to_string(engine.state.mapVersion);
     }
     this->changes += this->lowestMap() > before ? 1 : 0;
     this->shiftDemand();
@@ -150,7 +150,8 @@
         if (late.due <= this->now)
             this->carryOut(late.rank, late.order);
     }
-    std::erase_if(this->lateOrders, [this](const LateOrder &late) { return late.due <= this->now; });
+    std::erase_if(this->lateOrders,
+                  [this](const LateOrder &late) { return late.due <= this->now; });
     std::vector<Message> due;
     for (const Message &message : this->messages) {
         if (message.due <= this->now)
--- a/Tests/Experts/SwitchWorld.h
+++ b/Tests/Experts/SwitchWorld.h
@@ -12,9 +12,9 @@
 
 namespace Nutmegrill {
 
-/// A group of engines that switch maps by themselves, their agents and the messages between them, on
-/// a virtual clock. Orders lose their answers and are carried out late, messages are lost and late,
-/// agents pause and start again.
+/// A group of engines that switch maps by themselves, their agents and the messages between them,
+/// on a virtual clock. Orders lose their answers and are carried out late, messages are lost and
+/// late, agents pause and start again.
 class SwitchWorld
 {
 public:
--- a/Tests/Http/ConnectionTest.cpp
+++ b/Tests/Http/ConnectionTest.cpp
@@ -119,7 +119,8 @@
     void bytesAfterAnAnswerEndTheConnection()
     {
         Outcome outcome;
-        this->exchange("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", outcome);
+        this->exchange("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n",
+                       outcome);
         CPPUNIT_ASSERT(outcome.ended && !this->client->isReusable());
         CPPUNIT_ASSERT_EQUAL(std::string("ok"), outcome.body);
     }
@@ -128,9 +129,10 @@
     void answerOfAnotherRequestIsSkipped()
     {
         Outcome outcome;
-        this->exchange("HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 201 OK\r\n"
-                       "X-Id: new\r\nContent-Length: 3\r\n\r\nnew",
-                       outcome, "new");
+        this->exchange(
+                "HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 201 OK\r\n"
+                "X-Id: new\r\nContent-Length: 3\r\n\r\nnew",
+                outcome, "new");
         CPPUNIT_ASSERT(outcome.ended && !this->client->isReusable());
         CPPUNIT_ASSERT_EQUAL(201, outcome.status);
         CPPUNIT_ASSERT_EQUAL(std::string("new"), outcome.body);
@@ -269,8 +271,8 @@
     void listen(HttpListener::RequestHandler handler)
     {
         this->address = freeAddress();
-        this->listener = std::make_unique<HttpListener>(this->loop, this->address, 16,
-                                                        std::move(handler));
+        this->listener =
+                std::make_unique<HttpListener>(this->loop, this->address, 16, std::move(handler));
         CPPUNIT_ASSERT(this->listener->isListening());
     }
 
--- a/Tests/Platform/AdapterTest.cpp
+++ b/Tests/Platform/AdapterTest.cpp
@@ -118,11 +118,16 @@
         HttpHead head;
         head.method = "POST";
         head.target = "/a/b?c=d%20e";
-        head.headers = {{"Host", "h.example"},      {"Attempt-Id", "9c41"},
-                        {"credential", "secret"},   {"Tenant", "forged"},
-                        {"Expect-Instance", "i-9"}, {"Deadline-Ms", "8000"},
-                        {"Token-Usage", "1460,80"}, {"Connection", "keep-alive, X-Own"},
-                        {"X-Own", "1"},             {"X-Other", "kept"},
+        head.headers = {{"Host", "h.example"},
+                        {"Attempt-Id", "9c41"},
+                        {"credential", "secret"},
+                        {"Tenant", "forged"},
+                        {"Expect-Instance", "i-9"},
+                        {"Deadline-Ms", "8000"},
+                        {"Token-Usage", "1460,80"},
+                        {"Connection", "keep-alive, X-Own"},
+                        {"X-Own", "1"},
+                        {"X-Other", "kept"},
                         {"Last-Event-Id", "12"}};
         const RelayRequest request = protocol.readRequest(head);
         CPPUNIT_ASSERT_EQUAL(std::string("/a/b"), request.path);
--- a/Tests/Relay/RosterTest.cpp
+++ b/Tests/Relay/RosterTest.cpp
@@ -1,11 +1,11 @@
 #include "Core/RandomSource.h"
-#include "RelayScene.h"
 #include "Relay/BackendHealth.h"
 #include "Relay/BackendRoster.h"
 #include "Relay/EntryTable.h"
 #include "Relay/PaceLimit.h"
 #include "Relay/Placement.h"
 #include "Relay/StoreMirror.h"
+#include "RelayScene.h"
 
 #include <chrono>
 
