--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -181,8 +181,7 @@
         this->readEngineProfile();
     }
     // One call to the engine at a time, the most urgent first.
-    if (!this->engine.isBusy())
-        this->giveOrder();
+    this->giveOrder();
     if (!this->engine.isBusy() && now >= this->nextReportAt)
         this->readReport();
     if (!this->engine.isBusy() && now >= this->nextCountsAt)
@@ -227,6 +226,7 @@
                                       + " step=" + std::to_string(report->step));
                 }
                 this->rankSwitch->engineReported(*report);
+                this->giveOrder();
             });
 }
 
@@ -257,6 +257,8 @@
 
 void RankAgent::giveOrder()
 {
+    if (this->engine.isBusy())
+        return;
     const auto order = this->rankSwitch->nextOrder(this->loop.now());
     if (!order)
         return;
@@ -432,6 +434,9 @@
                 heardAt = this->loop.now();
         }
         this->rankSwitch->peerReported(*state);
+        // At once, not with the next tick: the shorter a step is held, the less depends on agents
+        // that may pause meanwhile.
+        this->giveOrder();
         if (this->owner != nullptr && !state->isToldByOther)
             this->owner->report(this->loop.now(), *state);
         return;
@@ -439,6 +444,7 @@
     if (const auto command = decodeOwnerCommand(bytes)) {
         this->rankSwitch->commanded(*command);
         this->nextStateAt = this->loop.now();
+        this->giveOrder();
         return;
     }
     this->metrics.add("nutmegrill_reports_unreadable_total", {});
