--- a/Source/Net/EventLog.cpp
+++ b/Source/Net/EventLog.cpp
@@ -1,5 +1,12 @@
 #include "Net/EventLog.h"
 
+#include "Net/LogLimiter.h"
+#include "Net/NetLog.h"
+
+#include <poll.h>
+#include <unistd.h>
+#include <utility>
+
 #include <easylogging++.h>
 
 INITIALIZE_EASYLOGGINGPP
@@ -17,6 +24,35 @@
     el::Loggers::reconfigureAllLoggers(settings);
 }
 
+namespace {
+
+/// Whether standard output takes a line now. A pipe counts as writable while a page of it is free,
+/// and lines are shorter.
+bool isOutputReady()
+{
+    pollfd output{STDOUT_FILENO, POLLOUT, 0};
+    return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+}
+
+} // namespace
+
+void EventLog::writeBounded(Instant now, const LogRecord &record)
+{
+    static LogLimiter limiter;
+    static std::uint32_t blocked = 0;
+    if (!limiter.admit(now, record.level != LogRecord::Level::Info))
+        return;
+    if (!isOutputReady()) {
+        ++blocked;
+        return;
+    }
+    const std::uint32_t dropped = limiter.takeDropped() + std::exchange(blocked, 0);
+    if (dropped > 0)
+        write({NetLog::LinesDropped, LogRecord::Level::Warning,
+               "dropped=" + std::to_string(dropped)});
+    write(record);
+}
+
 void EventLog::write(const LogRecord &record)
 {
     const std::string line = "E" + std::to_string(record.number) + " " + record.text;
--- a/Source/Net/EventLog.h
+++ b/Source/Net/EventLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/LogRecord.h"
+#include "Core/Time.h"
 
 #include <string>
 
@@ -14,6 +15,10 @@
     static void open(const std::string &process);
 
     static void write(const LogRecord &record);
+
+    /// Writes within the limit of lines a second. A reader that does not read never blocks the
+    /// process: lines that standard output does not take are dropped and counted.
+    static void writeBounded(Instant now, const LogRecord &record);
 };
 
 } // namespace Nutmegrill
--- /dev/null
+++ b/Source/Net/LogLimiter.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "Core/Time.h"
+
+#include <cstdint>
+
+namespace Nutmegrill {
+
+/// Bounds the log lines of a second. Warnings and errors have a reserve, so that a burst of routine
+/// lines does not push them out.
+class LogLimiter
+{
+public:
+    /// Lines a second. A busy entry writes about 50; ten times the load still fits.
+    static constexpr std::uint32_t LinesPerSecond = 400;
+    /// Part of them that only warnings and errors may use.
+    static constexpr std::uint32_t ReservedLines = 100;
+
+    /// Whether a line may be written now.
+    bool admit(Instant now, bool isUrgent);
+
+    /// Lines left out in the last complete second; 0 after it was read.
+    std::uint32_t takeDropped();
+
+private:
+    Instant windowEnd;
+    std::uint32_t written = 0;
+    std::uint32_t dropped = 0;
+    std::uint32_t droppedBefore = 0;
+};
+
+} // namespace Nutmegrill
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -33,7 +33,6 @@
 inline constexpr std::uint32_t MapInUse = 5035;
 inline constexpr std::uint32_t EngineOrdered = 5036;
 inline constexpr std::uint32_t OwnerDecided = 5037;
-inline constexpr std::uint32_t LinesDropped = 5040;
 
 } // namespace RelayLog
 
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -1,8 +1,7 @@
 #include "Relay/RelayNode.h"
 
-#include "Relay/Placement.h"
+#include "Relay/RelayLimits.h"
 #include "Relay/RelayLog.h"
-#include "Relay/WaitingOrder.h"
 
 #include <algorithm>
 #include <sstream>
@@ -16,14 +15,6 @@
 
 /// Deadline of requests that state none.
 constexpr milliseconds DefaultDeadline{30000};
-/// Holding times assumed before any was measured.
-constexpr milliseconds UsualStreamHold{1200};
-constexpr milliseconds UsualCallHold{80};
-/// Callers leave a stream that shows no event for two seconds. An event takes some hundred
-/// milliseconds after its place, so a wait for a place beyond this one cannot end well.
-constexpr milliseconds LongestStreamWait{1300};
-/// A plain call waits for a place at most as long as it is still answered on time, twice.
-constexpr std::uint32_t CallWaitTargets = 2;
 /// A stream that shows no event for this long, while others of its service do, goes on elsewhere.
 /// It is thrice the target of the sheets and leaves 0.8 s before callers leave.
 constexpr milliseconds LongestSilence{1200};
@@ -31,23 +22,10 @@
 constexpr milliseconds ServiceAlive{300};
 /// The longest streams of the sheets last this long at twice the usual pause between events.
 constexpr milliseconds LongestStream{4500};
-/// A service that has turned requests away for this long is not waited for by new ones.
-constexpr milliseconds LongestOutageWait{800};
-/// Pause that is stated to callers while a service turns requests away: a group that has lost a
-/// rank is back after one to four seconds.
-constexpr milliseconds OutageRetryAfter{1200};
-/// Time for a further attempt: below it an attempt is not worth its place.
-constexpr milliseconds LeastAttemptTime{60};
 /// Attempts that backend servers turned away as not run, per request.
 constexpr std::uint32_t MostSends = 4;
 /// Pause before a request that was turned away is offered again.
 constexpr milliseconds OfferPause{40};
-/// Entries use this part of the connections that a backend server accepts; the rest covers
-/// connections that are being closed.
-constexpr double ConnectionShare = 0.8;
-/// Callers honour a stated pause up to a third of their remaining time.
-constexpr int RetryAfterShare = 3;
-constexpr milliseconds LeastRetryAfter{100};
 
 milliseconds toMilliseconds(std::chrono::microseconds span)
 {
@@ -131,7 +109,8 @@
 
     if (route->kind == Route::Kind::Stream && now + LongestStream > this->stopAt) {
         // It would be cut by the end of the process; another entry can run it whole.
-        this->refuse(now, caller, request.id, 503, LeastRetryAfter, "planned stop", orders);
+        this->refuse(now, caller, request.id, 503, RelayLimits::LeastRetryAfter, "planned stop",
+                     orders);
         return;
     }
 
@@ -284,7 +263,7 @@
     } else if (failed && exchange->route.kind == Route::Kind::Idempotent
                && exchange->runs < exchange->route.maxRuns
                && exchange->deadline - now
-                          > LeastAttemptTime + this->loadOf(*exchange).meanHold()) {
+                          > RelayLimits::LeastAttemptTime + this->loadOf(*exchange).meanHold()) {
         exchange->failedOn.insert(running.backend);
         if (!this->place(now, *exchange, orders))
             this->giveUp(now, *exchange, "failure without another backend server", orders);
@@ -334,7 +313,8 @@
     const bool allowed =
             exchange.isCertainlyNotRun()
             || (exchange.route.mayRunAgain() && exchange.runs < exchange.route.maxRuns);
-    if (!allowed || exchange.sends >= MostSends || exchange.deadline - now < LeastAttemptTime) {
+    if (!allowed || exchange.sends >= MostSends
+        || exchange.deadline - now < RelayLimits::LeastAttemptTime) {
         this->giveUp(now, exchange, why, orders);
         return;
     }
@@ -414,7 +394,7 @@
     for (const CallerId caller : silent) {
         Exchange &exchange = this->exchanges.at(caller);
         // Without a place elsewhere, the present attempt is the best one.
-        if (exchange.deadline - now < LeastAttemptTime
+        if (exchange.deadline - now < RelayLimits::LeastAttemptTime
             || this->usablePlaces(exchange.service, now) == 0)
             continue;
         const std::string backend = exchange.attempt->backend;
@@ -426,168 +406,6 @@
     }
 }
 
-void RelayNode::placeWaiting(Instant now, Orders &orders)
-{
-    std::map<std::string, std::vector<Exchange *>> lines;
-    for (auto &[caller, exchange] : this->exchanges) {
-        if (exchange.isWaiting())
-            lines[exchange.service].push_back(&exchange);
-    }
-    for (auto &[service, line] : lines) {
-        std::sort(line.begin(), line.end(), [now](const Exchange *left, const Exchange *right) {
-            return isServedBefore(*left, *right, now);
-        });
-        std::uint32_t ahead = 0;
-        for (Exchange *exchange : line) {
-            if (exchange->notBefore <= now && this->place(now, *exchange, orders))
-                continue;
-            const std::string reason = this->reasonToRefuse(now, *exchange, ahead);
-            if (reason.empty())
-                ++ahead;
-            else
-                this->giveUp(now, *exchange, reason, orders);
-        }
-    }
-}
-
-bool RelayNode::place(Instant now, Exchange &exchange, Orders &orders)
-{
-    ServiceCircuit &circuit = this->circuits[exchange.service];
-    if (!circuit.maySend(now))
-        return false;
-    const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
-    const std::uint32_t entries = this->peers.entryCount(now);
-    const double coldRate = service == nullptr ? 0 : service->coldRequestsPerSecond;
-    const PaceLimit &pace = this->paces[exchange.service];
-    std::vector<PlacementCandidate> candidates;
-    for (const auto &[id, row] : this->backends.rows()) {
-        if (row.record.service != exchange.service || !this->backends.mayWork(row, now)
-            || row.health.isSuspended(now) || exchange.failedOn.count(id) != 0)
-            continue;
-        BackendUse &use = this->uses[id];
-        const bool isCold = coldRate > 0 && now < row.coldUntil;
-        if (coldRate > 0 && !use.cold.hasRoom(now, coldRate, entries))
-            continue;
-        candidates.push_back({id, pace.limit(row.record.slots),
-                              use.running + this->peers.runningElsewhere(id, now),
-                              row.health.failureShare(now), isCold});
-    }
-    const std::optional<std::string> chosen = placeRequest(candidates, this->random);
-    if (!chosen || (exchange.sends > 0 && !this->retriesOf(exchange.service).take(now, entries)))
-        return false;
-    circuit.noteSent(now);
-
-    const BackendRoster::Row &row = *this->backends.find(*chosen);
-    BackendUse &use = this->uses[*chosen];
-    // A backend server can turn cold without notice, so the cold rate holds at all times.
-    if (coldRate > 0)
-        use.cold.take(now, coldRate, entries);
-    ++use.running;
-    const AttemptId attempt = this->nextAttempt++;
-    Exchange::Attempt &started = exchange.attempt.emplace();
-    started.id = attempt;
-    started.backend = *chosen;
-    started.sentAt = now;
-    started.heardAt = now;
-    ++exchange.runs;
-    ++exchange.sends;
-    this->attempts.emplace(attempt, exchange.caller);
-
-    RelayOrder::StartAttempt start;
-    start.caller = exchange.caller;
-    start.attempt = attempt;
-    start.backend = *chosen;
-    start.address = row.record.address;
-    start.account = exchange.account;
-    start.timeLeft = toMilliseconds(exchange.deadline - now);
-    start.lastEvent = exchange.lastEvent;
-    if (service != nullptr && service->maxConnections > 0)
-        start.maxConnections =
-                std::max(1U, static_cast<std::uint32_t>(ConnectionShare * service->maxConnections
-                                                        / entries));
-    std::ostringstream text;
-    text << "request=" << exchange.request.id << " route=" << exchange.route.name
-         << " service=" << exchange.service << " backend=" << *chosen << " send=" << exchange.sends
-         << " waited_ms=" << toMilliseconds(now - exchange.arrivedAt).count()
-         << " left_ms=" << start.timeLeft.count() << " running_here=" << use.running
-         << " running_elsewhere=" << this->peers.runningElsewhere(*chosen, now)
-         << " cold=" << (now < row.coldUntil) << " config=" << this->configurationVersion();
-    orders.push_back(start);
-    orders.push_back(
-            RelayOrder::Log{line(RelayLog::AttemptStarted, LogRecord::Level::Info, text.str())});
-    return true;
-}
-
-std::string RelayNode::reasonToRefuse(Instant now, const Exchange &exchange, std::uint32_t ahead)
-{
-    const std::uint32_t places = this->usablePlaces(exchange.service, now);
-    if (places == 0)
-        return "no usable backend server";
-    const ServiceCircuit &circuit = this->circuits[exchange.service];
-    if (circuit.isOpen() && exchange.arrivedAt > *circuit.openSince() + LongestOutageWait)
-        return "the service turns requests away";
-    const milliseconds wait = this->loadOf(exchange).expectedWait(
-            ahead, places, this->shareOfPlaces(exchange.service, now));
-    const Instant latest =
-            exchange.route.kind == Route::Kind::Stream
-                    ? exchange.arrivedAt + LongestStreamWait
-                    : exchange.arrivedAt + CallWaitTargets * exchange.route.latencyTarget;
-    if (now + wait > std::min(latest, exchange.deadline - LeastAttemptTime))
-        return "no place in time";
-    return {};
-}
-
-std::chrono::milliseconds RelayNode::comeBackAfter(Instant now, const Exchange &exchange,
-                                                   milliseconds wait)
-{
-    if (this->circuits[exchange.service].isOpen())
-        wait = std::max(wait, OutageRetryAfter);
-    // Spread over as much time again, so that refused callers do not return together.
-    const milliseconds longest = toMilliseconds(exchange.deadline - now) / RetryAfterShare;
-    const milliseconds spread(
-            static_cast<std::int64_t>(this->random.unit() * static_cast<double>(wait.count())));
-    return std::max(LeastRetryAfter, std::min(wait + spread, longest));
-}
-
-std::uint32_t RelayNode::usablePlaces(const std::string &service, Instant now) const
-{
-    const auto pace = this->paces.find(service);
-    std::uint32_t places = 0;
-    for (const auto &[id, row] : this->backends.rows()) {
-        if (row.record.service == service && this->backends.mayWork(row, now)
-            && !row.health.isSuspended(now))
-            places += pace == this->paces.end() ? row.record.slots
-                                                : pace->second.limit(row.record.slots);
-    }
-    return places;
-}
-
-double RelayNode::shareOfPlaces(const std::string &service, Instant now) const
-{
-    const std::uint32_t here = this->waitingFor(service) + 1;
-    return static_cast<double>(here) / (here + this->peers.waitingElsewhere(service, now));
-}
-
-std::uint32_t RelayNode::waitingFor(const std::string &service) const
-{
-    return static_cast<std::uint32_t>(
-            std::count_if(this->exchanges.begin(), this->exchanges.end(), [&](const auto &entry) {
-                return entry.second.service == service && entry.second.isWaiting();
-            }));
-}
-
-ServiceLoad &RelayNode::loadOf(const Exchange &exchange)
-{
-    const auto usual = exchange.route.kind == Route::Kind::Stream ? UsualStreamHold : UsualCallHold;
-    return this->loads.try_emplace(exchange.service, usual).first->second;
-}
-
-RetryShare &RelayNode::retriesOf(const std::string &service)
-{
-    return this->retries.try_emplace(service, this->settings.retryLimit, this->settings.retryWindow)
-            .first->second;
-}
-
 Exchange *RelayNode::byAttempt(AttemptId attempt)
 {
     const auto found = this->attempts.find(attempt);
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -155,7 +155,7 @@
 
 void RelayEntry::log(std::uint32_t number, LogRecord::Level level, const std::string &text)
 {
-    EventLog::write({number, level, text});
+    EventLog::writeBounded(this->loop.now(), {number, level, text});
 }
 
 bool RelayEntry::isServing() const
@@ -477,7 +477,7 @@
 
 void RelayEntry::carryOutOne(const RelayOrder::Log &order)
 {
-    EventLog::write(order.record);
+    EventLog::writeBounded(this->loop.now(), order.record);
 }
 
 void RelayEntry::tick()
--- /dev/null
+++ b/Tests/Platform/FakeStateStore.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "RelayShell/StateStore.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// Store in memory that answers at once, or not at all.
+class FakeStateStore : public StateStore
+{
+public:
+    void put(const std::string &key, const std::string &value)
+    {
+        this->items[key] = {key, value, ++this->revision};
+        this->tell(this->items[key]);
+    }
+
+    void readAll(Done done) override
+    {
+        Result result;
+        result.status = this->isAway ? Status::Failed : Status::Ok;
+        for (const auto &[key, item] : this->items)
+            result.changes.push_back(item);
+        result.revision = this->revision;
+        done(result);
+    }
+
+    void readBackends(Done done) override { this->readAll(std::move(done)); }
+    void readConfiguration(Done done) override { this->readAll(std::move(done)); }
+    void watch(std::uint64_t, std::chrono::milliseconds, Done done) override
+    {
+        this->watcher = std::move(done);
+    }
+    void write(const std::string &key, const std::string &value, std::uint64_t, std::uint64_t,
+               Done done) override
+    {
+        this->items[key] = {key, value, ++this->revision};
+        done({Status::Ok, {}, this->revision, 0, {}});
+    }
+    void grantLease(std::chrono::milliseconds, Done done) override
+    {
+        done({Status::Ok, {}, 0, 7, {}});
+    }
+    void keepLease(std::uint64_t lease, Done done) override
+    {
+        done({Status::Ok, {}, 0, lease, {}});
+    }
+    void endLease(std::uint64_t lease) override { this->endedLease = lease; }
+
+    bool isAway = false;
+    std::uint64_t endedLease = 0;
+
+private:
+    void tell(const StoreChange &change)
+    {
+        if (!this->watcher)
+            return;
+        const Done done = std::move(this->watcher);
+        this->watcher = nullptr;
+        done({Status::Ok, {change}, this->revision, 0, {}});
+    }
+
+    std::map<std::string, StoreChange> items;
+    std::uint64_t revision = 1;
+    Done watcher;
+};
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Platform/RelayEntryTest.cpp
@@ -0,0 +1,295 @@
+#include "RelayShell/RelayEntry.h"
+#include "FakeStateStore.h"
+#include "Http/ClientConnection.h"
+#include "Net/EventLoop.h"
+#include "platform/PlatformDecoder.h"
+#include "platform/PlatformProtocol.h"
+
+#include <arpa/inet.h>
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds Limit{3000};
+
+std::string freeAddress()
+{
+    const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in local{};
+    local.sin_family = AF_INET;
+    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(probe, reinterpret_cast<sockaddr *>(&local), sizeof(local));
+    socklen_t length = sizeof(local);
+    getsockname(probe, reinterpret_cast<sockaddr *>(&local), &length);
+    close(probe);
+    return "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
+}
+
+constexpr const char *ConfigurationText =
+        R"({"version":%V,"routes":[
+        {"name":"r1","hostname":"h.example","prefix":"/s/","kind":"streaming","timeoutMs":8000,
+        "targetLatencyMs":400,"service":"m","attempts":2,"canResume":true,"targetItlMs":120},
+        {"name":"r2","hostname":"h.example","prefix":"/r/","kind":"non_idempotent","timeoutMs":800,
+        "targetLatencyMs":300,"service":"p","attempts":1}],
+        "services":[{"name":"m","maxConnections":50},{"name":"p","maxConnections":50}],
+        "tenants":[{"name":"x","apiKeys":["%K"]}]})";
+
+std::string configuration(int version, const std::string &key)
+{
+    std::string text = ConfigurationText;
+    text.replace(text.find("%V"), 2, std::to_string(version));
+    text.replace(text.find("%K"), 2, key);
+    return text;
+}
+
+/// A worker of the platform. Streams of the first worker break off after two events.
+struct Worker
+{
+    Worker(EventLoop &loop, std::string id, bool breaksOff)
+        : address(freeAddress()), id(std::move(id)),
+          listener(loop, this->address, 16, [this, breaksOff](HttpListener::Request &&request) {
+              this->serve(request, breaksOff);
+          })
+    {}
+
+    void serve(const HttpListener::Request &request, bool breaksOff)
+    {
+        auto *connection = this->listener.find(request.id);
+        ++this->requests;
+        this->lastTenant = *request.head.find("Tenant");
+        this->sawKey = request.head.find("Credential") != nullptr;
+        const HttpHead::Headers headers = {{"Attempt-Id", *request.head.find("Attempt-Id")},
+                                           {"Response-Seal", "seal-" + this->id}};
+        if (request.path().substr(0, 3) == "/r/") {
+            connection->reply(200, "OK", headers, "done:" + request.body);
+            return;
+        }
+        HttpHead::Headers stream = headers;
+        stream.emplace_back("Content-Type", "text/event-stream");
+        connection->startStream(200, "OK", stream);
+        const std::string *last = request.head.find("Last-Event-Id");
+        const int first = last == nullptr ? 1 : std::stoi(*last) + 1;
+        for (int number = first; number <= (breaksOff ? 2 : 4); ++number)
+            connection->sendPart("id: " + std::to_string(number) + "\ndata: x\n\n");
+        if (!breaksOff) {
+            connection->endStream();
+            return;
+        }
+        // The middle of an event, and then nothing.
+        connection->sendPart("id: 3\nda");
+        this->broken.push_back(request.id);
+    }
+
+    void breakOff()
+    {
+        for (const auto request : this->broken) {
+            if (auto *connection = this->listener.find(request))
+                connection->abort();
+        }
+        this->broken.clear();
+    }
+
+    std::string record(const std::string &service) const
+    {
+        return R"({"service":")" + service + R"(","address":")" + this->address
+               + R"(","zone":"n","slots":4,"state":"ready","coldLeftMs":0,"born":5})";
+    }
+
+    std::string address;
+    std::string id;
+    HttpListener listener;
+    int requests = 0;
+    std::string lastTenant;
+    bool sawKey = false;
+    std::vector<HttpListener::RequestId> broken;
+};
+
+struct Answer
+{
+    int status = 0;
+    HttpHead head;
+    std::string body;
+    bool isOver = false;
+    bool isWhole = false;
+};
+
+} // namespace
+
+class RelayEntryTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RelayEntryTest);
+    CPPUNIT_TEST(entryIsNotReadyWithoutConfiguration);
+    CPPUNIT_TEST(recordGoesThroughUnchanged);
+    CPPUNIT_TEST(brokenStreamIsResumedWithinOneAnswer);
+    CPPUNIT_TEST(revokedKeyIsRefused);
+    CPPUNIT_TEST(plannedStopServesWhatArrives);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->loop = std::make_unique<EventLoop>();
+        this->store = std::make_unique<FakeStateStore>();
+        this->options = {};
+        this->options.name = "e";
+        this->options.callerAddress = freeAddress();
+        this->options.readinessAddress = freeAddress();
+        this->options.directoryAddress = freeAddress();
+        this->options.peerAddress = freeAddress();
+        this->options.metricsAddress = freeAddress();
+        this->options.node.retryLimit = {0.2, 50};
+        this->entry = std::make_unique<RelayEntry>(*this->loop, this->options, this->protocol,
+                                                   this->decoder, *this->store);
+        CPPUNIT_ASSERT_EQUAL(std::string(), this->entry->startError());
+    }
+
+    void tearDown() override
+    {
+        this->entry.reset();
+        this->store.reset();
+        this->clients.clear();
+        this->loop.reset();
+    }
+
+    void entryIsNotReadyWithoutConfiguration()
+    {
+        CPPUNIT_ASSERT_EQUAL(503, this->get(this->options.readinessAddress, "/readiness").status);
+        CPPUNIT_ASSERT_EQUAL(503, this->send("/r/1", "k").status);
+        this->store->put("op/config", configuration(1, "k"));
+        CPPUNIT_ASSERT_EQUAL(200, this->get(this->options.readinessAddress, "/readiness").status);
+        const Answer lookup = this->get(this->options.directoryAddress, "/lookup?name=h.example");
+        CPPUNIT_ASSERT(lookup.body.find(this->options.callerAddress) != std::string::npos);
+    }
+
+    void recordGoesThroughUnchanged()
+    {
+        Worker worker(*this->loop, "i-1", false);
+        this->store->put("op/config", configuration(1, "k"));
+        this->store->put("servers/i-1", worker.record("p"));
+        const Answer answer = this->send("/r/1?a=b", "k", "pail");
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("done:pail"), answer.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("seal-i-1"), *answer.head.find("Response-Seal"));
+        CPPUNIT_ASSERT_EQUAL(std::string("x"), worker.lastTenant);
+        CPPUNIT_ASSERT(!worker.sawKey);
+    }
+
+    // Guards against parts of events, missing events and a second head within one answer.
+    void brokenStreamIsResumedWithinOneAnswer()
+    {
+        Worker broken(*this->loop, "i-1", true);
+        this->store->put("op/config", configuration(1, "k"));
+        this->store->put("servers/i-1", broken.record("m"));
+        Answer answer;
+        this->start("/s/1", "k", {}, answer);
+        this->loop->runUntil([&] { return answer.body.find("id: 2") != std::string::npos; }, Limit);
+        Worker sound(*this->loop, "i-2", false);
+        this->store->put("servers/i-2", sound.record("m"));
+        broken.breakOff();
+        this->loop->runUntil([&] { return answer.isOver; }, Limit);
+        CPPUNIT_ASSERT(answer.isWhole);
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+                                         "id: 4\ndata: x\n\n"),
+                             answer.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("seal-i-1"), *answer.head.find("Response-Seal"));
+        CPPUNIT_ASSERT_EQUAL(1, sound.requests);
+    }
+
+    void revokedKeyIsRefused()
+    {
+        Worker worker(*this->loop, "i-1", false);
+        this->store->put("servers/i-1", worker.record("p"));
+        this->store->put("op/config", configuration(1, "k"));
+        CPPUNIT_ASSERT_EQUAL(200, this->send("/r/1", "k").status);
+        this->store->put("op/config", configuration(5, "other"));
+        CPPUNIT_ASSERT_EQUAL(401, this->send("/r/1", "k").status);
+        // An unreadable value leaves the last configuration in force.
+        this->store->put("op/config", "{");
+        CPPUNIT_ASSERT_EQUAL(200, this->send("/r/1", "other").status);
+        CPPUNIT_ASSERT_EQUAL(2, worker.requests);
+    }
+
+    void plannedStopServesWhatArrives()
+    {
+        Worker worker(*this->loop, "i-1", false);
+        this->store->put("servers/i-1", worker.record("p"));
+        this->store->put("op/config", configuration(1, "k"));
+        this->loop->runUntil([] { return false; }, milliseconds(50));
+        std::raise(SIGTERM);
+        this->loop->runUntil([&] { return this->store->endedLease != 0; }, Limit);
+        CPPUNIT_ASSERT(this->store->endedLease != 0);
+        CPPUNIT_ASSERT_EQUAL(503, this->get(this->options.readinessAddress, "/readiness").status);
+        const Answer answer = this->send("/r/1", "k");
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("close"), *answer.head.find("Connection"));
+    }
+
+private:
+    void request(const std::string &address, const std::string &text, Answer &answer)
+    {
+        auto client = std::make_shared<ClientConnection>(*this->loop, address, Limit);
+        this->clients.push_back(client);
+        ClientConnection::Handlers handlers;
+        handlers.onHead = [&answer](const HttpHead &head) {
+            answer.status = head.status;
+            answer.head = head;
+            return true;
+        };
+        handlers.onData = [&answer](std::string_view data) { answer.body.append(data); };
+        handlers.onEnd = [&answer] { answer.isOver = answer.isWhole = true; };
+        handlers.onFailure = [&answer](ClientConnection::Failure) { answer.isOver = true; };
+        client->send(text, std::move(handlers));
+    }
+
+    Answer get(const std::string &address, const std::string &target)
+    {
+        Answer answer;
+        this->request(address, "GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n", answer);
+        this->loop->runUntil([&] { return answer.isOver; }, Limit);
+        return answer;
+    }
+
+    void start(const std::string &target, const std::string &key, const std::string &body,
+               Answer &answer)
+    {
+        this->request(this->options.callerAddress,
+                      "POST " + target
+                              + " HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: "
+                                "5000\r\nCredential: "
+                              + key + "\r\nContent-Length: " + std::to_string(body.size())
+                              + "\r\n\r\n" + body,
+                      answer);
+    }
+
+    Answer send(const std::string &target, const std::string &key, const std::string &body = {})
+    {
+        Answer answer;
+        this->start(target, key, body, answer);
+        this->loop->runUntil([&] { return answer.isOver; }, Limit);
+        return answer;
+    }
+
+    std::unique_ptr<EventLoop> loop;
+    std::unique_ptr<FakeStateStore> store;
+    PlatformProtocol protocol;
+    PlatformDecoder decoder;
+    RelayEntry::Options options;
+    std::unique_ptr<RelayEntry> entry;
+    std::vector<std::shared_ptr<ClientConnection>> clients;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayEntryTest);
+
+} // namespace Nutmegrill
