--- a/Source/Relay/EntryReport.h
+++ b/Source/Relay/EntryReport.h
@@ -24,7 +24,7 @@
     /// A planned stop has begun.
     bool isLeaving = false;
     /// Store revision up to which this entry knows every change.
-    std::uint64_t storeRevision = 0;
+    std::uint64_t knownRevision = 0;
     /// Requests that this entry runs, by id of the backend server.
     std::map<std::string, std::uint32_t> running;
     /// Requests that wait here, by service.
--- a/Source/Relay/EntryTable.cpp
+++ b/Source/Relay/EntryTable.cpp
@@ -102,8 +102,8 @@
 {
     const Row *best = nullptr;
     for (const auto &[address, row] : this->rows) {
-        if (this->isLive(row, now) && row.report->storeRevision > revision
-            && (best == nullptr || row.report->storeRevision > best->report->storeRevision))
+        if (this->isLive(row, now) && row.report->knownRevision > revision
+            && (best == nullptr || row.report->knownRevision > best->report->knownRevision))
             best = &row;
     }
     return best == nullptr ? std::nullopt : std::optional(best->peerAddress);
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -32,7 +32,7 @@
                     {"peers", report.peerAddress},
                     {"serving", report.isServing},
                     {"leaving", report.isLeaving},
-                    {"revision", report.storeRevision},
+                    {"revision", report.knownRevision},
                     {"running", report.running},
                     {"waiting", report.waiting}});
 }
@@ -52,7 +52,7 @@
         report.peerAddress = json.value("peers", "");
         report.isServing = json.value("serving", false);
         report.isLeaving = json.value("leaving", false);
-        report.storeRevision = json.value("revision", std::uint64_t(0));
+        report.knownRevision = json.value("revision", std::uint64_t(0));
         report.running = json.value("running", decltype(report.running)());
         report.waiting = json.value("waiting", decltype(report.waiting)());
         if (report.peerAddress.empty())
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -292,7 +292,7 @@
     report.peerAddress = this->options.peerAddress;
     report.isServing = this->isServing();
     report.isLeaving = this->stopAt != NoDeadline;
-    report.storeRevision = this->feed.mirror().revision();
+    report.knownRevision = this->feed.mirror().revision();
     this->node.fillReport(report);
     const std::string bytes = encodeReport(report);
     for (const std::string &address : this->node.entries().peerAddresses())
