--- a/Source/Relay/Exchange.h
+++ b/Source/Relay/Exchange.h
@@ -2,7 +2,7 @@
 
 #include "Config/Route.h"
 #include "Core/Time.h"
-#include "Relay/AnswerHead.h"
+#include "Relay/Attempt.h"
 #include "Relay/RelayOrder.h"
 #include "Relay/RelayRequest.h"
 
@@ -16,19 +16,6 @@
 /// One open request of a caller, from its arrival to its final answer.
 struct Exchange
 {
-    struct Attempt
-    {
-        RelayOrder::AttemptId id = 0;
-        std::string backend;
-        Instant sentAt;
-        /// Last sign of life: the head or an event.
-        Instant heardAt;
-        bool hasHead = false;
-        bool hasEvent = false;
-        /// The backend server has stated that it does not run the request.
-        std::optional<AnswerHead> refusal;
-    };
-
     RelayOrder::CallerId caller = 0;
     RelayRequest request;
     /// Copy: the configuration may change while the request is open.
--- a/Source/Relay/Placement.cpp
+++ b/Source/Relay/Placement.cpp
@@ -16,6 +16,7 @@
 double medianFailureShare(const std::vector<PlacementCandidate> &candidates)
 {
     std::vector<double> shares;
+    shares.reserve(candidates.size());
     for (const PlacementCandidate &candidate : candidates)
         shares.push_back(candidate.failureShare);
     const auto middle = shares.begin() + static_cast<std::ptrdiff_t>((shares.size() - 1) / 2);
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -167,7 +167,7 @@
     Exchange *exchange = this->byAttempt(attempt);
     if (exchange == nullptr)
         return;
-    Exchange::Attempt &running = *exchange->attempt;
+    Attempt &running = *exchange->attempt;
     running.hasHead = true;
     running.heardAt = now;
     this->serviceHeardAt[exchange->service] = now;
@@ -241,7 +241,7 @@
     Exchange *exchange = this->byAttempt(attempt);
     if (exchange == nullptr)
         return;
-    const Exchange::Attempt running = *exchange->attempt;
+    const Attempt running = *exchange->attempt;
     if (running.refusal) {
         this->notRun(now, *exchange, *running.refusal, orders);
         this->placeWaiting(now, orders);
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -99,7 +99,7 @@
         use.cold.take(now, coldRate, entries);
     ++use.running;
     const AttemptId attempt = this->nextAttempt++;
-    Exchange::Attempt &started = exchange.attempt.emplace();
+    Attempt &started = exchange.attempt.emplace();
     started.id = attempt;
     started.backend = *chosen;
     started.sentAt = now;
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -58,7 +58,7 @@
                      const StateDecoder &decoder, StateStore &store)
     : loop(loop), options(options), protocol(protocol), decoder(decoder), store(store),
       metricsListener(loop, options.metricsAddress, MetricsConnections,
-                      [this](auto &&request) {
+                      [this](const HttpListener::Request &request) {
                           if (auto *connection = this->metricsListener.find(request.id))
                               connection->reply(200, {},
                                                 {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -85,15 +85,15 @@
                           "away_ms=" + std::to_string(away.count()));
             }}),
       callers(loop, options.callerAddress, options.maxConnections,
-              [this](auto &&request) { this->takeRequest(std::move(request)); }),
+              [this](HttpListener::Request &&request) { this->takeRequest(std::move(request)); }),
       readiness(loop, options.readinessAddress, options.maxConnections,
-                [this](auto &&request) { this->answerReadiness(request); }),
+                [this](const HttpListener::Request &request) { this->answerReadiness(request); }),
       directory(loop, options.directoryAddress, options.maxConnections,
-                [this](auto &&request) { this->answerDirectory(request); }),
+                [this](const HttpListener::Request &request) { this->answerDirectory(request); }),
       peers(loop, options.peerAddress, options.maxConnections,
-            [this](auto &&request) { this->answerPeer(request); }),
+            [this](const HttpListener::Request &request) { this->answerPeer(request); }),
       metricsListener(loop, options.metricsAddress, options.maxConnections,
-                      [this](auto &&request) {
+                      [this](const HttpListener::Request &request) {
                           if (auto *connection = this->metricsListener.find(request.id))
                               connection->reply(200, {},
                                                 {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/Tests/Docs/LinkedFilesTest.cpp
+++ b/Tests/Docs/LinkedFilesTest.cpp
@@ -25,7 +25,7 @@
         const char *root = std::getenv("NUTMEGRILL_SOURCE_DIRECTORY");
         CPPUNIT_ASSERT(root != nullptr);
         int named = 0;
-        for (const char *page : {"README.md", "docs/glossary.md", "docs/operations.md",
+        for (const char *page : {"README.md", "docs/glossary.md", "docs/OPERATIONS.md",
                                  "docs/events.md", "docs/api.md"}) {
             std::ifstream file(fs::path(root) / page);
             CPPUNIT_ASSERT_MESSAGE(page, file.good());
--- a/Tests/Http/ConnectionTest.cpp
+++ b/Tests/Http/ConnectionTest.cpp
@@ -31,7 +31,8 @@
         sockaddr_in local{};
         local.sin_family = AF_INET;
         local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(this->socket, reinterpret_cast<sockaddr *>(&local), sizeof(local));
+        CPPUNIT_ASSERT_EQUAL(
+                0, bind(this->socket, reinterpret_cast<sockaddr *>(&local), sizeof(local)));
         listen(this->socket, 4);
         socklen_t length = sizeof(local);
         getsockname(this->socket, reinterpret_cast<sockaddr *>(&local), &length);
--- a/Tests/Platform/RelayEntryTest.cpp
+++ b/Tests/Platform/RelayEntryTest.cpp
@@ -30,7 +30,7 @@
     sockaddr_in local{};
     local.sin_family = AF_INET;
     local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(probe, reinterpret_cast<sockaddr *>(&local), sizeof(local));
+    CPPUNIT_ASSERT_EQUAL(0, bind(probe, reinterpret_cast<sockaddr *>(&local), sizeof(local)));
     socklen_t length = sizeof(local);
     getsockname(probe, reinterpret_cast<sockaddr *>(&local), &length);
     close(probe);
--- a/Tests/Relay/RelayNodeTest.cpp
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -1,3 +1,4 @@
+#include "Relay/RelayLog.h"
 #include "RelayScene.h"
 
 #include <chrono>
@@ -36,6 +37,7 @@
     CPPUNIT_TEST(streamThatTheStopWouldCutIsRefused);
     CPPUNIT_TEST(crowdIsRefusedAtOnce);
     CPPUNIT_TEST(smallAccountIsServedBesideALargeOne);
+    CPPUNIT_TEST(failedRequestsCanBeExplained);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -331,6 +333,57 @@
         scene.end(large.front());
         CPPUNIT_ASSERT(scene.attemptOf(small) != nullptr);
     }
+
+    // The three ways of docs/OPERATIONS.md from an id to a cause: the lines that it names exist.
+    void failedRequestsCanBeExplained()
+    {
+        RelayScene full(1, 1);
+        RelayOrder::CallerId refused = 0;
+        for (int number = 0; number < 60; ++number)
+            refused = full.arrive("/stream/");
+        const auto refusal = this->linesOf(full, refused);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), refusal.size());
+        CPPUNIT_ASSERT_EQUAL(RelayLog::Refused, refusal.front().number);
+        CPPUNIT_ASSERT(refusal.front().text.find("no place in time") != std::string::npos);
+        CPPUNIT_ASSERT(refusal.front().text.find("sends 0") != std::string::npos);
+
+        RelayScene scene;
+        const auto cut = scene.arrive("/stream/");
+        for (int run = 0; run < 2; ++run) {
+            scene.streamHead(cut);
+            scene.event(cut, static_cast<std::uint64_t>(run) + 1);
+            scene.fail(cut, AttemptFailure::Broken);
+        }
+        std::vector<std::uint32_t> numbers;
+        for (const LogRecord &line : this->linesOf(scene, cut))
+            numbers.push_back(line.number);
+        CPPUNIT_ASSERT(
+                (numbers
+                 == std::vector<std::uint32_t>{RelayLog::AttemptStarted, RelayLog::AttemptFailed,
+                                               RelayLog::AttemptStarted, RelayLog::AttemptFailed,
+                                               RelayLog::StreamCut}));
+
+        const auto unknown = scene.arrive("/record/");
+        scene.pass(std::chrono::seconds(1));
+        const auto lines = this->linesOf(scene, unknown);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), lines.size());
+        CPPUNIT_ASSERT(lines.front().text.find("backend=p") != std::string::npos);
+        CPPUNIT_ASSERT(lines.back().text.find("status=504") != std::string::npos);
+        CPPUNIT_ASSERT(lines.back().text.find("runs 1") != std::string::npos);
+    }
+
+private:
+    std::vector<LogRecord> linesOf(const RelayScene &scene, RelayOrder::CallerId caller) const
+    {
+        std::vector<LogRecord> lines;
+        const std::string id = "request=request-" + std::to_string(caller) + " ";
+        for (const auto &order : scene.orders) {
+            if (const auto *log = std::get_if<RelayOrder::Log>(&order);
+                log != nullptr && log->record.text.find(id) != std::string::npos)
+                lines.push_back(log->record);
+        }
+        return lines;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayNodeTest);
