--- a/Tests/Relay/RelayNodeTest.cpp
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -323,6 +323,7 @@
     {
         RelayScene scene(1, 0);
         std::vector<RelayOrder::CallerId> large;
+        large.reserve(20);
         for (int number = 0; number < 20; ++number)
             large.push_back(scene.arrive("/stream/", "key-1"));
         const auto small = scene.arrive("/stream/", "key-2");
