--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -32,6 +32,16 @@
 /// A change in hand is carried through before a planned stop, which takes some tenths of a second.
 constexpr milliseconds StopLimit{3000};
 constexpr std::size_t MetricsConnections = 16;
+/// A change begins above the first skew and is planned down to the second. Single steps vary by
+/// more than that, so lower values only copy more experts; see docs/measurements/platform.md.
+constexpr double StartSkew = 1.20;
+constexpr double TargetSkew = 1.15;
+/// A smaller gain is not worth the slower steps during the copy.
+constexpr double LeastImprovement = 0.08;
+/// Demand shifts every few seconds, and a plan pays off within this time or not at all.
+constexpr std::chrono::seconds DemandHorizon{6};
+/// Steps take 15% longer while experts are copied, as the engines' page states.
+constexpr double LoadSlowdown = 0.15;
 /// Agents report every 40 ms during a change. One that misses five reports is stood in for.
 constexpr milliseconds SilentTime{250};
 /// An agent that was not heard for this long is not the owner.
@@ -127,12 +137,12 @@
             settings.experts = experts.count;
             settings.placements = experts.placesPerRank;
             settings.spares = experts.loadsPerChange;
-            settings.planner.startSkew = 1.15;
+            settings.planner.startSkew = StartSkew;
             settings.planner.startAfter = std::chrono::seconds(0);
-            settings.planner.targetSkew = 1.05;
-            settings.planner.leastImprovement = 0.08;
-            settings.planner.horizon = std::chrono::seconds(6);
-            settings.planner.loadSlowdown = 0.15;
+            settings.planner.targetSkew = TargetSkew;
+            settings.planner.leastImprovement = LeastImprovement;
+            settings.planner.horizon = DemandHorizon;
+            settings.planner.loadSlowdown = LoadSlowdown;
             settings.planner.expertBytes = experts.bytes;
             settings.planner.storeRate = experts.copyRate;
             settings.planner.loadsPerRank = experts.loadsPerChange;
