--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -56,7 +56,7 @@
 
 RelayNode::~RelayNode() = default;
 
-void RelayNode::configure(Instant, ConfigurationPtr configuration, Orders &orders)
+void RelayNode::configure(ConfigurationPtr configuration, Orders &orders)
 {
     if (this->routes != nullptr && configuration->version <= this->configurationVersion())
         return;
@@ -83,34 +83,34 @@
 void RelayNode::requestArrived(Instant now, CallerId caller, RelayRequest request, Orders &orders)
 {
     if (this->routes == nullptr) {
-        this->refuse(now, caller, request.id, 503, milliseconds(500), "no configuration yet",
-                     orders);
+        this->refuseUnknown(caller, request.id, 503, milliseconds(500), "no configuration yet",
+                            orders);
         return;
     }
     const Route *route = this->routes->find(request.host, request.path);
     if (route == nullptr) {
-        this->refuse(now, caller, request.id, 404, {}, "no route", orders);
+        this->refuseUnknown(caller, request.id, 404, {}, "no route", orders);
         return;
     }
     const ClientAccount *account = nullptr;
     if (!this->routes->configuration().clientAccounts.empty() && !route->isPublic) {
         account = this->routes->findAccount(request.key);
         if (account == nullptr) {
-            this->refuse(now, caller, request.id, 401, {}, "unknown key", orders);
+            this->refuseUnknown(caller, request.id, 401, {}, "unknown key", orders);
             return;
         }
     }
     const Route::Target *target = RouteTable::pickTarget(*route, this->random.unit());
     if (target == nullptr) {
-        this->refuse(now, caller, request.id, 503, milliseconds(500), "route without a service",
-                     orders);
+        this->refuseUnknown(caller, request.id, 503, milliseconds(500), "route without a service",
+                            orders);
         return;
     }
 
     if (route->kind == Route::Kind::Stream && now + LongestStream > this->stopAt) {
         // It would be cut by the end of the process; another entry can run it whole.
-        this->refuse(now, caller, request.id, 503, RelayLimits::LeastRetryAfter, "planned stop",
-                     orders);
+        this->refuseUnknown(caller, request.id, 503, RelayLimits::LeastRetryAfter, "planned stop",
+                            orders);
         return;
     }
 
@@ -155,7 +155,7 @@
          << " state=" << (exchange.isWaiting() ? "waiting" : "running");
     orders.push_back(
             RelayOrder::Log{line(RelayLog::CallerLeft, LogRecord::Level::Info, text.str())});
-    this->dropAttempt(now, exchange, orders);
+    this->dropAttempt(exchange, orders);
     if (exchange.failureAnswer)
         orders.push_back(RelayOrder::CancelAttempt{*exchange.failureAnswer});
     this->exchanges.erase(found);
@@ -184,7 +184,7 @@
     if (exchange->streamOpen) {
         if (BackendRoster::Row *row = this->backends.find(running.backend))
             row->health.noteFailure(now);
-        this->dropAttempt(now, *exchange, orders);
+        this->dropAttempt(*exchange, orders);
         this->tryAgain(now, *exchange, "status " + std::to_string(head.status), orders);
         return;
     }
@@ -205,7 +205,7 @@
         --exchange.runs;
     if (head.isMisdirected)
         exchange.failedOn.insert(backend);
-    this->dropAttempt(now, exchange, orders);
+    this->dropAttempt(exchange, orders);
     exchange.notBefore = now + (head.isMisdirected ? milliseconds(0) : OfferPause);
     this->tryAgain(now, exchange, "not run, status " + std::to_string(head.status), orders);
 }
@@ -259,7 +259,7 @@
     exchange->attempt.reset();
     if (exchange->streamOpen) {
         orders.push_back(RelayOrder::EndStream{exchange->caller});
-        this->finish(now, *exchange, "stream", 200, orders);
+        this->finish(now, *exchange, "stream", orders);
     } else if (failed && exchange->route.kind == Route::Kind::Idempotent
                && exchange->runs < exchange->route.maxRuns
                && exchange->deadline - now
@@ -270,8 +270,7 @@
         return;
     } else {
         orders.push_back(RelayOrder::RelayAnswer{exchange->caller, attempt});
-        this->finish(now, *exchange, failed ? "failure of the backend server" : "answer", 0,
-                     orders);
+        this->finish(now, *exchange, failed ? "failure of the backend server" : "answer", orders);
     }
     this->placeWaiting(now, orders);
 }
@@ -296,7 +295,7 @@
     exchange->failedOn.insert(backend);
     if (exchange->failureAnswer == attempt)
         exchange->failureAnswer.reset();
-    this->dropAttempt(now, *exchange, orders);
+    this->dropAttempt(*exchange, orders);
     this->tryAgain(now, *exchange, describe(failure), orders);
     this->placeWaiting(now, orders);
 }
@@ -333,14 +332,14 @@
              << (exchange.lastEvent ? std::to_string(*exchange.lastEvent) : "none");
         orders.push_back(
                 RelayOrder::Log{line(RelayLog::StreamCut, LogRecord::Level::Warning, text.str())});
-        this->dropAttempt(now, exchange, orders);
+        this->dropAttempt(exchange, orders);
         this->exchanges.erase(exchange.caller);
     } else if (exchange.failureAnswer
                && (!exchange.attempt || exchange.attempt->id != *exchange.failureAnswer)) {
         // The failure that a backend server stated says more than one of our own.
-        this->dropAttempt(now, exchange, orders);
+        this->dropAttempt(exchange, orders);
         orders.push_back(RelayOrder::RelayAnswer{exchange.caller, *exchange.failureAnswer});
-        this->finish(now, exchange, "failure of the backend server", 0, orders);
+        this->finish(now, exchange, "failure of the backend server", orders);
     } else if (exchange.isCertainlyNotRun()) {
         const milliseconds wait = this->loadOf(exchange).expectedWait(
                 this->waitingFor(exchange.service), this->usablePlaces(exchange.service, now),
@@ -401,7 +400,7 @@
         if (BackendRoster::Row *row = this->backends.find(backend))
             row->health.noteFailure(now);
         exchange.failedOn.insert(backend);
-        this->dropAttempt(now, exchange, orders);
+        this->dropAttempt(exchange, orders);
         this->tryAgain(now, exchange, "silent", orders);
     }
 }
@@ -418,7 +417,7 @@
         --use.running;
 }
 
-void RelayNode::dropAttempt(Instant, Exchange &exchange, Orders &orders)
+void RelayNode::dropAttempt(Exchange &exchange, Orders &orders)
 {
     if (!exchange.attempt)
         return;
@@ -428,8 +427,8 @@
     exchange.attempt.reset();
 }
 
-void RelayNode::refuse(Instant, CallerId caller, const std::string &requestId, int status,
-                       milliseconds retryAfter, const std::string &reason, Orders &orders)
+void RelayNode::refuseUnknown(CallerId caller, const std::string &requestId, int status,
+                              milliseconds retryAfter, const std::string &reason, Orders &orders)
 {
     RelayOrder::Refuse order{caller, status, std::nullopt, reason};
     if (status == 503)
@@ -447,16 +446,16 @@
                        const std::string &reason, Orders &orders)
 {
     const CallerId caller = exchange.caller;
-    this->dropAttempt(now, this->exchanges.at(caller), orders);
+    this->dropAttempt(this->exchanges.at(caller), orders);
     std::ostringstream text;
     text << reason << ", service " << exchange.service << ", sends " << exchange.sends << ", runs "
          << exchange.runs << ", after " << toMilliseconds(now - exchange.arrivedAt).count()
          << " ms";
-    this->refuse(now, caller, exchange.request.id, status, retryAfter, text.str(), orders);
+    this->refuseUnknown(caller, exchange.request.id, status, retryAfter, text.str(), orders);
     this->exchanges.erase(caller);
 }
 
-void RelayNode::finish(Instant now, const Exchange &exchange, const char *how, int, Orders &orders)
+void RelayNode::finish(Instant now, const Exchange &exchange, const char *how, Orders &orders)
 {
     std::ostringstream text;
     text << "request=" << exchange.request.id << " how=\"" << how
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -53,7 +53,7 @@
     RelayNode &operator=(const RelayNode &) = delete;
 
     /// Takes a configuration in force unless a newer one is.
-    void configure(Instant now, ConfigurationPtr configuration, Orders &orders);
+    void configure(ConfigurationPtr configuration, Orders &orders);
     bool isConfigured() const { return this->routes != nullptr; }
     std::uint64_t configurationVersion() const;
     const Configuration *configuration() const;
@@ -89,12 +89,14 @@
     };
 
     Exchange *byAttempt(AttemptId attempt);
-    void refuse(Instant now, CallerId caller, const std::string &requestId, int status,
-                std::chrono::milliseconds retryAfter, const std::string &reason, Orders &orders);
+    /// Answers a request that is not, or no longer, in the table.
+    void refuseUnknown(CallerId caller, const std::string &requestId, int status,
+                       std::chrono::milliseconds retryAfter, const std::string &reason,
+                       Orders &orders);
     void refuse(Instant now, const Exchange &exchange, int status,
                 std::chrono::milliseconds retryAfter, const std::string &reason, Orders &orders);
-    void finish(Instant now, const Exchange &exchange, const char *how, int status, Orders &orders);
-    void dropAttempt(Instant now, Exchange &exchange, Orders &orders);
+    void finish(Instant now, const Exchange &exchange, const char *how, Orders &orders);
+    void dropAttempt(Exchange &exchange, Orders &orders);
     void releasePlace(const std::string &backend);
     void tryAgain(Instant now, Exchange &exchange, const std::string &why, Orders &orders);
     void giveUp(Instant now, Exchange &exchange, const std::string &why, Orders &orders);
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -6,6 +6,7 @@
 #include "Relay/RelayNode.h"
 #include "RelayShell/BackendAttempts.h"
 #include "RelayShell/DatagramSocket.h"
+#include "RelayShell/OpenRequest.h"
 #include "RelayShell/StateDecoder.h"
 #include "RelayShell/StoreFeed.h"
 
@@ -56,8 +57,6 @@
     void run();
 
 private:
-    struct OpenRequest;
-
     void takeRequest(HttpListener::Request &&request);
     void answerReadiness(const HttpListener::Request &request);
     void answerDirectory(const HttpListener::Request &request);
--- a/Tests/Relay/RelayNodeTest.cpp
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -74,7 +74,7 @@
         RelayScene scene;
         auto older = std::make_shared<Configuration>();
         older->version = 1;
-        scene.node.configure(scene.now, older, scene.orders);
+        scene.node.configure(older, scene.orders);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), scene.node.configuration()->routes.size());
     }
 
--- a/Tests/Relay/RelayScene.cpp
+++ b/Tests/Relay/RelayScene.cpp
@@ -68,7 +68,7 @@
 
 RelayScene::RelayScene(std::uint32_t modelServers, std::uint32_t plainServers) : node(settings())
 {
-    this->node.configure(this->now, configuration(), this->orders);
+    this->node.configure(configuration(), this->orders);
     for (std::uint32_t number = 0; number < modelServers; ++number)
         this->node.roster().update(this->now, record("m" + std::to_string(number), "model"));
     for (std::uint32_t number = 0; number < plainServers; ++number)
