--- a/Source/Config/Configuration.cpp
+++ b/Source/Config/Configuration.cpp
@@ -34,8 +34,11 @@
 
 const ClientAccount *Configuration::findAccountByKeyHash(std::string_view keyHash) const
 {
-    return findRow(this->clientAccounts,
-                   [keyHash](const auto &row) { return row.keyHash == keyHash; });
+    return findRow(this->clientAccounts, [keyHash](const auto &row) {
+        const auto &further = row.furtherKeyHashes;
+        return row.keyHash == keyHash
+               || std::find(further.begin(), further.end(), keyHash) != further.end();
+    });
 }
 
 const FailureDomainState *Configuration::findFailureDomain(std::string_view name) const
--- a/Source/Config/ConfigurationChange.cpp
+++ b/Source/Config/ConfigurationChange.cpp
@@ -19,6 +19,7 @@
     next.services = apply.declared.services;
     next.modelGroups = apply.declared.modelGroups;
     next.clientAccounts = apply.declared.clientAccounts;
+    next.routes = apply.declared.routes;
     // An edited declaration must not return a failure domain to service that operators took out.
     for (Place &place : next.places) {
         for (FailureDomainState &domain : place.failureDomains) {
--- a/Source/Config/ConfigurationDiff.cpp
+++ b/Source/Config/ConfigurationDiff.cpp
@@ -14,11 +14,12 @@
 
 using Json = nlohmann::json;
 
-constexpr std::array<std::pair<const char *, const char *>, 4> Kinds{
+constexpr std::array<std::pair<const char *, const char *>, 5> Kinds{
         {{"Place", "places"},
          {"Service", "services"},
          {"ModelGroup", "modelGroups"},
-         {"ClientAccount", "clientAccounts"}}};
+         {"ClientAccount", "clientAccounts"},
+         {"Route", "routes"}}};
 
 // Rows of a JSON list by name.
 std::map<std::string, Json> rowsByName(const Json &list)
--- a/Source/Config/DeclarationChecker.cpp
+++ b/Source/Config/DeclarationChecker.cpp
@@ -69,6 +69,7 @@
     checker.checkServices();
     checker.checkModelGroups();
     checker.checkClientAccounts();
+    checker.checkRoutes();
     return checker.finish();
 }
 
@@ -85,8 +86,9 @@
             this->report(Code::UnknownKind, object, "kind", "",
                          object.kind.empty() ? "field `kind` is missing"
                                              : "unknown kind `" + object.kind + "`",
-                         kind.empty() ? "write one of Place, Service, ModelGroup, ClientAccount"
-                                      : "did you mean `" + kind + "`?");
+                         kind.empty()
+                                 ? "write one of Place, Service, ModelGroup, ClientAccount, Route"
+                                 : "did you mean `" + kind + "`?");
         }
         if (kind == "Place")
             this->places.push_back({reader.readPlace(object), &object});
@@ -96,6 +98,8 @@
             this->modelGroups.push_back({reader.readModelGroup(object), &object});
         else if (kind == "ClientAccount")
             this->clientAccounts.push_back({reader.readClientAccount(object), &object});
+        else if (kind == "Route")
+            this->routes.push_back({reader.readRoute(object), &object});
     }
     if (this->declarations.objects().empty() && this->errors.empty())
         this->errors.push_back({Code::NoObjects, "", 0, "", "the declarations hold no object",
@@ -185,14 +189,39 @@
     for (const auto &[account, object] : this->clientAccounts) {
         for (const std::string &service : account.services)
             this->checkReference(*object, "services", "service", service, namesOf(this->services));
-        if (account.keyHash.empty())
+        const auto checkHash = [&, object = object](const std::string &field,
+                                                    const std::string &hash) {
+            if (hash.empty())
+                return;
+            const auto [found, isNew] = hashes.try_emplace(hash, object);
+            if (!isNew)
+                this->report(Code::DuplicateValue, *object, field, "",
+                             "the key hash already belongs to " + found->second->label() + " at "
+                                     + placeOf(*found->second),
+                             "give each client account its own key");
+        };
+        checkHash("keyHash", account.keyHash);
+        for (const std::string &hash : account.furtherKeyHashes)
+            checkHash("furtherKeyHashes", hash);
+    }
+}
+
+void DeclarationChecker::checkRoutes()
+{
+    std::map<std::pair<std::string, std::string>, const DeclaredObject *> seen;
+    for (const auto &[route, object] : this->routes) {
+        for (const Route::Target &target : route.targets)
+            this->checkReference(*object, "services", "service", target.service,
+                                 namesOf(this->services));
+        if (route.host.empty() || route.pathPrefix.empty())
             continue;
-        const auto [found, isNew] = hashes.try_emplace(account.keyHash, object);
+        const auto [found, isNew] = seen.try_emplace({route.host, route.pathPrefix}, object);
         if (!isNew)
-            this->report(Code::DuplicateValue, *object, "keyHash", "",
-                         "the key hash already belongs to " + found->second->label() + " at "
+            this->report(Code::DuplicateValue, *object, "pathPrefix", "",
+                         "prefix `" + route.pathPrefix + "` of host `" + route.host
+                                 + "` already belongs to " + found->second->label() + " at "
                                  + placeOf(*found->second),
-                         "give each client account its own key");
+                         "give each route its own prefix");
     }
 }
 
@@ -230,6 +259,7 @@
     configuration.services = rowsByName(this->services);
     configuration.modelGroups = rowsByName(this->modelGroups);
     configuration.clientAccounts = rowsByName(this->clientAccounts);
+    configuration.routes = rowsByName(this->routes);
     result.configuration = std::move(configuration);
     return result;
 }
--- a/Source/Config/DeclarationChecker.h
+++ b/Source/Config/DeclarationChecker.h
@@ -35,6 +35,7 @@
     void checkServices();
     void checkModelGroups();
     void checkClientAccounts();
+    void checkRoutes();
     void checkReference(const DeclaredObject &object, const std::string &field,
                         const std::string &what, const std::string &name,
                         const std::vector<std::string> &candidates);
@@ -54,6 +55,7 @@
     std::vector<Declared<ServiceDeclaration>> services;
     std::vector<Declared<ModelGroup>> modelGroups;
     std::vector<Declared<ClientAccount>> clientAccounts;
+    std::vector<Declared<Route>> routes;
     std::vector<DeclarationError> errors;
 };
 
--- a/Source/Config/FieldReader.cpp
+++ b/Source/Config/FieldReader.cpp
@@ -163,10 +163,10 @@
     return field->children;
 }
 
-std::vector<std::string> FieldReader::names(std::string_view name)
+std::vector<std::string> FieldReader::names(std::string_view name, Presence presence)
 {
     std::vector<std::string> result;
-    for (const DeclaredValue &item : this->list(name, Presence::Required)) {
+    for (const DeclaredValue &item : this->list(name, presence)) {
         if (item.shape != DeclaredValue::Shape::Scalar || item.text.empty())
             this->report(Code::WrongType, item.line, "list " + quote(name) + " holds a non-name",
                          "write the name of an object");
--- a/Source/Config/FieldReader.h
+++ b/Source/Config/FieldReader.h
@@ -37,7 +37,7 @@
     std::uint64_t bytes(std::string_view name, std::uint64_t fallback,
                         Presence presence = Presence::Optional);
     bool flag(std::string_view name, bool fallback);
-    std::vector<std::string> names(std::string_view name);
+    std::vector<std::string> names(std::string_view name, Presence presence = Presence::Required);
     /// The items of a list, or nothing.
     const std::vector<DeclaredValue> &list(std::string_view name,
                                            Presence presence = Presence::Optional);
--- a/Source/Config/ObjectReader.cpp
+++ b/Source/Config/ObjectReader.cpp
@@ -16,6 +16,11 @@
 constexpr std::size_t KeyHashLength = 64;
 constexpr std::string_view Lower = "abcdefghijklmnopqrstuvwxyz";
 constexpr std::string_view Digits = "0123456789";
+const char *const KeyHashForm = "write the SHA-256 of the key as 64 lower-case hexadecimal digits, "
+                                "as `printf %s KEY | sha256sum` prints it";
+/// A longer wait than an hour is taken for a wrong unit.
+constexpr std::uint64_t LongestRouteTime = 3'600'000;
+constexpr FieldReader::Range Priorities{0, 9};
 
 bool consistsOf(std::string_view text, std::string_view first, std::string_view second)
 {
@@ -140,11 +145,84 @@
                       "add `kvBytes: ...`, or remove the field");
 }
 
+bool isKeyHash(const std::string &text)
+{
+    return text.size() == KeyHashLength && consistsOf(text, Digits, "abcdef");
+}
+
+Route::Target readTarget(const DeclaredObject &object, const DeclaredValue &item,
+                         std::vector<DeclarationError> &errors)
+{
+    Route::Target target;
+    FieldReader reader(object, item, errors);
+    if (item.shape == DeclaredValue::Shape::Scalar) {
+        target.service = item.text;
+    } else if (item.shape == DeclaredValue::Shape::Map) {
+        target.service = reader.text("name", Presence::Required);
+        target.weight = static_cast<std::uint32_t>(
+                reader.count("weight", target.weight, FieldReader::Range{1, 10'000}));
+        reader.finish();
+    } else {
+        reader.report(Code::WrongType, item.line, "list `services` holds a non-name",
+                      "write a name, or `{name: ..., weight: 1}`");
+    }
+    return target;
+}
+
+std::vector<Route::Target> readTargets(const DeclaredObject &object, FieldReader &reader,
+                                       std::vector<DeclarationError> &errors)
+{
+    std::vector<Route::Target> targets;
+    for (const DeclaredValue &item : reader.list("services", Presence::Required)) {
+        const Route::Target target = readTarget(object, item, errors);
+        const bool repeated =
+                std::any_of(targets.begin(), targets.end(),
+                            [&target](const auto &row) { return row.service == target.service; });
+        if (repeated && !target.service.empty())
+            reader.report(Code::DuplicateValue, item.line,
+                          "service `" + target.service + "` stands twice",
+                          "keep one of the two, with the sum of both weights");
+        targets.push_back(target);
+    }
+    return targets;
+}
+
+Route::Kind readRouteKind(FieldReader &reader)
+{
+    const std::string kind = reader.choice("requests", {"idempotent", "nonIdempotent", "stream"},
+                                           Presence::Required);
+    if (kind == "idempotent")
+        return Route::Kind::Idempotent;
+    return kind == "stream" ? Route::Kind::Stream : Route::Kind::NonIdempotent;
+}
+
+void checkRoute(FieldReader &reader, const Route &route)
+{
+    const std::string &prefix = route.pathPrefix;
+    if (!prefix.empty() && (prefix.front() != '/' || prefix.back() != '/'))
+        reader.report(Code::OutOfRange, reader.lineOf("pathPrefix"),
+                      "`pathPrefix` does not begin and end with `/`",
+                      "write a prefix such as `/records/`");
+    if (route.isResumable && route.kind != Route::Kind::Stream)
+        reader.report(Code::Contradiction, reader.lineOf("resumable"),
+                      "only streams can be resumed",
+                      "remove the field, or write `requests: stream`");
+    if (route.pauseTarget.count() != 0 && route.kind != Route::Kind::Stream)
+        reader.report(Code::Contradiction, reader.lineOf("pauseTargetMilliseconds"),
+                      "only streams have pauses between events",
+                      "remove the field, or write `requests: stream`");
+    if (route.latencyTarget > route.timeout)
+        reader.report(Code::Contradiction, reader.lineOf("latencyTargetMilliseconds"),
+                      "the latency target is above the timeout",
+                      "lower it to at most " + std::to_string(route.timeout.count()));
+}
+
 } // namespace
 
 const std::vector<std::string> &ObjectReader::kinds()
 {
-    static const std::vector<std::string> kinds{"Place", "Service", "ModelGroup", "ClientAccount"};
+    static const std::vector<std::string> kinds{"Place", "Service", "ModelGroup", "ClientAccount",
+                                                "Route"};
     return kinds;
 }
 
@@ -180,6 +258,10 @@
             reader.count("coldSeconds", service.coldSeconds, ColdSeconds));
     service.kvBytes = reader.bytes("kvBytes", service.kvBytes);
     service.kvBytesPerToken = reader.bytes("kvBytesPerToken", service.kvBytesPerToken);
+    service.maxConnections = static_cast<std::uint32_t>(
+            reader.count("maxConnections", service.maxConnections, FieldReader::Range{}));
+    service.coldRequestsPerSecond = static_cast<double>(
+            reader.count("coldRequestsPerSecond", 0, FieldReader::Range{0, 1'000'000}));
     service.checksSender = reader.flag("checksSender", service.checksSender);
     service.checksFencing = reader.flag("checksFencing", service.checksFencing);
     service.calls = readCalls(object, reader, this->errors);
@@ -230,17 +312,51 @@
     account.maxQueued = static_cast<std::uint32_t>(
             reader.count("maxQueued", account.maxQueued, FieldReader::Range{1, 1'000'000}));
     account.bufferBytes = reader.bytes("bufferBytes", account.bufferBytes);
+    account.furtherKeyHashes = reader.names("furtherKeyHashes", Presence::Optional);
+    if (reader.find("priority") != nullptr)
+        account.priority = static_cast<std::uint32_t>(reader.count("priority", 0, Priorities));
     reader.finish();
-    const bool valid = account.keyHash.size() == KeyHashLength
-                       && consistsOf(account.keyHash, Digits, "abcdef");
-    if (!account.keyHash.empty() && !valid)
+    if (!account.keyHash.empty() && !isKeyHash(account.keyHash))
         reader.report(Code::OutOfRange, reader.lineOf("keyHash"), "malformed `keyHash`",
-                      "write the SHA-256 of the key as 64 lower-case hexadecimal digits, as "
-                      "`printf %s KEY | sha256sum` prints it");
+                      KeyHashForm);
+    for (const std::string &hash : account.furtherKeyHashes) {
+        if (!isKeyHash(hash))
+            reader.report(Code::OutOfRange, reader.lineOf("furtherKeyHashes"),
+                          "malformed key hash `" + hash + "`", KeyHashForm);
+    }
     if (account.bufferBytes == 0)
         reader.report(Code::OutOfRange, reader.lineOf("bufferBytes"), "`bufferBytes` is 0",
                       "write a size such as `8MiB`");
     return account;
 }
 
+Route ObjectReader::readRoute(const DeclaredObject &object)
+{
+    FieldReader reader(object, object.fields, this->errors);
+    Route route;
+    route.name = readName(reader);
+    route.host = reader.text("host", Presence::Required);
+    route.pathPrefix = reader.text("pathPrefix", Presence::Required);
+    route.kind = readRouteKind(reader);
+    route.targets = readTargets(object, reader, this->errors);
+    const auto time = [&reader](std::string_view name, std::chrono::milliseconds fallback,
+                                std::uint64_t least) {
+        return std::chrono::milliseconds(reader.count(name,
+                                                      static_cast<std::uint64_t>(fallback.count()),
+                                                      FieldReader::Range{least, LongestRouteTime}));
+    };
+    route.timeout = time("timeoutMilliseconds", route.timeout, 1);
+    route.latencyTarget =
+            time("latencyTargetMilliseconds", std::min(route.latencyTarget, route.timeout), 1);
+    route.pauseTarget = time("pauseTargetMilliseconds", route.pauseTarget, 0);
+    route.maxRuns = static_cast<std::uint32_t>(
+            reader.count("maxRuns", route.maxRuns, FieldReader::Range{1, 10}));
+    route.priority = static_cast<std::uint32_t>(reader.count("priority", 0, Priorities));
+    route.isPublic = reader.flag("public", route.isPublic);
+    route.isResumable = reader.flag("resumable", route.isResumable);
+    reader.finish();
+    checkRoute(reader, route);
+    return route;
+}
+
 } // namespace Nutmegrill
--- a/Source/Config/ObjectReader.h
+++ b/Source/Config/ObjectReader.h
@@ -22,6 +22,7 @@
     ServiceDeclaration readService(const DeclaredObject &object);
     ModelGroup readModelGroup(const DeclaredObject &object);
     ClientAccount readClientAccount(const DeclaredObject &object);
+    Route readRoute(const DeclaredObject &object);
 
 private:
     std::vector<DeclarationError> &errors;
--- a/Source/Config/Route.h
+++ b/Source/Config/Route.h
@@ -37,7 +37,7 @@
     std::chrono::milliseconds latencyTarget{1000};
     /// Longest pause between events that callers are meant to see. 0: none is stated.
     std::chrono::milliseconds pauseTarget{0};
-    /// Backend servers that may run one request.
+    /// Backend servers that one request may be sent to, the first included.
     std::uint32_t maxRuns = 1;
     /// Urgency, 0 first.
     std::uint32_t priority = 0;
--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -114,6 +114,14 @@
     this->connection = nullptr;
 }
 
+void ClientConnection::abort()
+{
+    if (this->busy)
+        this->fail(Failure::Broken);
+    else
+        this->close();
+}
+
 void ClientConnection::pauseReading(bool paused)
 {
     if (this->connection == nullptr)
--- a/Source/Http/ClientConnection.h
+++ b/Source/Http/ClientConnection.h
@@ -51,6 +51,9 @@
     /// Closes at once; no handler is called any more.
     void close();
 
+    /// Closes at once; a call that waits for its answer fails as broken.
+    void abort();
+
     /// Stops reading while \a paused, so that TCP holds back the peer.
     void pauseReading(bool paused);
 
--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <cctype>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <limits>
-#include <map>
+#include <optional>
 #include <sstream>
 #include <utility>
 
@@ -69,6 +71,15 @@
     return parts;
 }
 
+/// Nullopt when there is no such file.
+std::optional<std::string> readFile(const std::string &path)
+{
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream.is_open())
+        return std::nullopt;
+    return std::string(std::istreambuf_iterator<char>(stream), {});
+}
+
 struct FormatRule
 {
     bool (*accepts)(const std::string &text);
@@ -93,7 +104,7 @@
     options::options_description description;
     std::map<std::string, Format> formats;
     std::vector<std::string> required;
-    std::map<std::string, std::string> values;
+    std::string summary;
 };
 
 Settings::Settings(std::string program, std::string summary)
@@ -101,7 +112,7 @@
 {
     this->parser->description.add_options()("help", "show this help")("version",
                                                                       "show the version");
-    this->parser->values["summary"] = std::move(summary);
+    this->parser->summary = std::move(summary);
 }
 
 Settings::~Settings() = default;
@@ -122,9 +133,34 @@
     this->parser->formats[name] = format;
 }
 
+void Settings::allowFile()
+{
+    this->allow("settings", Format::Text, "",
+                "file with further settings, a line `name = value` each; read again on SIGHUP and "
+                "when it has changed");
+}
+
 bool Settings::read(int argc, const char *const *argv)
 {
+    this->arguments.assign(argv + 1, argv + argc);
     std::vector<std::string> faults;
+    if (!this->collect(this->values, faults))
+        return false;
+    if (!this->wordsAllowed) {
+        for (const std::string &word : this->positional)
+            faults.push_back("unexpected word '" + word + "'");
+    }
+    if (faults.empty())
+        this->checkValues(this->values, faults);
+    for (const std::string &fault : faults)
+        std::cerr << this->program << ": " << fault << "\n";
+    if (!faults.empty())
+        this->code = ExitUsage;
+    return faults.empty();
+}
+
+bool Settings::collect(Values &collected, std::vector<std::string> &faults)
+{
     options::variables_map parsed;
     options::options_description all;
     all.add(this->parser->description);
@@ -133,18 +169,34 @@
     words.add("words", -1);
     try {
         options::store(
-                options::command_line_parser(argc, argv).options(all).positional(words).run(),
+                options::command_line_parser(this->arguments).options(all).positional(words).run(),
                 parsed);
         const auto knownFlag = [this](const std::string &variable) {
             const std::string flag = flagOfVariable(variable);
             return this->parser->formats.count(flag) != 0 ? flag : std::string();
         };
         options::store(options::parse_environment(this->parser->description, knownFlag), parsed);
+        if (parsed.count("settings") != 0 && !parsed["settings"].as<std::string>().empty()) {
+            const std::string path = parsed["settings"].as<std::string>();
+            this->fileText = readFile(path);
+            if (this->fileText) {
+                std::istringstream stream(*this->fileText);
+                auto lines = options::parse_config_file(stream, this->parser->description, true);
+                // A line without a value leaves the default, so that a template may name a field
+                // that a deployment does not have.
+                std::erase_if(lines.options, [](const auto &line) {
+                    return line.value.empty() || line.value.front().empty();
+                });
+                options::store(lines, parsed);
+            } else {
+                faults.push_back("--settings: '" + path + "' cannot be read");
+            }
+        }
     } catch (const options::error &error) {
         faults.emplace_back(error.what());
     }
     if (parsed.count("help") != 0) {
-        std::cout << this->program << ": " << this->parser->values["summary"] << "\n"
+        std::cout << this->program << ": " << this->parser->summary << "\n"
                   << this->parser->description
                   << "Every flag may also be given as environment variable " << environmentPrefix
                   << "<FLAG>.\n";
@@ -156,33 +208,58 @@
     }
     for (const auto &[name, format] : this->parser->formats) {
         if (parsed.count(name) != 0)
-            this->parser->values[name] = parsed[name].as<std::string>();
+            collected[name] = parsed[name].as<std::string>();
     }
     if (parsed.count("words") != 0)
         this->positional = parsed["words"].as<std::vector<std::string>>();
-    if (!this->wordsAllowed) {
-        for (const std::string &word : this->positional)
-            faults.push_back("unexpected word '" + word + "'");
+    return true;
+}
+
+Settings::Reload Settings::reload()
+{
+    Reload outcome;
+    const auto path = this->values.find("settings");
+    if (path == this->values.end() || path->second.empty())
+        return outcome;
+    if (readFile(path->second) == this->fileText)
+        return outcome;
+    Values fresh;
+    this->collect(fresh, outcome.faults);
+    if (outcome.faults.empty())
+        this->checkValues(fresh, outcome.faults);
+    if (!outcome.faults.empty())
+        return outcome;
+    for (const auto &[name, value] : fresh) {
+        const auto old = this->values.find(name);
+        if (old == this->values.end() || old->second != value)
+            outcome.changed.push_back(name);
     }
-    if (faults.empty())
-        this->checkValues(faults);
-    for (const std::string &fault : faults)
-        std::cerr << this->program << ": " << fault << "\n";
-    if (!faults.empty())
-        this->code = ExitUsage;
-    return faults.empty();
+    this->values = std::move(fresh);
+    return outcome;
+}
+
+std::string Settings::Reload::text() const
+{
+    std::string text = "changed=";
+    for (const std::string &name : this->changed)
+        text += (text.back() == '=' ? "" : ",") + name;
+    if (this->changed.empty())
+        text += "none";
+    for (const std::string &fault : this->faults)
+        text += " fault=\"" + fault + "\"";
+    return text;
 }
 
-void Settings::checkValues(std::vector<std::string> &faults) const
+void Settings::checkValues(const Values &checked, std::vector<std::string> &faults) const
 {
     for (const std::string &name : this->parser->required) {
-        const auto found = this->parser->values.find(name);
-        if (found == this->parser->values.end() || found->second.empty())
+        const auto found = checked.find(name);
+        if (found == checked.end() || found->second.empty())
             faults.push_back("--" + name + " is missing");
     }
     for (const auto &[name, format] : this->parser->formats) {
-        const auto found = this->parser->values.find(name);
-        if (found == this->parser->values.end())
+        const auto found = checked.find(name);
+        if (found == checked.end())
             continue;
         const std::string &value = found->second;
         // Texts and addresses may be left empty; a missing one is reported above.
@@ -199,7 +276,7 @@
 
 const std::string &Settings::text(const std::string &name) const
 {
-    return this->parser->values.at(name);
+    return this->values.at(name);
 }
 
 std::uint64_t Settings::number(const std::string &name) const
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -1,16 +1,18 @@
 #pragma once
 
 #include <cstdint>
-#include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace Nutmegrill {
 
-/// Settings of a process from flags and from environment variables (NUTMEGRILL_ and the flag's name
-/// in upper case, '-' as '_'). A flag goes before the variable. Every setting is checked before the
-/// process starts, and each fault gets one message.
+/// Settings of a process from flags, from environment variables (NUTMEGRILL_ and the flag's name in
+/// upper case, '-' as '_') and from a file with a line `name = value` each; the first of these that
+/// has a value decides. Every setting is checked before the process starts, and each fault gets one
+/// message.
 class Settings
 {
 public:
@@ -34,6 +36,10 @@
     void allow(const std::string &name, Format format, const std::string &defaultValue,
                const std::string &help);
 
+    /// Declares the setting `settings`, the path of the file. Lines of the file that name no
+    /// setting are ignored, so that one file can serve several versions of a program.
+    void allowFile();
+
     /// Words that are no flags are kept in order; without this they are faults.
     void allowWords() { this->wordsAllowed = true; }
 
@@ -43,6 +49,21 @@
 
     int exitCode() const { return this->code; }
 
+    struct Reload
+    {
+        /// Settings with another value than before, in alphabetical order.
+        std::vector<std::string> changed;
+        /// With any fault the settings stay as they were.
+        std::vector<std::string> faults;
+
+        bool isEmpty() const { return this->changed.empty() && this->faults.empty(); }
+        /// For the log, for instance `changed=retry-ratio,store`.
+        std::string text() const;
+    };
+
+    /// Reads the file again. A file with the same text as at the last reading gives nothing.
+    Reload reload();
+
     const std::string &text(const std::string &name) const;
     std::uint64_t number(const std::string &name) const;
     double decimal(const std::string &name) const;
@@ -52,10 +73,19 @@
 private:
     struct Parser;
 
-    void checkValues(std::vector<std::string> &faults) const;
+    using Values = std::map<std::string, std::string>;
+
+    /// Values from flags, environment and file. Returns false when --help or --version was
+    /// answered.
+    bool collect(Values &values, std::vector<std::string> &faults);
+    void checkValues(const Values &values, std::vector<std::string> &faults) const;
 
     std::unique_ptr<Parser> parser;
     std::string program;
+    std::vector<std::string> arguments;
+    Values values;
+    /// Of the last reading; nothing when there was no file.
+    std::optional<std::string> fileText;
     int code = ExitOk;
     bool wordsAllowed = false;
     std::vector<std::string> positional;
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -56,6 +56,13 @@
 
 RelayNode::~RelayNode() = default;
 
+void RelayNode::setRetryLimit(const RetryShare::Limit &limit)
+{
+    this->settings.retryLimit = limit;
+    for (auto &[service, share] : this->retries)
+        share.setLimit(limit);
+}
+
 void RelayNode::configure(ConfigurationPtr configuration, Orders &orders)
 {
     if (this->routes != nullptr && configuration->version <= this->configurationVersion())
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -58,6 +58,9 @@
     std::uint64_t configurationVersion() const;
     const Configuration *configuration() const;
 
+    /// In force at once, also for repeats of requests that are under way.
+    void setRetryLimit(const RetryShare::Limit &limit);
+
     /// A planned stop has begun; the process ends at \a end at the latest.
     void beginStop(Instant end) { this->stopAt = end; }
 
--- a/Source/Relay/RetryShare.h
+++ b/Source/Relay/RetryShare.h
@@ -24,6 +24,8 @@
 
     RetryShare(const Limit &limit, std::chrono::microseconds window);
 
+    void setLimit(const Limit &fresh) { this->limit = fresh; }
+
     void noteFirst(Instant now) { this->first.add(now); }
 
     /// Takes one repeat; false when this entry's part is used up.
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -89,8 +89,6 @@
         this->log(RelayLog::StopBegan,
                   "switching=" + std::to_string(this->rankSwitch->isSwitching()));
     });
-    this->hangupSignal =
-            loop.onSignal(SIGHUP, [this] { this->log(RelayLog::Reloaded, "changed=none"); });
     this->log(RelayLog::Started, "incarnation=" + std::to_string(options.incarnation)
                                          + " engine=" + options.engineAddress);
 }
@@ -104,6 +102,11 @@
     return this->peers.isOpen() ? "" : "cannot open UDP " + this->state.address;
 }
 
+void RankAgent::noteReload(const std::string &what)
+{
+    this->log(RelayLog::Reloaded, what);
+}
+
 void RankAgent::run()
 {
     this->loop.run();
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -45,6 +45,8 @@
     RankAgent &operator=(const RankAgent &) = delete;
 
     std::string startError() const;
+    /// Logs that the settings were read again; those of an agent hold until its next start.
+    void noteReload(const std::string &what);
     void run();
 
 private:
@@ -95,7 +97,6 @@
     std::optional<OwnerCommand> lastCommand;
     std::unique_ptr<EventLoop::Timer> ticker;
     std::unique_ptr<EventLoop::Timer> terminateSignal;
-    std::unique_ptr<EventLoop::Timer> hangupSignal;
     bool engineReachable = false;
     bool expertsKnown = false;
     Instant nextReportAt;
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -106,10 +106,6 @@
     this->reporter = loop.every(ReportPeriod, [this] { this->sendReports(); });
     this->announcer = loop.every(RenewPeriod, [this] { this->announce(); });
     this->terminateSignal = loop.onSignal(SIGTERM, [this] { this->beginStop(); });
-    this->hangupSignal = loop.onSignal(SIGHUP, [this] {
-        // The settings are flags, which hold until the process starts again.
-        this->log(RelayLog::Reloaded, LogRecord::Level::Info, "changed=none");
-    });
     this->announce();
     this->log(RelayLog::Started, LogRecord::Level::Info,
               "incarnation=" + std::to_string(options.incarnation)
@@ -133,6 +129,15 @@
     return this->reports.isOpen() ? "" : "cannot open UDP " + this->options.peerAddress;
 }
 
+void RelayEntry::reload(const Options &fresh, const std::string &what)
+{
+    this->options.graceTime = fresh.graceTime;
+    this->options.directoryLifetime = fresh.directoryLifetime;
+    this->options.node.retryLimit = fresh.node.retryLimit;
+    this->node.setRetryLimit(fresh.node.retryLimit);
+    this->log(RelayLog::Reloaded, LogRecord::Level::Info, what);
+}
+
 void RelayEntry::run()
 {
     this->loop.run();
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -53,6 +53,11 @@
     /// Which address could not be opened; empty when all are.
     std::string startError() const;
 
+    /// Takes settings that may change while the process runs: the grace time, the lifetime of
+    /// directory answers and the retry limit. The others hold until the next start. \a what goes
+    /// to the log.
+    void reload(const Options &fresh, const std::string &what);
+
     /// Runs until a planned stop is complete.
     void run();
 
@@ -102,7 +107,6 @@
     std::unique_ptr<EventLoop::Timer> reporter;
     std::unique_ptr<EventLoop::Timer> announcer;
     std::unique_ptr<EventLoop::Timer> terminateSignal;
-    std::unique_ptr<EventLoop::Timer> hangupSignal;
     std::uint64_t reportSequence = 0;
     std::uint64_t lease = 0;
     bool announcing = false;
--- a/Tests/Config/DeclarationCheckerTest.cpp
+++ b/Tests/Config/DeclarationCheckerTest.cpp
@@ -1,6 +1,7 @@
 #include "Config/DeclarationChecker.h"
 #include "Config/ByteSize.h"
 #include "Config/ConfigurationCodec.h"
+#include "Config/ConfigurationDiff.h"
 #include "Core/Hash.h"
 
 #include <algorithm>
@@ -26,6 +27,62 @@
                              "kind: ClientAccount\nname: office\nkeyHash: "
                              + hashA + "\nservices: [writer]\n";
 
+// Every field differs from its default, so that a field which the codec or the diff leaves out
+// shows.
+Configuration fullConfiguration()
+{
+    Configuration full;
+    full.version = 7;
+    full.changeId = "change";
+    full.author = "operator";
+    full.places = {{"region", {{"east", true, 3}}}};
+    ServiceDeclaration service;
+    service.name = "writer";
+    service.kind = ServiceDeclaration::Kind::Model;
+    service.model = "m1";
+    service.failureDomains = {"east"};
+    service.warmRequests = 9;
+    service.coldRequests = 8;
+    service.coldSeconds = 7;
+    service.kvBytes = 6;
+    service.kvBytesPerToken = 5;
+    service.checksSender = true;
+    service.checksFencing = true;
+    service.calls = {{"GET", "/a/", true}};
+    service.maxConnections = 4;
+    service.coldRequestsPerSecond = 3;
+    service.experts = {2, 3, 4, 5, 6, 7};
+    full.services = {service};
+    full.modelGroups = {{"group", "writer", "east", 4, 2, 8, 2, 1024}};
+    ClientAccount account;
+    account.name = "office";
+    account.keyHash = hashA;
+    account.weight = 2;
+    account.services = {"writer"};
+    account.maxQueued = 3;
+    account.bufferBytes = 4;
+    account.furtherKeyHashes = {std::string(64, 'b')};
+    account.priority = 1;
+    full.clientAccounts = {account};
+    Route path;
+    path.name = "notes";
+    path.host = "a.example";
+    path.pathPrefix = "/notes/";
+    path.kind = Route::Kind::Stream;
+    path.targets = {{"writer", 3}, {"other", 1}};
+    path.timeout = std::chrono::milliseconds(8000);
+    path.latencyTarget = std::chrono::milliseconds(400);
+    path.pauseTarget = std::chrono::milliseconds(120);
+    path.maxRuns = 3;
+    path.priority = 2;
+    path.isPublic = true;
+    path.isResumable = true;
+    full.routes = {path};
+    using std::chrono::milliseconds;
+    full.callerLimits = {1, 2, milliseconds(3), milliseconds(4)};
+    return full;
+}
+
 DeclarationChecker::Result check(const std::string &yaml)
 {
     Declarations declarations;
@@ -40,6 +97,9 @@
     return text.replace(at, from.size(), to);
 }
 
+const std::string route = "services: [writer]\n---\nkind: Route\nname: notes\nhost: a.example\n"
+                          "pathPrefix: /notes/\nrequests: stream\nservices: [writer]\n";
+
 std::string errorTexts(const DeclarationChecker::Result &result)
 {
     std::string all;
@@ -120,6 +180,47 @@
              "services: [writer]\n---\nkind: Service\nname: plain\ntype: plain\nfailureDomains: "
              "[west]\ncalls: [{method: POST, pathPrefix: x}]",
              "fix: write `pathPrefix: /x`"},
+            {"services: [writer]", replaced(route, "/notes/", "/notes"),
+             "Route notes: `pathPrefix` does not begin and end with `/`"},
+            {"services: [writer]", replaced(route, "requests: stream", "requests: streaming"),
+             "unknown value `streaming`; fix: write `stream`"},
+            {"services: [writer]", replaced(route, "host: a.example\n", ""),
+             "field `host` is missing"},
+            {"services: [writer]", replaced(route, "stream\nservices: [writer]", "stream"),
+             "field `services` is missing"},
+            {"services: [writer]",
+             replaced(route, "stream\nservices: [writer]", "stream\nservices: [wirter]"),
+             "there is no service `wirter`; fix: did you mean `writer`?"},
+            {"services: [writer]",
+             replaced(route, "stream\nservices: [writer]",
+                      "stream\nservices: [writer, {name: writer}]"),
+             "service `writer` stands twice"},
+            {"services: [writer]",
+             replaced(route, "stream\nservices: [writer]",
+                      "stream\nservices: [{name: writer, weight: 0}]"),
+             "`weight` is out of range: 0"},
+            {"services: [writer]",
+             route
+                     + "timeoutMilliseconds: 500\n"
+                       "latencyTargetMilliseconds: 600",
+             "the latency target is above the timeout; fix: lower it to at most 500"},
+            {"services: [writer]",
+             replaced(route, "requests: stream", "requests: idempotent") + "resumable: true",
+             "only streams can be resumed"},
+            {"services: [writer]",
+             replaced(route, "requests: stream", "requests: nonIdempotent")
+                     + "pauseTargetMilliseconds: 100",
+             "only streams have pauses"},
+            {"services: [writer]",
+             route + "---\n"
+                     + replaced(route.substr(route.find("kind:")), "name: notes", "name: other"),
+             "prefix `/notes/` of host `a.example` already belongs to Route notes"},
+            {"services: [writer]", "services: [writer]\npriority: 10",
+             "`priority` is out of range: 10"},
+            {"services: [writer]", "services: [writer]\nfurtherKeyHashes: [short]",
+             "malformed key hash `short`"},
+            {"services: [writer]", "services: [writer]\nfurtherKeyHashes: [" + hashA + "]",
+             "the key hash already belongs to ClientAccount office"},
     };
     return list;
 }
@@ -136,6 +237,9 @@
     CPPUNIT_TEST(arrangementOfFilesDoesNotMatter);
     CPPUNIT_TEST(byteSizesAreExact);
     CPPUNIT_TEST(examplesAreValid);
+    CPPUNIT_TEST(routesAreReadWithTheirUnits);
+    CPPUNIT_TEST(codecKeepsEveryField);
+    CPPUNIT_TEST(diffNamesEachChangedRouteField);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -227,7 +331,7 @@
         CPPUNIT_ASSERT(root != nullptr);
         for (const std::string deployment : {"gleamway", "association"}) {
             Declarations declarations;
-            for (const std::string file : {"places", "services", "accounts"})
+            for (const std::string file : {"places", "services", "accounts", "routes"})
                 declarations.addFile(std::string(root) + "/" + deployment + "/" + file + ".yaml");
             const auto result = DeclarationChecker::check(declarations);
             CPPUNIT_ASSERT_EQUAL(std::string(), errorTexts(result));
@@ -236,10 +340,56 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t{2}, configuration.services.size());
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, configuration.modelGroups.size());
             CPPUNIT_ASSERT_EQUAL(std::size_t{10}, configuration.clientAccounts.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, configuration.routes.size());
             for (const ClientAccount &account : configuration.clientAccounts)
                 CPPUNIT_ASSERT_EQUAL(sha256Hex("example-key-" + account.name), account.keyHash);
         }
     }
+
+    // Guards against a route whose spans, shares or kind are read into the wrong field.
+    void routesAreReadWithTheirUnits()
+    {
+        const auto result = check(
+                replaced(validSet, "services: [writer]",
+                         replaced(route, "stream\nservices: [writer]",
+                                  "stream\nservices: [{name: writer, weight: 3}]")
+                                 + "timeoutMilliseconds: 8000\nlatencyTargetMilliseconds: 400\n"
+                                   "pauseTargetMilliseconds: 120\nmaxRuns: 3\nresumable: true\n"
+                                   "priority: 2\npublic: true"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), errorTexts(result));
+        Route expected = fullConfiguration().routes.front();
+        expected.targets = {{"writer", 3}};
+        CPPUNIT_ASSERT(expected == result.configuration->routes.at(0));
+    }
+
+    // Guards against a field that is lost on its way through the store, and against a document of
+    // an older version, which lacks fields, being rejected.
+    void codecKeepsEveryField()
+    {
+        const Configuration full = fullConfiguration();
+        CPPUNIT_ASSERT(full == decodeConfiguration(encodeConfiguration(full)));
+        CPPUNIT_ASSERT(decodeConfiguration(R"({"version":3,"places":[]})").has_value());
+        CPPUNIT_ASSERT(!decodeConfiguration(R"({"routes":[{"timeout":"soon"}]})").has_value());
+    }
+
+    // Guards against a change of a route that an operator does not see before publishing it.
+    void diffNamesEachChangedRouteField()
+    {
+        const Configuration before = fullConfiguration();
+        Configuration after = before;
+        after.routes.front().timeout = std::chrono::milliseconds(9000);
+        after.routes.front().targets.pop_back();
+        after.clientAccounts.front().priority.reset();
+        const std::vector<std::string> expected{
+                "~ ClientAccount office: priority 1 -> null",
+                R"(~ Route notes: targets [{"service":"writer","weight":3},)"
+                R"({"service":"other","weight":1}] -> [{"service":"writer","weight":3}])",
+                "~ Route notes: timeout 8000 -> 9000"};
+        CPPUNIT_ASSERT(expected == diffConfigurations(before, after));
+        after.routes.clear();
+        CPPUNIT_ASSERT_EQUAL(std::string("- Route notes"),
+                             diffConfigurations(before, after).back());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DeclarationCheckerTest);
--- /dev/null
+++ b/Tests/Platform/PlatformStoreTest.cpp
@@ -0,0 +1,173 @@
+#include "platform/PlatformStore.h"
+#include "FreeAddress.h"
+#include "Net/EventLoop.h"
+#include "StoreServer.h"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Status = StateStore::Status;
+
+constexpr milliseconds Limit{4000};
+constexpr milliseconds LongWait{20000};
+
+} // namespace
+
+/// The store client against a stand-in of the store on loopback.
+class PlatformStoreTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlatformStoreTest);
+    CPPUNIT_TEST(allPagesAreReadAndTheWatchBeginsAtTheFirst);
+    CPPUNIT_TEST(watchTellsWritesAndDeletions);
+    CPPUNIT_TEST(droppedHistoryIsTold);
+    CPPUNIT_TEST(conditionsAndLeasesAreTold);
+    CPPUNIT_TEST(failuresAreTold);
+    CPPUNIT_TEST(silentStoreFailsInTime);
+    CPPUNIT_TEST(waitingWatchFailsAtOnceWhenTheStoreMoves);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->loop = std::make_unique<EventLoop>();
+        this->address = freeAddress();
+        this->server = std::make_unique<StoreServer>(*this->loop, this->address);
+        this->store = std::make_unique<PlatformStore>(*this->loop, this->address);
+    }
+
+    void tearDown() override
+    {
+        this->store.reset();
+        this->server.reset();
+        this->loop.reset();
+    }
+
+    // Guards against keys lost between pages, and against a watch that begins after the last page
+    // and so misses what changed while the pages were read.
+    void allPagesAreReadAndTheWatchBeginsAtTheFirst()
+    {
+        this->server->pageSize = 2;
+        for (const char *key : {"op/config", "op/evacuate/a b", "servers/i-1", "servers/i-2", "x"})
+            this->server->put(key, std::string("\x00\xff value", 8));
+        const auto all = this->result([&](auto done) { this->store->readAll(done); });
+        CPPUNIT_ASSERT(all.status == Status::Ok);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), all.changes.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(15), all.revision);
+        CPPUNIT_ASSERT(all.changes.front().value == std::string("\x00\xff value", 8));
+        CPPUNIT_ASSERT_EQUAL(std::string("GET /kv-range?prefix=&after=op/evacuate/a%20b"),
+                             this->server->targets.at(1));
+        const auto some = this->result([&](auto done) { this->store->readBackends(done); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), some.changes.size());
+    }
+
+    void watchTellsWritesAndDeletions()
+    {
+        this->server->put("servers/i-1", "a");
+        std::optional<StateStore::Result> told;
+        this->store->watch(11, LongWait, [&](const auto &result) { told = result; });
+        this->loop->after(milliseconds(20), [&] { this->server->remove("servers/i-1"); });
+        this->loop->runUntil([&] { return told.has_value(); }, Limit);
+        CPPUNIT_ASSERT(told && told->status == Status::Ok && told->revision == 12);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), told->changes.size());
+        CPPUNIT_ASSERT(!told->changes.front().value);
+    }
+
+    void droppedHistoryIsTold()
+    {
+        this->server->put("k", "a");
+        this->server->compact();
+        const auto result = this->result([&](auto done) { this->store->watch(9, LongWait, done); });
+        CPPUNIT_ASSERT(result.status == Status::HistoryGone);
+    }
+
+    // Guards against a write over a newer value, and against a lease that has ended being taken
+    // for a live one.
+    void conditionsAndLeasesAreTold()
+    {
+        const auto granted =
+                this->result([&](auto done) { this->store->grantLease(milliseconds(9000), done); });
+        CPPUNIT_ASSERT_EQUAL(this->server->liveLease, granted.lease);
+        const auto write = [&](std::uint64_t expected, std::uint64_t lease) {
+            return this->result(
+                    [&](auto done) { this->store->write("own", "v", expected, lease, done); });
+        };
+        CPPUNIT_ASSERT(write(0, granted.lease).status == Status::Ok);
+        CPPUNIT_ASSERT(write(0, granted.lease).status == Status::Conflict);
+        CPPUNIT_ASSERT(write(11, granted.lease + 1).status == Status::NoLease);
+        CPPUNIT_ASSERT(this->server->valueOf("own") == std::string("v"));
+        this->server->liveLease = 0;
+        const auto kept =
+                this->result([&](auto done) { this->store->keepLease(granted.lease, done); });
+        CPPUNIT_ASSERT(kept.status == Status::NoLease);
+    }
+
+    void failuresAreTold()
+    {
+        this->server->put("k", "a");
+        for (const int status : {429, 503}) {
+            this->server->failing = status;
+            const auto refused = this->result([&](auto done) { this->store->readAll(done); });
+            CPPUNIT_ASSERT(refused.status == Status::Failed);
+            CPPUNIT_ASSERT_EQUAL("status " + std::to_string(status), refused.reason);
+        }
+        this->server->failing = 0;
+        this->server->isMalformed = true;
+        const auto malformed = this->result([&](auto done) { this->store->readAll(done); });
+        CPPUNIT_ASSERT_EQUAL(std::string("malformed answer"), malformed.reason);
+    }
+
+    void silentStoreFailsInTime()
+    {
+        this->server->isSilent = true;
+        const Instant begin = this->loop->now();
+        const auto result = this->result([&](auto done) { this->store->readAll(done); });
+        CPPUNIT_ASSERT(result.status == Status::Failed);
+        CPPUNIT_ASSERT(this->loop->now() - begin < milliseconds(2500));
+    }
+
+    // Guards against an entry that goes on waiting at the old address for as long as its watch
+    // lasts.
+    void waitingWatchFailsAtOnceWhenTheStoreMoves()
+    {
+        const std::string other = freeAddress();
+        StoreServer moved(*this->loop, other);
+        moved.put("k", "new");
+        std::optional<StateStore::Result> told;
+        this->store->watch(10, LongWait, [&](const auto &result) { told = result; });
+        this->loop->runUntil([&] { return !this->server->targets.empty(); }, Limit);
+        this->store->moveTo(other);
+        CPPUNIT_ASSERT(told && told->status == Status::Failed);
+        const auto all = this->result([&](auto done) { this->store->readAll(done); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), all.changes.size());
+    }
+
+private:
+    template <typename Call>
+    StateStore::Result result(const Call &call)
+    {
+        std::optional<StateStore::Result> outcome;
+        call([&outcome](const StateStore::Result &result) { outcome = result; });
+        this->loop->runUntil([&] { return outcome.has_value(); }, Limit);
+        CPPUNIT_ASSERT_MESSAGE("the call has no outcome", outcome.has_value());
+        return *outcome;
+    }
+
+    std::unique_ptr<EventLoop> loop;
+    std::string address;
+    std::unique_ptr<StoreServer> server;
+    std::unique_ptr<PlatformStore> store;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlatformStoreTest);
+
+} // namespace Nutmegrill
--- a/Tests/Platform/RelayEntryTest.cpp
+++ b/Tests/Platform/RelayEntryTest.cpp
@@ -1,16 +1,14 @@
 #include "RelayShell/RelayEntry.h"
 #include "FakeStateStore.h"
+#include "FreeAddress.h"
 #include "Http/ClientConnection.h"
 #include "Net/EventLoop.h"
 #include "platform/PlatformDecoder.h"
 #include "platform/PlatformProtocol.h"
 
-#include <arpa/inet.h>
 #include <chrono>
 #include <csignal>
 #include <memory>
-#include <sys/socket.h>
-#include <unistd.h>
 #include <vector>
 
 #include <cppunit/TestFixture.h>
@@ -24,19 +22,6 @@
 
 constexpr milliseconds Limit{3000};
 
-std::string freeAddress()
-{
-    const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in local{};
-    local.sin_family = AF_INET;
-    local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CPPUNIT_ASSERT_EQUAL(0, bind(probe, reinterpret_cast<sockaddr *>(&local), sizeof(local)));
-    socklen_t length = sizeof(local);
-    getsockname(probe, reinterpret_cast<sockaddr *>(&local), &length);
-    close(probe);
-    return "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
-}
-
 constexpr const char *ConfigurationText =
         R"({"version":%V,"routes":[
         {"name":"r1","hostname":"h.example","prefix":"/s/","kind":"streaming","timeoutMs":8000,
@@ -135,6 +120,7 @@
     CPPUNIT_TEST(brokenStreamIsResumedWithinOneAnswer);
     CPPUNIT_TEST(revokedKeyIsRefused);
     CPPUNIT_TEST(plannedStopServesWhatArrives);
+    CPPUNIT_TEST(changedGraceTimeHoldsForTheNextStop);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -236,6 +222,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("close"), *answer.head.find("Connection"));
     }
 
+    // Guards against a changed setting that is logged and not used.
+    void changedGraceTimeHoldsForTheNextStop()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        RelayEntry::Options fresh = this->options;
+        fresh.graceTime = milliseconds(300);
+        this->entry->reload(fresh, "changed=grace-seconds");
+        this->loop->after(milliseconds(10), [] { std::raise(SIGTERM); });
+        bool isLate = false;
+        this->loop->after(Limit, [&] {
+            isLate = true;
+            this->loop->stop();
+        });
+        this->entry->run();
+        CPPUNIT_ASSERT(!isLate);
+    }
+
 private:
     void request(const std::string &address, const std::string &text, Answer &answer)
     {
--- /dev/null
+++ b/Tests/Platform/StoreServer.cpp
@@ -0,0 +1,172 @@
+#include "StoreServer.h"
+
+#include "Net/Base64.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace Nutmegrill {
+
+namespace {
+
+using Json = nlohmann::json;
+
+/// Value of a field of the query, or nothing.
+std::string queryField(const std::string &target, const std::string &name)
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos)
+        return {};
+    const auto begin = at + name.size() + 1;
+    return target.substr(begin, target.find('&', begin) - begin);
+}
+
+bool startsWith(const std::string &text, const std::string &prefix)
+{
+    return text.compare(0, prefix.size(), prefix) == 0;
+}
+
+} // namespace
+
+StoreServer::StoreServer(EventLoop &loop, const std::string &address)
+    : listener(loop, address, 64, [this](HttpListener::Request &&request) { this->serve(request); })
+{
+    this->listener.onGone([this](HttpListener::RequestId id) { this->watches.erase(id); });
+}
+
+void StoreServer::put(const std::string &key, const std::string &value, std::uint64_t lease)
+{
+    this->items[key] = {value, ++this->revision, lease};
+    this->changed();
+}
+
+void StoreServer::remove(const std::string &key)
+{
+    this->items[key] = {std::nullopt, ++this->revision, 0};
+    this->changed();
+}
+
+std::optional<std::string> StoreServer::valueOf(const std::string &key) const
+{
+    const auto found = this->items.find(key);
+    return found == this->items.end() ? std::nullopt : found->second.value;
+}
+
+void StoreServer::changed()
+{
+    for (const auto &[id, after] : std::exchange(this->watches, {}))
+        this->answerWatch(id, after);
+}
+
+void StoreServer::reply(HttpListener::RequestId id, int status, const std::string &body)
+{
+    if (auto *connection = this->listener.find(id))
+        connection->reply(status, "", {{"Content-Type", "application/json"}},
+                          this->isMalformed ? body.substr(0, body.size() / 2) : body);
+}
+
+void StoreServer::serve(const HttpListener::Request &request)
+{
+    const std::string &target = request.head.target;
+    this->targets.push_back(request.head.method + " " + target);
+    if (this->isSilent)
+        return;
+    if (this->failing != 0) {
+        this->reply(request.id, this->failing, "{}");
+    } else if (startsWith(target, "/kv-range?")) {
+        this->answerRange(request);
+    } else if (startsWith(target, "/kv-watch?")) {
+        this->answerWatch(request.id, std::stoull(queryField(target, "after")));
+    } else if (target == "/kv-txn") {
+        this->answerTransaction(request);
+    } else if (target == "/kv-lease") {
+        this->liveLease = ++this->nextLease;
+        this->reply(request.id, 200, Json{{"lease", this->liveLease}, {"ttlMs", 9000}}.dump());
+    } else if (startsWith(target, "/kv-keep/")) {
+        const bool lives = target == "/kv-keep/" + std::to_string(this->liveLease);
+        this->reply(request.id, lives ? 200 : 404, "{}");
+    } else if (startsWith(target, "/kv-lease-end/")) {
+        this->liveLease = 0;
+        this->reply(request.id, 200, "{}");
+    } else {
+        this->reply(request.id, 400, "{}");
+    }
+}
+
+void StoreServer::answerRange(const HttpListener::Request &request)
+{
+    const std::string prefix = queryField(request.head.target, "prefix");
+    const std::string after = queryField(request.head.target, "after");
+    Json rows = Json::array();
+    bool hasMore = false;
+    for (const auto &[key, item] : this->items) {
+        if (!item.value || !startsWith(key, prefix) || key <= after)
+            continue;
+        if (rows.size() == this->pageSize) {
+            hasMore = true;
+            break;
+        }
+        rows.push_back({{"key", key},
+                        {"value", encodeBase64(*item.value)},
+                        {"revision", item.revision},
+                        {"created", item.revision},
+                        {"lease", item.lease}});
+    }
+    this->reply(
+            request.id, 200,
+            Json{{"items", rows}, {"hasMore", hasMore}, {"storeRevision", this->revision}}.dump());
+}
+
+void StoreServer::answerWatch(HttpListener::RequestId id, std::uint64_t after)
+{
+    if (after < this->oldestRevision) {
+        this->reply(id, 410, "{}");
+        return;
+    }
+    std::map<std::uint64_t, Json> events;
+    for (const auto &[key, item] : this->items) {
+        if (item.revision <= after)
+            continue;
+        if (item.value)
+            events[item.revision] = {{"key", key},
+                                     {"value", encodeBase64(*item.value)},
+                                     {"revision", item.revision}};
+        else
+            events[item.revision] = {{"key", key}, {"revision", item.revision}, {"deleted", true}};
+    }
+    if (events.empty()) {
+        this->watches[id] = after;
+        return;
+    }
+    Json rows = Json::array();
+    for (const auto &[revision, event] : events)
+        rows.push_back(event);
+    this->reply(id, 200, Json{{"events", rows}, {"storeRevision", this->revision}}.dump());
+}
+
+void StoreServer::answerTransaction(const HttpListener::Request &request)
+{
+    const Json body = Json::parse(request.body);
+    for (const Json &condition : body.at("expected")) {
+        const auto found = this->items.find(condition.at("key").get<std::string>());
+        const std::uint64_t revision =
+                found == this->items.end() || !found->second.value ? 0 : found->second.revision;
+        if (revision != condition.at("revision").get<std::uint64_t>()) {
+            this->reply(request.id, 412, Json{{"items", Json::array()}}.dump());
+            return;
+        }
+    }
+    for (const Json &write : body.at("writes")) {
+        const auto lease = write.at("lease").get<std::uint64_t>();
+        if (lease != 0 && lease != this->liveLease) {
+            this->reply(request.id, 404, "{}");
+            return;
+        }
+        this->put(write.at("key").get<std::string>(),
+                  decodeBase64(write.at("value").get<std::string>()).value(), lease);
+    }
+    this->reply(request.id, 200, Json{{"revision", this->revision}}.dump());
+}
+
+} // namespace Nutmegrill
