Hold shared limits while membership is in doubt

Cause, found with seeded scripts of cuts, restarts and jumping clocks over five entries (EntryCluster): - entries that start again at once each took their whole part of the cold rate within the second of their former start (48 sends to a cold backend server, 44 allowed); a fresh entry takes a quarter in its first second; - a fresh entry counted itself alone until the first reports; entries that the store names count as well; - an entry restarted after its clock had jumped back was ignored by the others until they forgot it (60 s); an earlier start is taken once the former one has been silent for 0.5 s, and by the agents likewise.

Ruled out: waiting in the entry until reports arrive, which would delay every restart.

RelayScene begins after the first second.

--- a/Source/Relay/EntryTable.cpp
+++ b/Source/Relay/EntryTable.cpp
@@ -11,9 +11,13 @@
 constexpr std::chrono::milliseconds LiveTime{2500};
 /// An entry that fell silent counts for the shared limits this much longer: it may work behind a
 /// cut, and requests that it sent before count in windows of ten seconds.
-constexpr std::chrono::seconds ShareTime{10};
+constexpr std::chrono::milliseconds ShareTime{7500};
 /// Reports of running requests that are older say little: most requests end within two seconds.
 constexpr std::chrono::milliseconds LoadTime{1500};
+/// A start that states an earlier time of day than the one before is taken when that one has been
+/// silent for this long; datagrams are not under way for as long. The time of day may have jumped
+/// back between the two starts.
+constexpr std::chrono::milliseconds StartPause{500};
 /// Addresses without any report are dropped after a while.
 constexpr std::chrono::seconds ForgetTime{60};
 
@@ -22,8 +26,9 @@
 void EntryTable::addAddress(Instant now, const std::string &peerAddress)
 {
     const auto [entry, isNew] = this->rows.try_emplace(peerAddress);
+    // Counts as an entry for a while, and as live only with its first report.
     if (isNew)
-        entry->second.heardAt = now - LiveTime;
+        entry->second.heardAt = now;
     entry->second.peerAddress = peerAddress;
 }
 
@@ -31,10 +36,11 @@
 {
     Row &row = this->rows[report.peerAddress];
     row.peerAddress = report.peerAddress;
-    if (row.report
-        && (report.incarnation < row.report->incarnation
-            || (report.incarnation == row.report->incarnation
-                && report.sequence <= row.report->sequence)))
+    if (row.report && report.incarnation == row.report->incarnation
+        && report.sequence <= row.report->sequence)
+        return false;
+    if (row.report && report.incarnation < row.report->incarnation
+        && (now < row.heardAt + StartPause || !this->switches.takesEarlierStart))
         return false;
     row.report = report;
     row.heardAt = now;
@@ -66,9 +72,12 @@
 
 std::uint32_t EntryTable::entryCount(Instant now) const
 {
+    const auto silence = this->switches.countsSilent ? ShareTime : std::chrono::milliseconds(0);
     std::uint32_t count = 1;
-    for (const auto &[address, row] : this->rows)
-        count += row.report && now < row.heardAt + ShareTime ? 1 : 0;
+    for (const auto &[address, row] : this->rows) {
+        const bool isKnown = row.report.has_value() || this->switches.countsAnnounced;
+        count += isKnown && now <= row.heardAt + LiveTime + silence ? 1 : 0;
+    }
     return count;
 }
 
--- a/Source/Relay/EntryTable.h
+++ b/Source/Relay/EntryTable.h
@@ -24,6 +24,20 @@
         Instant heardAt;
     };
 
+    /// Parts that tests turn off to show what each one prevents.
+    struct Switches
+    {
+        /// Entries that the store names count for shared limits before their first report.
+        bool countsAnnounced = true;
+        /// After a pause, a report of a start with an earlier time of day is taken.
+        bool takesEarlierStart = true;
+        /// Silent entries go on counting for shared limits for a while.
+        bool countsSilent = true;
+    };
+
+    EntryTable() = default;
+    explicit EntryTable(const Switches &switches) : switches(switches) {}
+
     /// The store names an entry at that address.
     void addAddress(Instant now, const std::string &peerAddress);
 
@@ -36,8 +50,8 @@
     /// Caller addresses of the other entries that take callers now.
     std::vector<std::string> servingAddresses(Instant now) const;
 
-    /// Entries, this one included, that may be sending work: those heard lately. Stays high for a
-    /// while after entries fall silent, because they may still work behind a cut.
+    /// Entries, this one included, that may be sending work: those heard or announced lately. Stays
+    /// high for a while after entries fall silent, because they may still work behind a cut.
     std::uint32_t entryCount(Instant now) const;
 
     /// Requests that the other entries run at a backend server, as of their last reports.
@@ -55,6 +69,7 @@
 private:
     bool isLive(const Row &row, Instant now) const;
 
+    Switches switches;
     /// By peer address.
     std::map<std::string, Row> rows;
 };
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -52,7 +52,9 @@
 
 } // namespace
 
-RelayNode::RelayNode(const Settings &settings) : settings(settings), random(settings.seed) {}
+RelayNode::RelayNode(const Settings &settings)
+    : settings(settings), random(settings.seed), peers(settings.entries)
+{}
 
 RelayNode::~RelayNode() = default;
 
@@ -367,6 +369,8 @@
 
 void RelayNode::tick(Instant now, Orders &orders)
 {
+    if (!this->startedAt)
+        this->startedAt = now;
     this->backends.tick(now);
     this->peers.tick(now);
     this->checkDeadlines(now, orders);
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,10 @@
         RetryShare::Limit retryLimit;
         std::chrono::milliseconds retryWindow{10000};
         RelayPolicy policy;
+        EntryTable::Switches entries;
+        /// Off in tests only: a fresh entry takes a smaller part of the cold rate, because what its
+        /// former start has sent in the last second is not known.
+        bool sparesColdAfterStart = true;
     };
 
     explicit RelayNode(const Settings &settings);
@@ -119,6 +124,7 @@
     ServiceLoad &loadOf(const Exchange &exchange);
     RetryShare &retriesOf(const std::string &service);
     std::uint32_t usablePlaces(const std::string &service, Instant now) const;
+    double coldRateOf(const ServiceDeclaration *service, Instant now);
     double shareOfPlaces(const std::string &service, Instant now) const;
     std::uint32_t waitingFor(const std::string &service) const;
 
@@ -135,6 +141,7 @@
     std::map<std::string, ServiceCircuit> circuits;
     std::map<std::string, PaceLimit> paces;
     std::map<std::string, Instant> serviceHeardAt;
+    std::optional<Instant> startedAt;
     Instant stopAt = NoDeadline;
     AttemptId nextAttempt = 1;
 };
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -25,6 +25,11 @@
 /// Entries use this part of the connections that a backend server accepts; the rest covers
 /// connections that are being closed.
 constexpr double ConnectionShare = 0.8;
+/// Part of the cold rate that an entry uses in its first second: the window of that rate still
+/// holds what its former start has sent. Platforms allow half as much again, which covers three
+/// restarts of everything within a second.
+constexpr double FreshShare = 0.25;
+constexpr milliseconds FreshTime{1000};
 /// Callers honour a stated pause up to a third of their remaining time.
 constexpr int RetryAfterShare = 3;
 
@@ -67,7 +72,7 @@
         return false;
     const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
     const std::uint32_t entries = this->peers.entryCount(now);
-    const double coldRate = service == nullptr ? 0 : service->coldRequestsPerSecond;
+    const double coldRate = this->coldRateOf(service, now);
     const PaceLimit &pace = this->paces[exchange.service];
     std::vector<PlacementCandidate> candidates;
     for (const auto &[id, row] : this->backends.rows()) {
@@ -156,6 +161,16 @@
     return std::max(RelayLimits::LeastRetryAfter, std::min(wait + spread, longest));
 }
 
+double RelayNode::coldRateOf(const ServiceDeclaration *service, Instant now)
+{
+    if (service == nullptr)
+        return 0;
+    if (!this->startedAt)
+        this->startedAt = now;
+    const bool isFresh = this->settings.sparesColdAfterStart && now < *this->startedAt + FreshTime;
+    return service->coldRequestsPerSecond * (isFresh ? FreshShare : 1);
+}
+
 std::uint32_t RelayNode::usablePlaces(const std::string &service, Instant now) const
 {
     const auto pace = this->paces.find(service);
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds ReportPeriod{250};
 constexpr milliseconds BusyReportPeriod{40};
 constexpr milliseconds CountsPeriod{300};
+/// Datagrams of a former start are not under way for longer.
+constexpr milliseconds StartPause{500};
 constexpr milliseconds StatePeriod{250};
 constexpr milliseconds BusyStatePeriod{40};
 constexpr milliseconds CommandPeriod{60};
@@ -440,8 +442,14 @@
             return;
         }
         auto &[known, heardAt] = this->others[from];
-        if (std::make_pair(state->incarnation, state->sequence)
-            > std::make_pair(known.incarnation, known.sequence)) {
+        // A start with an earlier time of day than the one before is taken after a pause: the clock
+        // may have jumped back between the two.
+        const bool isOtherStart = state->incarnation != known.incarnation;
+        const bool isNewer = isOtherStart ? state->incarnation > known.incarnation
+                                                    || (!state->isToldByOther
+                                                        && this->loop.now() > heardAt + StartPause)
+                                          : state->sequence > known.sequence;
+        if (isNewer) {
             known = *state;
             if (!state->isToldByOther)
                 heardAt = this->loop.now();
--- /dev/null
+++ b/Tests/Relay/EntryCluster.cpp
@@ -0,0 +1,329 @@
+#include "EntryCluster.h"
+
+#include "RelayScene.h"
+
+#include <algorithm>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds Step{100};
+constexpr milliseconds Late{400};
+/// From the end of a process to the first request that its successor takes.
+constexpr milliseconds RestartTime{300};
+constexpr double ColdPerSecond = 26;
+constexpr double ColdOverrun = 1.5;
+constexpr double ColdSlack = 5;
+constexpr double RetryRatio = 0.2;
+constexpr double RetryAllowance = 88;
+constexpr seconds RetryWindow{10};
+/// Time after the last disturbance in which every entry has to know the others and the store.
+constexpr seconds CalmTime{4};
+
+ConfigurationPtr configuration(std::uint64_t version)
+{
+    auto made = std::make_shared<Configuration>();
+    made->version = version;
+    Route route;
+    route.name = "stream";
+    route.host = "host.example";
+    route.pathPrefix = "/stream/";
+    route.kind = Route::Kind::Stream;
+    route.targets = {{"model", 1}};
+    route.timeout = milliseconds(8000);
+    route.maxRuns = 3;
+    route.isResumable = true;
+    made->routes = {route};
+    ServiceDeclaration model;
+    model.name = "model";
+    model.coldRequestsPerSecond = ColdPerSecond;
+    made->services = {model};
+    return made;
+}
+
+std::string addressOf(std::size_t entry)
+{
+    return "10.0.0." + std::to_string(entry + 1) + ":7340";
+}
+
+void dropBefore(std::deque<Instant> &times, Instant begin)
+{
+    while (!times.empty() && times.front() <= begin)
+        times.pop_front();
+}
+
+} // namespace
+
+EntryCluster::EntryCluster(const Switches &switches) : switches(switches), entries(Entries)
+{
+    this->writeConfiguration();
+    // The key of each entry in the store, by which the entries find each other.
+    for (std::size_t entry = 0; entry < Entries; ++entry)
+        this->store.push_back({"entry/" + addressOf(entry), addressOf(entry), ++this->revision});
+    for (std::size_t entry = 0; entry < Entries; ++entry)
+        this->start(entry, 0);
+}
+
+EntryCluster::~EntryCluster() = default;
+
+void EntryCluster::writeConfiguration()
+{
+    ++this->revision;
+    std::erase_if(this->store, [](const StoreChange &change) { return change.key == "config"; });
+    this->store.push_back({"config", std::to_string(this->revision), this->revision});
+}
+
+void EntryCluster::start(std::size_t number, std::int64_t clockJump)
+{
+    Entry &entry = this->entries[number];
+    RelayNode::Settings settings;
+    settings.seed = number + 1;
+    settings.retryLimit = {RetryRatio, RetryAllowance};
+    settings.retryWindow = RetryWindow;
+    settings.entries = this->switches.table;
+    settings.sparesColdAfterStart = this->switches.sparesColdAfterStart;
+    entry.node = std::make_unique<RelayNode>(settings);
+    entry.mirror = {};
+    this->clock += 10;
+    entry.incarnation = this->clock + static_cast<std::uint64_t>(500'000 + clockJump);
+    entry.sequence = 0;
+    this->attemptsOf[number].clear();
+    entry.upAt = this->now + RestartTime;
+    for (const std::string id : {"m1", "m2"}) {
+        BackendRecord record = RelayScene::record(id, "model");
+        record.slots = 1000;
+        record.coldLeft = seconds(600);
+        entry.node->roster().update(this->now, record);
+    }
+}
+
+bool EntryCluster::isCut(std::size_t from, std::size_t to) const
+{
+    return this->cuts.count({from, to}) != 0;
+}
+
+void EntryCluster::disturb(ChoiceScript &script)
+{
+    const std::size_t entry = script.below(Entries);
+    switch (script.below(9)) {
+    case 0: // One way, silently.
+        this->cuts.insert({entry, script.below(Entries)});
+        break;
+    case 1:
+        for (std::size_t other = 0; other < Entries; ++other) {
+            this->cuts.insert({entry, other});
+            this->cuts.insert({other, entry});
+        }
+        break;
+    case 2:
+        this->cuts.clear();
+        break;
+    case 3:
+        this->entries[entry].reachesStore = false;
+        break;
+    case 4:
+        for (Entry &row : this->entries)
+            row.reachesStore = !row.reachesStore;
+        break;
+    case 5:
+        this->start(entry, script.below(2) == 0 ? 0 : -100'000);
+        break;
+    case 6:
+        for (std::size_t each = 0; each < Entries; ++each)
+            this->start(each, script.below(2) == 0 ? 0 : -100'000);
+        break;
+    default:
+        this->writeConfiguration();
+        break;
+    }
+}
+
+void EntryCluster::readStore(std::size_t number)
+{
+    Entry &entry = this->entries[number];
+    if (!entry.reachesStore || entry.mirror.revision() == this->revision)
+        return;
+    RelayNode::Orders orders;
+    for (const StoreChange &change : entry.mirror.reset(this->store, this->revision)) {
+        if (change.key == "config")
+            entry.node->configure(configuration(change.revision), orders);
+        else if (change.value && *change.value != addressOf(number))
+            entry.node->entries().addAddress(this->now, *change.value);
+    }
+}
+
+void EntryCluster::tellPeers(std::size_t number, bool isLossy)
+{
+    Entry &entry = this->entries[number];
+    EntryReport report;
+    report.peerAddress = addressOf(number);
+    report.callerAddress = report.peerAddress;
+    report.incarnation = entry.incarnation;
+    report.sequence = ++entry.sequence;
+    report.isServing = entry.node->isConfigured();
+    report.knownRevision = entry.mirror.revision();
+    entry.node->fillReport(report);
+    for (const std::string &address : entry.node->entries().peerAddresses()) {
+        for (std::size_t to = 0; to < Entries; ++to) {
+            if (addressOf(to) != address || this->isCut(number, to))
+                continue;
+            const std::uint64_t fate = isLossy ? this->random.below(10) : 9;
+            if (fate != 0) // Lost.
+                this->underWay.push_back({this->now, to, report});
+            if (fate == 1) // Once more, late.
+                this->underWay.push_back({this->now + Late, to, report});
+        }
+    }
+}
+
+void EntryCluster::pull(std::size_t number)
+{
+    Entry &entry = this->entries[number];
+    const auto peer = entry.node->entries().aheadOf(entry.mirror.revision(), this->now);
+    if (!peer || !this->switches.pullsFromPeers)
+        return;
+    for (std::size_t from = 0; from < Entries; ++from) {
+        if (addressOf(from) != *peer || !this->isUp(from) || this->isCut(from, number)
+            || this->isCut(number, from))
+            continue;
+        const StoreMirror::Update update =
+                this->entries[from].mirror.since(entry.mirror.revision());
+        const auto changes = update.isWhole ? entry.mirror.reset(update.items, update.revision)
+                                            : entry.mirror.apply(update.items, update.revision);
+        RelayNode::Orders orders;
+        for (const StoreChange &change : changes) {
+            if (change.key == "config")
+                entry.node->configure(configuration(change.revision), orders);
+            else if (change.value && *change.value != addressOf(number))
+                entry.node->entries().addAddress(this->now, *change.value);
+        }
+    }
+}
+
+void EntryCluster::serve(std::size_t number, std::uint32_t requests)
+{
+    Entry &entry = this->entries[number];
+    RelayNode::Orders orders;
+    for (std::uint32_t count = 0; count < requests; ++count) {
+        RelayRequest request;
+        request.id = "r";
+        request.host = "host.example";
+        request.path = "/stream/";
+        request.timeLeft = seconds(8);
+        this->requestTimes.push_back(this->now);
+        entry.node->requestArrived(this->now, this->nextCaller++, request, orders);
+    }
+    entry.node->tick(this->now, orders);
+    this->carryOut(number, orders);
+}
+
+void EntryCluster::carryOut(std::size_t number, RelayNode::Orders &orders)
+{
+    std::vector<RelayOrder::AttemptId> rejected;
+    std::vector<RelayOrder::AttemptId> answered;
+    for (const RelayOrder::Any &order : orders) {
+        const auto *start = std::get_if<RelayOrder::StartAttempt>(&order);
+        if (start == nullptr)
+            continue;
+        this->sends[start->backend].push_back(this->now);
+        if (++this->attemptsOf[number][start->caller] > 1)
+            this->repeatTimes.push_back(this->now);
+        // Every second one is rejected.
+        (start->attempt % 2 == 0 ? rejected : answered).push_back(start->attempt);
+    }
+    RelayNode::Orders further;
+    RelayNode &node = *this->entries[number].node;
+    for (const RelayOrder::AttemptId attempt : answered)
+        node.answerEnded(this->now, attempt, further);
+    for (const RelayOrder::AttemptId attempt : rejected) {
+        AnswerHead head;
+        head.status = 503;
+        head.notRun = true;
+        node.headArrived(this->now, attempt, head, further);
+        node.answerEnded(this->now, attempt, further);
+    }
+    if (!further.empty())
+        this->carryOut(number, further);
+}
+
+void EntryCluster::step(std::uint32_t requests, bool isLossy)
+{
+    this->now += Step;
+    for (const Datagram &datagram : this->underWay) {
+        if (datagram.arrival <= this->now && this->isUp(datagram.to))
+            this->entries[datagram.to].node->entries().update(this->now, datagram.report);
+    }
+    std::erase_if(this->underWay,
+                  [this](const Datagram &datagram) { return datagram.arrival <= this->now; });
+    for (std::size_t entry = 0; entry < Entries; ++entry) {
+        if (!this->isUp(entry))
+            continue;
+        this->readStore(entry);
+        this->tellPeers(entry, isLossy);
+        this->pull(entry);
+        this->serve(entry, requests);
+    }
+}
+
+std::string EntryCluster::checkLimits()
+{
+    for (auto &[backend, times] : this->sends) {
+        dropBefore(times, this->now - seconds(1));
+        if (static_cast<double>(times.size()) > ColdPerSecond * ColdOverrun + ColdSlack)
+            return "cold " + backend + " got " + std::to_string(times.size()) + " in a second";
+    }
+    dropBefore(this->requestTimes, this->now - RetryWindow);
+    dropBefore(this->repeatTimes, this->now - RetryWindow);
+    const double allowed =
+            RetryRatio * static_cast<double>(this->requestTimes.size()) + RetryAllowance;
+    if (static_cast<double>(this->repeatTimes.size()) > allowed)
+        return std::to_string(this->repeatTimes.size()) + " repeats for "
+               + std::to_string(this->requestTimes.size()) + " requests";
+    return {};
+}
+
+std::string EntryCluster::checkCalm()
+{
+    for (std::size_t entry = 0; entry < Entries; ++entry) {
+        const RelayNode &node = *this->entries[entry].node;
+        const std::size_t known =
+                this->entries[entry].node->entries().servingAddresses(this->now).size();
+        if (known != Entries - 1)
+            return "entry " + std::to_string(entry) + " names " + std::to_string(known)
+                   + " other entries";
+        if (this->entries[entry].mirror.revision() != this->revision)
+            return "entry " + std::to_string(entry) + " does not know the last configuration";
+        if (!node.isConfigured())
+            return "entry " + std::to_string(entry) + " has no configuration";
+    }
+    return {};
+}
+
+std::string EntryCluster::run(ChoiceScript &script)
+{
+    this->random = RandomSource(script.below(1000));
+    while (!script.isExhausted()) {
+        if (script.below(4) == 0)
+            this->disturb(script);
+        const auto requests = static_cast<std::uint32_t>(script.below(30));
+        this->step(requests, true);
+        if (const std::string failure = this->checkLimits(); !failure.empty())
+            return failure;
+    }
+    // Paths are back, and one entry reaches the store; the others learn from it.
+    this->cuts.clear();
+    for (std::size_t entry = 0; entry < Entries; ++entry)
+        this->entries[entry].reachesStore = entry == 0;
+    for (Instant end = this->now + CalmTime; this->now < end;) {
+        this->step(1, false);
+        if (const std::string failure = this->checkLimits(); !failure.empty())
+            return failure;
+    }
+    return this->checkCalm();
+}
+
+} // namespace Nutmegrill
--- a/Tests/Relay/RelayScene.cpp
+++ b/Tests/Relay/RelayScene.cpp
@@ -69,6 +69,9 @@
 RelayScene::RelayScene(std::uint32_t modelServers, std::uint32_t plainServers) : node(settings())
 {
     this->node.configure(configuration(), this->orders);
+    // Past the first second, in which an entry spares cold backend servers.
+    this->node.tick(this->now, this->orders);
+    this->now += std::chrono::seconds(2);
     for (std::uint32_t number = 0; number < modelServers; ++number)
         this->node.roster().update(this->now, record("m" + std::to_string(number), "model"));
     for (std::uint32_t number = 0; number < plainServers; ++number)
