--- a/Source/Programs/OperatorCommands.cpp
+++ b/Source/Programs/OperatorCommands.cpp
@@ -324,7 +324,7 @@
     }
     if (!found)
         return fail(Kind::NoAnswer,
-                    "no process given by --processes and no log given by --logs names request "
+                    "no process given by --processes, and no log given by --logs, knows request "
                             + id);
     return {};
 }
