--- /dev/null
+++ b/Tests/Relay/LoadWorldBackends.cpp
@@ -0,0 +1,216 @@
+// The backend servers of LoadWorld: a model group and plain ones.
+
+#include "LoadWorldParts.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t RankQueue = 4;
+constexpr std::size_t PlainQueue = 6;
+constexpr std::uint32_t Events = 28;
+constexpr milliseconds PlainWork{60};
+/// A pass of the group: a fixed part and a part for each stream of the rank that runs most, because
+/// all ranks wait for the slowest one.
+constexpr microseconds PassBase{32000};
+constexpr microseconds PassPerStream{3000};
+
+} // namespace
+
+LoadWorld::Backend *LoadWorld::backendOf(const std::string &id)
+{
+    for (Backend &backend : this->backends) {
+        if (backend.id == id)
+            return &backend;
+    }
+    return nullptr;
+}
+
+void LoadWorld::startWork(std::size_t entry, const RelayOrder::StartAttempt &start)
+{
+    Work work;
+    work.entry = entry;
+    work.start = this->entries[entry].start;
+    work.attempt = start.attempt;
+    work.backend = start.backend;
+    work.nextEvent = start.lastEvent.value_or(0) + 1;
+    const auto number = this->byCallerId.find({entry, start.caller});
+    if (number != this->byCallerId.end()) {
+        Caller &caller = this->callers[number->second];
+        this->result.repeats += caller.attempts == 1 && caller.attempt != 0 ? 0 : 1;
+    }
+    this->after(NetworkDelay, [this, work] { this->accept(work); });
+}
+
+void LoadWorld::accept(const Work &work)
+{
+    Backend &backend = *this->backendOf(work.backend);
+    if (backend.isGone) {
+        this->breakWork(work, AttemptFailure::NotSent);
+        return;
+    }
+    if (backend.isRank && this->groupCut) {
+        this->rejectWork(work, NetworkDelay);
+        return;
+    }
+    const std::size_t longest = backend.isRank ? RankQueue : PlainQueue;
+    if (backend.running.size() >= backend.slots && backend.queue.size() >= longest) {
+        this->rejectWork(work, NetworkDelay);
+        return;
+    }
+    backend.queue.push_back(work);
+    if (!backend.isRank)
+        this->serve(backend);
+}
+
+void LoadWorld::rejectWork(const Work &work, Time delay)
+{
+    this->after(delay, [this, work] {
+        Entry *entry = this->live(work.entry, work.start);
+        if (entry == nullptr)
+            return;
+        RelayNode::Orders orders;
+        AnswerHead head;
+        head.status = 503;
+        head.notRun = true;
+        entry->node->headArrived(this->now, work.attempt, head, orders);
+        entry->node->answerEnded(this->now, work.attempt, orders);
+        this->carryOut(work.entry, orders);
+    });
+}
+
+void LoadWorld::breakWork(const Work &work, AttemptFailure failure)
+{
+    this->after(NetworkDelay, [this, work, failure] {
+        if (Entry *entry = this->live(work.entry, work.start)) {
+            RelayNode::Orders orders;
+            entry->node->attemptFailed(this->now, work.attempt, failure, orders);
+            this->carryOut(work.entry, orders);
+        }
+    });
+}
+
+void LoadWorld::cancel(std::size_t entry, RelayOrder::AttemptId attempt)
+{
+    const auto matches = [&](const Work &work) {
+        return work.entry == entry && work.attempt == attempt
+               && work.start == this->entries[entry].start;
+    };
+    for (Backend &backend : this->backends) {
+        std::erase_if(backend.queue, matches);
+        std::erase_if(backend.running, matches);
+    }
+}
+
+void LoadWorld::serve(Backend &backend)
+{
+    while (!backend.queue.empty() && backend.running.size() < backend.slots) {
+        const Work work = backend.queue.front();
+        backend.queue.pop_front();
+        backend.running.push_back(work);
+        const auto span = microseconds(static_cast<std::int64_t>(-std::log(1 - this->random.unit())
+                                                                 * 1000.0 * PlainWork.count()));
+        const std::string id = backend.id;
+        this->after(span, [this, work, id] {
+            Backend &row = *this->backendOf(id);
+            const auto found =
+                    std::find_if(row.running.begin(), row.running.end(), [&](const Work &other) {
+                        return other.entry == work.entry && other.attempt == work.attempt
+                               && other.start == work.start;
+                    });
+            if (found == row.running.end())
+                return;
+            row.running.erase(found);
+            const bool fails = row.isGrey && this->random.unit() < 0.5;
+            if (fails) {
+                this->breakWork(work, AttemptFailure::Broken);
+            } else if (Entry *entry = this->live(work.entry, work.start)) {
+                RelayNode::Orders orders;
+                AnswerHead head;
+                head.status = 200;
+                head.load =
+                        AnswerHead::Load{static_cast<std::uint32_t>(row.running.size()),
+                                         static_cast<std::uint32_t>(row.queue.size()), row.slots};
+                entry->node->headArrived(this->now, work.attempt, head, orders);
+                entry->node->answerEnded(this->now, work.attempt, orders);
+                this->carryOut(work.entry, orders);
+            }
+            this->serve(row);
+        });
+    }
+}
+
+void LoadWorld::step()
+{
+    std::size_t most = 0;
+    if (!this->groupStalled) {
+        // Answers first: an order that they cause may cancel work in these lists.
+        std::vector<Work> shown;
+        for (Backend &backend : this->backends) {
+            if (!backend.isRank)
+                continue;
+            for (Work &work : backend.running) {
+                shown.push_back(work);
+                work.hasHead = true;
+                ++work.nextEvent;
+            }
+            std::erase_if(backend.running,
+                          [](const Work &work) { return work.nextEvent > Events; });
+            while (!backend.queue.empty() && backend.running.size() < backend.slots) {
+                backend.running.push_back(backend.queue.front());
+                backend.queue.pop_front();
+            }
+            most = std::max(most, backend.running.size());
+        }
+        for (const Work &work : shown) {
+            Entry *entry = this->live(work.entry, work.start);
+            if (entry == nullptr)
+                continue;
+            const Backend &backend = *this->backendOf(work.backend);
+            RelayNode::Orders orders;
+            if (!work.hasHead) {
+                AnswerHead head;
+                head.status = 200;
+                head.isStream = true;
+                head.load = AnswerHead::Load{static_cast<std::uint32_t>(backend.running.size()),
+                                             static_cast<std::uint32_t>(backend.queue.size()),
+                                             backend.slots};
+                entry->node->headArrived(this->now, work.attempt, head, orders);
+            }
+            entry->node->eventArrived(this->now, work.attempt,
+                                      {work.nextEvent, std::to_string(work.nextEvent)}, orders);
+            if (work.nextEvent >= Events)
+                entry->node->answerEnded(this->now, work.attempt, orders);
+            this->carryOut(work.entry, orders);
+        }
+    }
+    const double slow = this->factorOf(Trouble::SlowSteps);
+    const microseconds usual = PassBase + PassPerStream * static_cast<std::int64_t>(most);
+    this->after(microseconds(static_cast<std::int64_t>(slow * static_cast<double>(usual.count()))),
+                [this] { this->step(); });
+}
+
+void LoadWorld::stall()
+{
+    this->groupCut = true;
+    for (Backend &backend : this->backends) {
+        if (!backend.isRank)
+            continue;
+        for (const Work &work : backend.running)
+            this->breakWork(work, AttemptFailure::Broken);
+        for (const Work &work : backend.queue)
+            this->rejectWork(work, NetworkDelay);
+        backend.running.clear();
+        backend.queue.clear();
+    }
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Tests/Relay/LoadWorldParts.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "LoadWorld.h"
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Nutmegrill {
+
+inline constexpr std::size_t Ranks = 12;
+inline constexpr std::uint32_t RankSlots = 12;
+inline constexpr std::size_t PlainServers = 3;
+inline constexpr std::uint32_t PlainSlots = 6;
+inline constexpr std::size_t Accounts = 10;
+inline constexpr std::chrono::milliseconds NetworkDelay{1};
+
+/// A kind of request.
+struct LoadKind
+{
+    const char *name;
+    /// Arrivals a second; those of a quiet day of the first site.
+    double rate;
+    std::chrono::milliseconds deadline;
+    std::chrono::milliseconds target;
+    bool isStream;
+    bool mayRunAgain;
+};
+
+inline constexpr std::array<LoadKind, 3> LoadKinds = {
+        {{"brief", 47.0, std::chrono::milliseconds(8000), std::chrono::milliseconds(400), true,
+          true},
+         {"record", 4.0, std::chrono::milliseconds(1500), std::chrono::milliseconds(300), false,
+          false},
+         {"lookup", 2.5, std::chrono::milliseconds(1500), std::chrono::milliseconds(300), false,
+          true}}};
+
+inline std::string accountName(std::size_t number)
+{
+    return "account-" + std::to_string(number);
+}
+
+/// One request of a caller, through all its attempts.
+struct LoadWorld::Caller
+{
+    std::size_t kind = 0;
+    std::size_t account = 0;
+    Instant firstAt;
+    Instant deadline;
+    std::uint32_t repeatsLeft = 1;
+    bool isImpatient = false;
+    std::size_t entry = 0;
+    RelayOrder::CallerId id = 0;
+    /// Number of the present attempt; 0 when none is open.
+    std::uint32_t attempt = 0;
+    std::uint32_t attempts = 0;
+    Instant attemptAt;
+    Instant heardAt;
+    std::optional<std::uint64_t> lastEvent;
+    bool isLate = false;
+    bool isOver = false;
+    bool isOwed = true;
+};
+
+struct LoadWorld::Entry
+{
+    std::unique_ptr<RelayNode> node;
+    /// Differs between two starts.
+    std::uint32_t start = 0;
+    std::uint64_t sequence = 0;
+};
+
+/// An attempt at a backend server.
+struct LoadWorld::Work
+{
+    std::size_t entry = 0;
+    std::uint32_t start = 0;
+    RelayOrder::AttemptId attempt = 0;
+    std::string backend;
+    std::uint64_t nextEvent = 1;
+    bool hasHead = false;
+};
+
+struct LoadWorld::Backend
+{
+    std::string id;
+    bool isRank = false;
+    bool isGone = false;
+    bool isGrey = false;
+    std::uint32_t slots = 1;
+    std::deque<Work> running;
+    std::deque<Work> queue;
+};
+
+} // namespace Nutmegrill
