--- a/Source/Programs/SettingsWatch.cpp
+++ b/Source/Programs/SettingsWatch.cpp
@@ -8,8 +8,7 @@
 
 namespace {
 
-/// A change without a signal is in force this much later at most. Reading a file of one kilobyte
-/// twice a second does not show in the processor time.
+/// A change without a signal is in force this much later at most. The file has about 500 bytes.
 constexpr std::chrono::milliseconds ReadPeriod{500};
 
 } // namespace
