Process test: wait for a killed process before its successor starts

The case killed a process and started its successor at once, while the old one still held the address. What the case asserts is unchanged.

--- a/Tests/Process/process-test.sh
+++ b/Tests/Process/process-test.sh
@@ -240,12 +240,12 @@
   store_fault '{"down":"close"}'
   local number name
   for number in 1 2 3; do
-    kill -KILL "${PID[entry-$number]}"
+    end_at_once "entry-$number"
     start_entry "$number"
     wait_for "entry-$number" curl -sf -o /dev/null "http://${CONTROL[entry-$number]}/health"
   done
   for name in writer-north writer-south ledger-north ledger-south; do
-    kill -KILL "${PID[agent-$name]}"
+    end_at_once "agent-$name"
     start_agent "$name"
     wait_for "$name" curl -sf -o /dev/null "http://${CONTROL[$name]}/health"
   done
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -94,6 +94,14 @@
   "$BIN/Source/Programs/nutmegrill" "$@" --store "$STORE" --processes "$processes" --deployment-key "$KEY"
 }
 
+# Kills a process and waits until it is gone: until then its address is taken, and a successor that is started at once
+# cannot listen.
+end_at_once() { # name
+  kill -KILL "${PID[$1]}"
+  wait "${PID[$1]}" 2> /dev/null
+  return 0
+}
+
 wait_for() { # description command...
   local what=$1 attempt
   shift
