Read CBOR in one pass

parseCbor read each message twice, once for its depth. Messages carry whole answers, so the second pass made another copy of each. Depth and value are checked in one pass now; CborTest and the fuzz target are unchanged.

--- a/Source/Core/Cbor.cpp
+++ b/Source/Core/Cbor.cpp
@@ -15,35 +15,56 @@
 /// 60 KB of opening bytes would use up the stack.
 constexpr std::size_t MaxDepth = 32;
 
-/// Follows the events of the library's reader and keeps nothing but the depth.
-class DepthCheck : public nlohmann::json_sax<Json>
+/// Builds the value as the library does, within the depth. One pass, because messages carry whole
+/// answers: a second pass would hold another copy of each.
+class BoundedBuilder
 {
 public:
-    bool null() override { return true; }
-    bool boolean(bool /*value*/) override { return true; }
-    bool number_integer(number_integer_t /*value*/) override { return true; }
-    bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
-    bool number_float(number_float_t /*value*/, const string_t & /*text*/) override { return true; }
-    bool string(string_t & /*value*/) override { return true; }
-    bool binary(binary_t & /*value*/) override { return true; }
-    bool key(string_t & /*value*/) override { return true; }
-    bool start_object(std::size_t /*elements*/) override { return ++this->depth <= MaxDepth; }
-    bool start_array(std::size_t /*elements*/) override { return ++this->depth <= MaxDepth; }
-    bool end_object() override { return this->leave(); }
-    bool end_array() override { return this->leave(); }
-    bool parse_error(std::size_t /*position*/, const std::string & /*token*/,
-                     const nlohmann::detail::exception & /*error*/) override
+    explicit BoundedBuilder(Json &result) : builder(result, false) {}
+
+    bool null() { return this->builder.null(); }
+    bool boolean(bool value) { return this->builder.boolean(value); }
+    bool number_integer(Json::number_integer_t value)
     {
-        return false;
+        return this->builder.number_integer(value);
     }
-
-private:
-    bool leave()
+    bool number_unsigned(Json::number_unsigned_t value)
+    {
+        return this->builder.number_unsigned(value);
+    }
+    bool number_float(Json::number_float_t value, const std::string &text)
+    {
+        return this->builder.number_float(value, text);
+    }
+    bool string(std::string &value) { return this->builder.string(value); }
+    bool binary(Json::binary_t &value) { return this->builder.binary(value); }
+    bool key(std::string &value) { return this->builder.key(value); }
+    bool start_object(std::size_t elements)
+    {
+        return ++this->depth <= MaxDepth && this->builder.start_object(elements);
+    }
+    bool start_array(std::size_t elements)
+    {
+        return ++this->depth <= MaxDepth && this->builder.start_array(elements);
+    }
+    bool end_object()
+    {
+        --this->depth;
+        return this->builder.end_object();
+    }
+    bool end_array()
     {
         --this->depth;
-        return true;
+        return this->builder.end_array();
+    }
+    bool parse_error(std::size_t /*position*/, const std::string & /*token*/,
+                     const Json::exception & /*error*/)
+    {
+        return false;
     }
 
+private:
+    nlohmann::detail::json_sax_dom_parser<Json> builder;
     std::size_t depth = 0;
 };
 
@@ -51,15 +72,15 @@
 
 nlohmann::json parseCbor(std::string_view bytes)
 {
-    DepthCheck check;
-    if (!Json::sax_parse(bytes.begin(), bytes.end(), &check, Json::input_format_t::cbor))
-        return Json(Json::value_t::discarded);
+    Json result;
+    BoundedBuilder builder(result);
     try {
-        return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+        if (Json::sax_parse(bytes.begin(), bytes.end(), &builder, Json::input_format_t::cbor))
+            return result;
     } catch (const Json::exception &) {
-        // Thrown, whatever the flags say, for a length that no memory could hold.
-        return Json(Json::value_t::discarded);
+        // Thrown for a length that no memory could hold. The caller gets a discarded value.
     }
+    return Json(Json::value_t::discarded);
 }
 
 } // namespace Nutmegrill
