--- a/Source/Net/EventLog.cpp
+++ b/Source/Net/EventLog.cpp
@@ -34,10 +34,6 @@
     return poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
 }
 
-} // namespace
-
-namespace {
-
 LogLimiter &limiterOfProcess()
 {
     static LogLimiter limiter;
--- a/Source/Net/LogLimiter.h
+++ b/Source/Net/LogLimiter.h
@@ -13,7 +13,7 @@
 public:
     /// Lines a second. The busiest entry of a played day wrote 86 in one second.
     static constexpr std::uint32_t LinesPerSecond = 400;
-    /// A quarter of them only warnings and errors may use.
+    /// One line in this many is kept for warnings and errors.
     static constexpr std::uint32_t ReservedPart = 4;
 
     explicit LogLimiter(std::uint32_t linesPerSecond = LinesPerSecond) : limit(linesPerSecond) {}
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -132,8 +132,6 @@
 void RelayEntry::reload(const Options &fresh, const std::string &what)
 {
     this->options.graceTime = fresh.graceTime;
-    this->options.directoryLifetime = fresh.directoryLifetime;
-    this->options.node.retryLimit = fresh.node.retryLimit;
     this->node.setRetryLimit(fresh.node.retryLimit);
     this->log(RelayLog::Reloaded, LogRecord::Level::Info, what);
 }
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -53,9 +53,8 @@
     /// Which address could not be opened; empty when all are.
     std::string startError() const;
 
-    /// Takes settings that may change while the process runs: the grace time, the lifetime of
-    /// directory answers and the retry limit. The others hold until the next start. \a what goes
-    /// to the log.
+    /// Takes settings that may change while the process runs: the grace time and the retry limit.
+    /// The others hold until the next start. \a what goes to the log.
     void reload(const Options &fresh, const std::string &what);
 
     /// Runs until a planned stop is complete.
--- a/Tests/Relay/LoadWorld.cpp
+++ b/Tests/Relay/LoadWorld.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Hash.h"
 #include "LoadWorldParts.h"
+#include "RouteFixture.h"
 
 #include <algorithm>
 #include <chrono>
@@ -20,20 +21,14 @@
 /// A group without one of its ranks stalls this long before it cuts its work.
 constexpr milliseconds StallTime{1500};
 
+/// As on the sheets, with three runs for what may be repeated.
 Route route(const std::string &name, Route::Kind kind, const std::string &service)
 {
-    Route made;
-    made.name = name;
-    made.host = "host.example";
-    made.pathPrefix = "/" + name + "/";
-    made.kind = kind;
-    made.targets = {{service, 1}};
-    const bool isStream = kind == Route::Kind::Stream;
-    made.timeout = isStream ? milliseconds(8000) : milliseconds(1500);
-    made.latencyTarget = isStream ? milliseconds(400) : milliseconds(300);
-    made.pauseTarget = isStream ? milliseconds(120) : milliseconds(0);
-    made.maxRuns = kind == Route::Kind::NonIdempotent ? 1 : 3;
-    made.isResumable = isStream;
+    Route made = makeRoute("/" + name + "/", kind, service);
+    if (kind != Route::Kind::Stream)
+        made.timeout = milliseconds(1500);
+    if (made.mayRunAgain())
+        made.maxRuns = 3;
     return made;
 }
 
--- a/Tests/Relay/RelayScene.cpp
+++ b/Tests/Relay/RelayScene.cpp
@@ -1,6 +1,7 @@
 #include "RelayScene.h"
 
 #include "Core/Hash.h"
+#include "RouteFixture.h"
 
 namespace Nutmegrill {
 
@@ -8,29 +9,13 @@
 
 using std::chrono::milliseconds;
 
-Route route(const std::string &prefix, Route::Kind kind, const std::string &service)
-{
-    Route made;
-    made.name = prefix;
-    made.host = "host.example";
-    made.pathPrefix = prefix;
-    made.kind = kind;
-    made.targets = {{service, 1}};
-    made.timeout = kind == Route::Kind::Stream ? milliseconds(8000) : milliseconds(800);
-    made.latencyTarget = kind == Route::Kind::Stream ? milliseconds(400) : milliseconds(300);
-    made.pauseTarget = kind == Route::Kind::Stream ? milliseconds(120) : milliseconds(0);
-    made.maxRuns = kind == Route::Kind::NonIdempotent ? 1 : 2;
-    made.isResumable = kind == Route::Kind::Stream;
-    return made;
-}
-
 ConfigurationPtr configuration()
 {
     auto made = std::make_shared<Configuration>();
     made->version = 1;
-    made->routes = {route("/stream/", Route::Kind::Stream, "model"),
-                    route("/record/", Route::Kind::NonIdempotent, "plain"),
-                    route("/lookup/", Route::Kind::Idempotent, "plain")};
+    made->routes = {makeRoute("/stream/", Route::Kind::Stream, "model"),
+                    makeRoute("/record/", Route::Kind::NonIdempotent, "plain"),
+                    makeRoute("/lookup/", Route::Kind::Idempotent, "plain")};
     ServiceDeclaration model;
     model.name = "model";
     model.coldRequestsPerSecond = 26;
