--- a/Source/Core/Cbor.cpp
+++ b/Source/Core/Cbor.cpp
@@ -17,48 +17,48 @@
 
 /// Builds the value as the library does, within the depth. One pass, because messages carry whole
 /// answers: a second pass would hold another copy of each.
-class BoundedBuilder
+class BoundedBuilder : public nlohmann::json_sax<Json>
 {
 public:
     explicit BoundedBuilder(Json &result) : builder(result, false) {}
 
-    bool null() { return this->builder.null(); }
-    bool boolean(bool value) { return this->builder.boolean(value); }
-    bool number_integer(Json::number_integer_t value)
+    bool null() override { return this->builder.null(); }
+    bool boolean(bool value) override { return this->builder.boolean(value); }
+    bool number_integer(number_integer_t value) override
     {
         return this->builder.number_integer(value);
     }
-    bool number_unsigned(Json::number_unsigned_t value)
+    bool number_unsigned(number_unsigned_t value) override
     {
         return this->builder.number_unsigned(value);
     }
-    bool number_float(Json::number_float_t value, const std::string &text)
+    bool number_float(number_float_t value, const string_t &text) override
     {
         return this->builder.number_float(value, text);
     }
-    bool string(std::string &value) { return this->builder.string(value); }
-    bool binary(Json::binary_t &value) { return this->builder.binary(value); }
-    bool key(std::string &value) { return this->builder.key(value); }
-    bool start_object(std::size_t elements)
+    bool string(string_t &value) override { return this->builder.string(value); }
+    bool binary(binary_t &value) override { return this->builder.binary(value); }
+    bool key(string_t &value) override { return this->builder.key(value); }
+    bool start_object(std::size_t elements) override
     {
         return ++this->depth <= MaxDepth && this->builder.start_object(elements);
     }
-    bool start_array(std::size_t elements)
+    bool start_array(std::size_t elements) override
     {
         return ++this->depth <= MaxDepth && this->builder.start_array(elements);
     }
-    bool end_object()
+    bool end_object() override
     {
         --this->depth;
         return this->builder.end_object();
     }
-    bool end_array()
+    bool end_array() override
     {
         --this->depth;
         return this->builder.end_array();
     }
     bool parse_error(std::size_t /*position*/, const std::string & /*token*/,
-                     const Json::exception & /*error*/)
+                     const Json::exception & /*error*/) override
     {
         return false;
     }
