Show where the time of requests, steps and group messages goes

E5012 and nutmegrill_request_phase_seconds split each answer. The owner of a group logs steps and skew (E5038), each agent its traffic and the states that did not arrive (E5039), and every process how late its loop ran (E5041).

--- a/Source/Experts/SwitchOwner.cpp
+++ b/Source/Experts/SwitchOwner.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds DemandHalfLife{900};
 constexpr milliseconds TrendHalfLife{6000};
 constexpr milliseconds ObservationPeriod{300};
+constexpr milliseconds LoggedObservationPeriod{1000};
 /// A change takes about a second from plan to step.
 constexpr milliseconds MinPlanInterval{600};
 constexpr milliseconds SurveyTimeout{1500};
@@ -49,6 +50,29 @@
     return std::exchange(this->logText, {});
 }
 
+std::string SwitchOwner::takeObservation(Instant now)
+{
+    if (!this->isActive || now < this->nextLoggedObservationAt)
+        return {};
+    this->nextLoggedObservationAt = now + LoggedObservationPeriod;
+    std::ostringstream text;
+    std::size_t live = 0;
+    std::uint64_t step = 0;
+    std::chrono::microseconds stepTime{0};
+    std::chrono::microseconds oldest{0};
+    for (const auto &[number, rank] : this->ranks) {
+        live += this->isLive(rank, now) ? 1 : 0;
+        step = std::max(step, rank.state.engine.step);
+        stepTime = std::max(stepTime, rank.stepTime);
+        oldest = std::max(oldest, now - rank.lastReportAt);
+    }
+    text << "live=" << live << " step=" << step << " step_us=" << stepTime.count()
+         << " oldest_report_us=" << oldest.count();
+    if (const auto map = this->currentMap(); map && this->observations > 0)
+        text << " skew=" << PlacementPlanner::skew(this->padded(*map), this->load.tokens());
+    return text.str();
+}
+
 void SwitchOwner::report(Instant now, const RankState &state)
 {
     Rank &rank = this->ranks[state.engine.rank];
@@ -254,7 +278,8 @@
 
 std::optional<OwnerCommand> SwitchOwner::tick(Instant now, std::uint32_t ownRank)
 {
-    if (!this->isOwner(now, ownRank) || !this->isGroupComplete(now)) {
+    this->isActive = this->isOwner(now, ownRank);
+    if (!this->isActive || !this->isGroupComplete(now)) {
         if (this->command)
             this->abandon(now, "group incomplete, or another owner is active");
         return std::nullopt;
--- a/Source/Experts/SwitchOwner.h
+++ b/Source/Experts/SwitchOwner.h
@@ -41,6 +41,10 @@
     /// Log text of the last decision; empty if there was none since the last call.
     std::string takeLogText();
 
+    /// Log text on the steps of the group, at most once a second and only for the owner; empty
+    /// otherwise.
+    std::string takeObservation(Instant now);
+
 private:
     struct Rank
     {
@@ -81,6 +85,8 @@
     /// When an agent last reported an engine command without an answer.
     std::optional<Instant> lostCommandAt;
     std::string logText;
+    bool isActive = false;
+    Instant nextLoggedObservationAt;
 };
 
 } // namespace Nutmegrill
--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -53,6 +53,8 @@
             self->connected = true;
             setSocketOptions(connection);
             bufferevent_set_timeouts(connection, nullptr, nullptr);
+            if (self->busy && self->handlers.onConnected)
+                self->handlers.onConnected();
             return;
         }
         const std::weak_ptr<bool> alive = self->alive;
--- a/Source/Http/ClientConnection.h
+++ b/Source/Http/ClientConnection.h
@@ -30,6 +30,8 @@
     /// Exactly one of onEnd and onFailure is called for each request, unless close() abandons it.
     struct Handlers
     {
+        /// The connection was established after send(). Not called if it was established before.
+        std::function<void()> onConnected;
         /// Returns false if the response belongs to another request; it is then skipped.
         std::function<bool(const HttpHead &head)> onHead;
         std::function<void(std::string_view data)> onData;
--- a/Source/Relay/Attempt.h
+++ b/Source/Relay/Attempt.h
@@ -15,6 +15,8 @@
     RelayCommand::AttemptId id = 0;
     std::string backend;
     Instant sentAt;
+    /// When the connection to the backend server was usable; the time of sending if it was reused.
+    Instant connectedAt;
     /// When the head or the last event was received; the time of sending before that.
     Instant lastActivityAt;
     bool hasHead = false;
--- a/Source/Relay/Exchange.h
+++ b/Source/Relay/Exchange.h
@@ -5,6 +5,7 @@
 #include "Relay/Attempt.h"
 #include "Relay/RelayCommand.h"
 #include "Relay/RelayRequest.h"
+#include "Relay/RequestTimes.h"
 
 #include <cstdint>
 #include <optional>
@@ -45,6 +46,9 @@
     /// The streamed answer to the caller has begun.
     bool isStreamOpen = false;
     std::optional<std::uint64_t> lastEvent;
+    RequestTimes times;
+    /// Begin of the present wait for an attempt.
+    Instant waitingSince;
     /// Number of the account's open requests at arrival; used for fairness between accounts.
     std::uint32_t accountOpenRequests = 0;
 
--- a/Source/Relay/RelayCommand.h
+++ b/Source/Relay/RelayCommand.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/LogRecord.h"
+#include "Relay/RequestTimes.h"
 
 #include <chrono>
 #include <cstdint>
@@ -80,13 +81,20 @@
     CallerId caller = 0;
 };
 
+/// Records where the time of an answered request was spent.
+struct RecordTimes
+{
+    std::string service;
+    RequestTimes times;
+};
+
 struct Log
 {
     LogRecord record;
 };
 
 using Any = std::variant<StartAttempt, CancelAttempt, Refuse, RelayAnswer, OpenStream, SendEvent,
-                         EndStream, AbortStream, Log>;
+                         EndStream, AbortStream, RecordTimes, Log>;
 using List = std::vector<Any>;
 
 } // namespace RelayCommand
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -33,6 +33,9 @@
 inline constexpr std::uint32_t MapInUse = 5035;
 inline constexpr std::uint32_t EngineOrdered = 5036;
 inline constexpr std::uint32_t OwnerDecided = 5037;
+inline constexpr std::uint32_t GroupObserved = 5038;
+inline constexpr std::uint32_t PeerTraffic = 5039;
+inline constexpr std::uint32_t LoopLate = 5041;
 
 } // namespace RelayLog
 
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -134,6 +134,7 @@
     exchange.priority =
             account != nullptr && account->priority ? *account->priority : route->priority;
     exchange.arrivedAt = now;
+    exchange.waitingSince = now;
     exchange.targetAt = now + route->latencyTarget;
     exchange.deadline = now + std::min(request.timeLeft.value_or(DefaultDeadline), route->timeout);
     exchange.lastEvent = request.lastEvent;
@@ -176,6 +177,15 @@
     this->placeWaiting(now, commands);
 }
 
+void RelayNode::attemptConnected(Instant now, AttemptId attempt)
+{
+    Exchange *exchange = this->findByAttempt(attempt);
+    if (exchange == nullptr)
+        return;
+    exchange->attempt->connectedAt = now;
+    exchange->times.connecting += now - exchange->attempt->sentAt;
+}
+
 void RelayNode::headArrived(Instant now, AttemptId attempt, const AnswerHead &head,
                             Commands &commands)
 {
@@ -234,11 +244,15 @@
     Exchange *exchange = this->findByAttempt(attempt);
     if (exchange == nullptr)
         return;
-    if (exchange->attempt->hasEvent)
-        this->concurrencyLimits[exchange->service].recordPause(
-                now, now - exchange->attempt->lastActivityAt, exchange->route.pauseTarget);
-    else
+    if (exchange->attempt->hasEvent) {
+        const std::chrono::microseconds pause = now - exchange->attempt->lastActivityAt;
+        exchange->times.longestPause = std::max(exchange->times.longestPause, pause);
+        this->concurrencyLimits[exchange->service].recordPause(now, pause,
+                                                               exchange->route.pauseTarget);
+    } else {
+        exchange->times.serving += now - exchange->attempt->connectedAt;
         this->waitEstimatorOf(*exchange).recordDelay(now - exchange->attempt->sentAt);
+    }
     exchange->attempt->lastActivityAt = now;
     exchange->attempt->hasEvent = true;
     this->circuitBreakers[exchange->service].recordServed();
@@ -275,8 +289,10 @@
     }
     this->circuitBreakers[exchange->service].recordServed();
     this->waitEstimatorOf(*exchange).recordHoldTime(now - running.sentAt);
-    if (!running.hasEvent)
+    if (!running.hasEvent) {
+        exchange->times.serving += now - running.connectedAt;
         this->waitEstimatorOf(*exchange).recordDelay(now - running.sentAt);
+    }
     this->releaseSlot(running.backend);
     this->attempts.erase(attempt);
     exchange->attempt.reset();
@@ -289,6 +305,7 @@
                           > RelayLimits::MinAttemptTime
                                     + this->waitEstimatorOf(*exchange).meanHoldTime()) {
         exchange->failedOn.insert(running.backend);
+        exchange->waitingSince = now;
         if (!this->tryPlace(now, *exchange, commands))
             this->abandon(now, *exchange, "failure without another backend server", commands);
         return;
@@ -327,6 +344,7 @@
 void RelayNode::retryOrAbandon(Instant now, Exchange &exchange, const std::string &why,
                                Commands &commands)
 {
+    exchange.waitingSince = now;
     std::ostringstream text;
     text << "request=" << exchange.request.id << " why=\"" << why << "\" sends=" << exchange.sends
          << " runs=" << exchange.runs
@@ -488,7 +506,12 @@
     std::ostringstream text;
     text << "request=" << exchange.request.id << " how=\"" << how
          << "\" service=" << exchange.service << " sends=" << exchange.sends
-         << " total_ms=" << toMilliseconds(now - exchange.arrivedAt).count();
+         << " total_ms=" << toMilliseconds(now - exchange.arrivedAt).count()
+         << " waited_ms=" << toMilliseconds(exchange.times.waiting).count()
+         << " connected_ms=" << toMilliseconds(exchange.times.connecting).count()
+         << " served_ms=" << toMilliseconds(exchange.times.serving).count()
+         << " longest_pause_ms=" << toMilliseconds(exchange.times.longestPause).count();
+    commands.push_back(RelayCommand::RecordTimes{exchange.service, exchange.times});
     commands.push_back(
             RelayCommand::Log{makeRecord(RelayLog::Answered, LogRecord::Level::Info, text.str())});
     if (exchange.failureAnswer)
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -77,6 +77,8 @@
     void requestArrived(Instant now, CallerId caller, RelayRequest request, Commands &commands);
     void callerDisconnected(Instant now, CallerId caller, Commands &commands);
 
+    /// A new connection for the attempt has been established.
+    void attemptConnected(Instant now, AttemptId attempt);
     void headArrived(Instant now, AttemptId attempt, const AnswerHead &head, Commands &commands);
     void eventArrived(Instant now, AttemptId attempt, StreamEvent event, Commands &commands);
     /// The answer is complete. The I/O layer buffers answers that are not streams until RelayAnswer
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -106,6 +106,8 @@
     started.id = attempt;
     started.backend = *chosen;
     started.sentAt = now;
+    started.connectedAt = now;
+    exchange.times.waiting += now - exchange.waitingSince;
     started.lastActivityAt = now;
     ++exchange.runs;
     ++exchange.sends;
--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -50,6 +50,7 @@
         return;
     }
     ClientConnection::Handlers handlers;
+    handlers.onConnected = [this, attempt] { this->observer.onConnected(attempt); };
     handlers.onHead = [this, attempt](const HttpHead &head) {
         return this->handleHead(attempt, head);
     };
--- a/Source/RelayShell/BackendAttempts.h
+++ b/Source/RelayShell/BackendAttempts.h
@@ -25,6 +25,8 @@
 
     struct Observer
     {
+        /// A new connection for the attempt has been established.
+        std::function<void(AttemptId)> onConnected;
         std::function<void(AttemptId, const AnswerHead &)> onHead;
         std::function<void(AttemptId, StreamEvent)> onEvent;
         std::function<void(AttemptId)> onEnd;
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -29,6 +29,7 @@
 /// may be stale and are cheap for the store.
 constexpr milliseconds PeersPeriod{4000};
 constexpr milliseconds ProfilePeriod{1000};
+constexpr milliseconds TrafficLogPeriod{5000};
 constexpr milliseconds EngineTimeout{300};
 /// A command without an answer within this time is sent again. The engine answers commands within a
 /// few milliseconds.
@@ -82,7 +83,7 @@
                       }),
       peerSocket(loop, options.ip + ":" + std::to_string(options.peerPort),
                  [this](std::string_view bytes) { this->handleDatagram(bytes); }),
-      engine(loop, options.engineAddress)
+      engine(loop, options.engineAddress), loopLag(TickPeriod)
 {
     this->state.engineAddress = options.engineAddress;
     this->state.address = options.ip + ":" + std::to_string(options.peerPort);
@@ -191,6 +192,12 @@
 void RankAgent::tick()
 {
     const Instant now = this->loop.now();
+    if (const auto lag = this->loopLag.tick(now, this->metrics))
+        this->log(RelayLog::LoopLate, "lag_ms=" + std::to_string(lag->count()));
+    if (now >= this->nextTrafficAt) {
+        this->nextTrafficAt = now + TrafficLogPeriod;
+        this->logTraffic();
+    }
     if (now >= this->nextPeersAt) {
         this->nextPeersAt = now + PeersPeriod;
         this->readPeers();
@@ -405,7 +412,7 @@
         this->owner->report(now, sent);
     const std::uint32_t ownerRank = this->lowestLiveRank();
     if (const auto found = this->otherRanks.find(ownerRank); found != this->otherRanks.end())
-        this->peerSocket.send(found->second.first.address, encodeRankState(sent));
+        this->sendTo(found->second.first.address, encodeRankState(sent));
     // Only the owner plans map changes; the other agents need neither experts nor counts.
     sent.experts.clear();
     sent.counts.clear();
@@ -413,7 +420,7 @@
     for (const std::string &address : this->peerAddresses) {
         const auto found = this->otherRanks.find(ownerRank);
         if (found == this->otherRanks.end() || found->second.first.address != address)
-            this->peerSocket.send(address, shortState);
+            this->sendTo(address, shortState);
     }
 }
 
@@ -425,6 +432,8 @@
     const auto command = this->owner->tick(now, this->rank());
     if (const std::string logText = this->owner->takeLogText(); !logText.empty())
         this->log(RelayLog::OwnerDecided, logText);
+    if (const std::string group = this->owner->takeObservation(now); !group.empty())
+        this->log(RelayLog::GroupObserved, group);
     if (!command)
         return;
     const bool isNew = !this->lastCommand || this->lastCommand->phase != command->phase
@@ -439,8 +448,35 @@
     this->sendToPeers(encodeOwnerCommand(*command));
 }
 
+void RankAgent::sendTo(const std::string &address, const std::string &bytes)
+{
+    ++this->traffic.sentMessages;
+    this->traffic.sentBytes += bytes.size();
+    this->peerSocket.send(address, bytes);
+}
+
+void RankAgent::logTraffic()
+{
+    const PeerCounters &counters = this->traffic;
+    this->log(RelayLog::PeerTraffic,
+              "sent=" + std::to_string(counters.sentMessages)
+                      + " sent_bytes=" + std::to_string(counters.sentBytes)
+                      + " received=" + std::to_string(counters.receivedMessages)
+                      + " received_bytes=" + std::to_string(counters.receivedBytes)
+                      + " missed_states=" + std::to_string(counters.missedStates));
+    this->metrics.add("nutmegrill_peer_bytes_total", {{"direction", "sent"}},
+                      static_cast<double>(counters.sentBytes));
+    this->metrics.add("nutmegrill_peer_bytes_total", {{"direction", "received"}},
+                      static_cast<double>(counters.receivedBytes));
+    this->metrics.add("nutmegrill_peer_states_missed_total", {},
+                      static_cast<double>(counters.missedStates));
+    this->traffic = {};
+}
+
 void RankAgent::handleDatagram(std::string_view bytes)
 {
+    ++this->traffic.receivedMessages;
+    this->traffic.receivedBytes += bytes.size();
     if (const auto state = decodeRankState(bytes)) {
         const std::uint32_t from = state->engine.rank;
         if (from == this->rank()) {
@@ -457,6 +493,8 @@
                                   || (!state->isToldByOther
                                       && this->loop.now() > receivedAt + MaxDatagramDelay)
                         : state->sequence > known.sequence;
+        if (!isOtherIncarnation && !state->isToldByOther && isNewer)
+            this->traffic.missedStates += state->sequence - known.sequence - 1;
         if (isNewer) {
             known = *state;
             if (!state->isToldByOther)
@@ -482,7 +520,7 @@
 void RankAgent::sendToPeers(const std::string &bytes)
 {
     for (const std::string &address : this->peerAddresses)
-        this->peerSocket.send(address, bytes);
+        this->sendTo(address, bytes);
 }
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -8,6 +8,7 @@
 #include "RelayShell/DatagramSocket.h"
 #include "RelayShell/EngineLink.h"
 #include "RelayShell/EngineProtocol.h"
+#include "RelayShell/LoopLag.h"
 #include "RelayShell/StateDecoder.h"
 #include "RelayShell/StateStore.h"
 
@@ -60,7 +61,20 @@
         Instant nextReportAt;
     };
 
+    /// Messages exchanged with the agents of the other ranks since the last log line.
+    struct PeerCounters
+    {
+        std::uint64_t sentMessages = 0;
+        std::uint64_t sentBytes = 0;
+        std::uint64_t receivedMessages = 0;
+        std::uint64_t receivedBytes = 0;
+        /// States that were sent to this agent and did not arrive, by their sequence numbers.
+        std::uint64_t missedStates = 0;
+    };
+
     void readEngineProfile();
+    void sendTo(const std::string &address, const std::string &bytes);
+    void logTraffic();
     void readPeers();
     void tick();
     void readReport();
@@ -96,6 +110,9 @@
     std::unique_ptr<SwitchOwner> owner;
     RankState state;
     std::optional<OwnerCommand> lastCommand;
+    LoopLag loopLag;
+    PeerCounters traffic;
+    Instant nextTrafficAt;
     std::unique_ptr<EventLoop::Timer> tickTimer;
     std::unique_ptr<EventLoop::Timer> terminateSignal;
     bool engineReachable = false;
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -39,7 +39,8 @@
     : loop(loop), options(options), protocol(protocol), decoder(decoder), store(store),
       node(options.node),
       attempts(loop, protocol,
-               {[this](auto attempt, const AnswerHead &head) {
+               {[this](auto attempt) { this->node.attemptConnected(this->loop.now(), attempt); },
+                [this](auto attempt, const AnswerHead &head) {
                     RelayNode::Commands commands;
                     this->node.headArrived(this->loop.now(), attempt, head, commands);
                     this->execute(commands);
@@ -90,7 +91,8 @@
                                                 this->metrics.text());
                       }),
       reportSocket(loop, options.peerAddress,
-                   [this](std::string_view bytes) { this->handleReport(bytes); })
+                   [this](std::string_view bytes) { this->handleReport(bytes); }),
+      loopLag(TickPeriod)
 {
     this->callerListener.onCallerDisconnected([this](HttpListener::RequestId id) {
         this->requests.erase(id);
@@ -357,6 +359,9 @@
 void RelayEntry::tick()
 {
     const Instant now = this->loop.now();
+    if (const auto lag = this->loopLag.tick(now, this->metrics))
+        this->log(RelayLog::LoopLate, LogRecord::Level::Warning,
+                  "lag_ms=" + std::to_string(lag->count()));
     RelayNode::Commands commands;
     this->node.tick(now, commands);
     this->execute(commands);
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -6,6 +6,7 @@
 #include "Relay/RelayNode.h"
 #include "RelayShell/BackendAttempts.h"
 #include "RelayShell/DatagramSocket.h"
+#include "RelayShell/LoopLag.h"
 #include "RelayShell/OpenRequest.h"
 #include "RelayShell/StateDecoder.h"
 #include "RelayShell/StoreFeed.h"
@@ -79,6 +80,7 @@
     void executeOne(const RelayCommand::SendEvent &command);
     void executeOne(const RelayCommand::EndStream &command);
     void executeOne(const RelayCommand::AbortStream &command);
+    void executeOne(const RelayCommand::RecordTimes &command);
     void executeOne(const RelayCommand::Log &command);
     void tick();
     void beginStop();
@@ -102,6 +104,7 @@
     DatagramSocket reportSocket;
     std::map<HttpListener::RequestId, OpenRequest> requests;
     std::unique_ptr<ClientConnection> peerCall;
+    LoopLag loopLag;
     std::unique_ptr<EventLoop::Timer> tickTimer;
     std::unique_ptr<EventLoop::Timer> reportTimer;
     std::unique_ptr<EventLoop::Timer> announceTimer;
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -131,6 +131,19 @@
     this->metrics.add("nutmegrill_streams_cut_total", {});
 }
 
+void RelayEntry::executeOne(const RelayCommand::RecordTimes &command)
+{
+    const std::pair<const char *, std::chrono::microseconds> phases[] = {
+            {"waiting", command.times.waiting},
+            {"connecting", command.times.connecting},
+            {"serving", command.times.serving},
+            {"longest_pause", command.times.longestPause}};
+    for (const auto &[phase, time] : phases)
+        this->metrics.observe("nutmegrill_request_phase_seconds",
+                              {{"service", command.service}, {"phase", phase}},
+                              std::chrono::duration<double>(time).count());
+}
+
 void RelayEntry::executeOne(const RelayCommand::Log &command)
 {
     EventLog::writeRateLimited(this->loop.now(), command.record);
