--- a/Source/Experts/LayerPlacement.cpp
+++ b/Source/Experts/LayerPlacement.cpp
@@ -17,6 +17,8 @@
 // exchange experts only with the coolest ones, which keeps the search of 128 ranks within
 // milliseconds.
 constexpr std::size_t MaxFullSearchRanks = 16;
+constexpr std::size_t MinPartnerRanks = 8;
+constexpr std::size_t PartnerGrowth = 4;
 constexpr std::size_t MaxPartnerRanks = 32;
 constexpr std::size_t MaxChainRanks = 4;
 constexpr std::size_t MaxHotRanks = 2;
@@ -81,27 +83,52 @@
     return true;
 }
 
-// Chains are numerous, so a large group tries them only if no simpler move helps. If the hottest
-// rank has no move, one of the next rank may make a later move of the hottest possible.
+// Most moves of a large group are found among the few coolest ranks, so the wider searches run only
+// if a narrower one finds nothing. If the hottest rank has no move, one of the next rank may make a
+// later move of the hottest possible. Chains are numerous and come last.
 LayerPlacement::Move LayerPlacement::findMove()
 {
     const std::size_t ranks = this->placed.size();
     const bool fullSearch = ranks <= MaxFullSearchRanks;
     const auto hottest = this->firstRanks(fullSearch ? ranks : MaxHotRanks, std::greater<>());
-    this->partners = this->firstRanks(fullSearch ? ranks : MaxPartnerRanks, std::less<>());
+    auto coolest = this->firstRanks(fullSearch ? ranks : MaxPartnerRanks, std::less<>());
+    if (!fullSearch)
+        std::stable_partition(coolest.begin(), coolest.end(),
+                              [this](std::size_t rank) { return this->mayLoadMore(rank); });
     this->chainLength = fullSearch ? ranks : MaxChainRanks;
-    for (const auto hot : hottest) {
-        Move best;
-        best.value = MinGain * this->potential(hottest.front(), 0);
-        this->tryReplicas(hot, best);
-        this->tryCoolerExperts(hot, best);
-        this->trySwaps(hot, best);
-        if (this->limits.chains && (fullSearch || best.count == 0))
-            this->tryChains(hot, best);
-        if (best.count != 0)
-            return best;
+    for (std::size_t count = fullSearch ? ranks : MinPartnerRanks;; count *= PartnerGrowth) {
+        count = std::min(count, coolest.size());
+        this->partners.assign(coolest.begin(),
+                              coolest.begin() + static_cast<std::ptrdiff_t>(count));
+        for (const auto hot : hottest) {
+            Move best;
+            best.value = MinGain * this->potential(hottest.front(), 0);
+            this->tryReplicas(hot, best);
+            this->tryCoolerExperts(hot, best);
+            this->trySwaps(hot, best);
+            if (this->limits.chains && count == coolest.size() && (fullSearch || best.count == 0))
+                this->tryChains(hot, best);
+            if (best.count != 0)
+                return best;
+        }
+        if (count == coolest.size())
+            return {};
     }
-    return {};
+}
+
+std::size_t LayerPlacement::loadsOf(std::size_t rank, const std::vector<std::uint32_t> &after) const
+{
+    const auto &before = this->original[rank];
+    return static_cast<std::size_t>(
+            std::count_if(after.begin(), after.end(), [&before](std::uint32_t expert) {
+                return std::find(before.begin(), before.end(), expert) == before.end();
+            }));
+}
+
+bool LayerPlacement::mayLoadMore(std::size_t rank) const
+{
+    return this->limits.loadsPerRank == 0
+           || this->loadsOf(rank, this->placed[rank]) < this->limits.loadsPerRank;
 }
 
 double LayerPlacement::slowest() const
@@ -150,7 +177,8 @@
     };
     const auto addHolderChanges = [&](std::uint32_t expert) {
         const int change = std::exchange(this->countChange[expert], 0);
-        if (change == 0)
+        // An expert without load changes nothing, whoever holds it.
+        if (change == 0 || this->tokens[expert] <= 0)
             return;
         for (const auto holder : this->holders[expert])
             this->addChange(holder, share(expert, change) - share(expert, 0));
@@ -207,17 +235,12 @@
         return true;
     for (std::size_t index = 0; index < move.count; ++index) {
         const std::size_t rank = move.assignments[index].rank;
-        const auto &before = this->original[rank];
         std::vector<std::uint32_t> after = this->placed[rank];
         for (std::size_t other = 0; other < move.count; ++other) {
             if (move.assignments[other].rank == rank)
                 after[move.assignments[other].slot] = move.assignments[other].expert;
         }
-        const auto loads =
-                std::count_if(after.begin(), after.end(), [&before](std::uint32_t expert) {
-                    return std::find(before.begin(), before.end(), expert) == before.end();
-                });
-        if (loads > static_cast<std::ptrdiff_t>(this->limits.loadsPerRank))
+        if (this->loadsOf(rank, after) > this->limits.loadsPerRank)
             return false;
     }
     return true;
--- a/Source/Experts/LayerPlacement.h
+++ b/Source/Experts/LayerPlacement.h
@@ -61,6 +61,9 @@
     };
 
     Move findMove();
+    /// Experts in \a after that the rank did not hold before the search.
+    std::size_t loadsOf(std::size_t rank, const std::vector<std::uint32_t> &after) const;
+    bool mayLoadMore(std::size_t rank) const;
     bool isWithinLimits(const Move &move) const;
     bool holds(std::size_t rank, std::uint32_t expert) const;
     bool isRedundant(std::size_t rank, std::size_t slot) const;
