--- /dev/null
+++ b/Source/Experts/GroupExchange.cpp
@@ -0,0 +1,277 @@
+#include "Experts/GroupExchange.h"
+
+#include "Experts/PackedMap.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Period of states outside of changes. It grows with the group, so that the traffic of the hub
+/// does not.
+constexpr milliseconds StatePeriodPerRank{16};
+constexpr milliseconds MinStatePeriod{250};
+/// Reports that may get lost in a row before a rank counts as failed.
+constexpr int MissedStates = 3;
+/// The group may be held during a change, so a failed agent must be noticed fast.
+constexpr milliseconds SwitchingStatePeriod{60};
+constexpr milliseconds SwitchingSilenceLimit{250};
+/// States of an earlier incarnation arrive within this time.
+constexpr milliseconds MaxMessageDelay{500};
+/// Time for a command to be confirmed: a round trip and the tick periods of both agents.
+constexpr milliseconds CommandResendDelay{100};
+/// A map also waits in the sender's link behind the maps for other ranks.
+constexpr milliseconds MapResendDelay{300};
+/// Maps that may be sent ahead of the rate: those of one tick.
+constexpr milliseconds MapBurst{20};
+constexpr milliseconds MinCountsPeriod{300};
+constexpr milliseconds DefaultCountsPeriod{2000};
+constexpr std::uint64_t MicrosecondsPerSecond = 1000000;
+
+milliseconds statePeriod(std::uint32_t ranks)
+{
+    return std::max<milliseconds>(MinStatePeriod, ranks * StatePeriodPerRank);
+}
+
+/// Whether a state tells anything that other agents wait for.
+bool isNews(const RankState &before, const RankState &after)
+{
+    const auto facts = [](const RankState &state) {
+        const EngineState &engine = state.engine;
+        return std::make_tuple(engine.epoch, engine.rank, engine.isOpen, engine.mapVersion,
+                               engine.preparedVersion, engine.heldStep, state.ballot,
+                               state.refusedVersion, state.receivedVersion, state.isHub,
+                               state.groupHeldStep, state.wantsExperts);
+    };
+    return facts(before) != facts(after) || before.engine.armed != after.engine.armed
+           || before.switching != after.switching || before.groupSwitch != after.groupSwitch
+           || before.allArmed != after.allArmed;
+}
+
+/// Whether the agent with this state needs the command no more.
+bool isFollowed(const OwnerCommand &command, const RankState &state)
+{
+    const std::uint64_t version = command.change.version;
+    switch (command.phase) {
+    case OwnerCommand::Phase::Survey:
+        return state.ballot >= command.ballot;
+    case OwnerCommand::Phase::Prepare:
+        return state.ballot >= command.ballot && state.receivedVersion >= version;
+    case OwnerCommand::Phase::Switch:
+        return state.switching == command.change || state.engine.armed == command.change
+               || state.engine.mapVersion >= version || state.engine.step >= command.change.step;
+    }
+    return false;
+}
+
+} // namespace
+
+milliseconds GroupExchange::livenessTimeout(std::uint32_t ranks)
+{
+    return MissedStates * statePeriod(ranks);
+}
+
+bool GroupExchange::stateReceived(Instant now, const RankState &state)
+{
+    // From an earlier agent of this rank.
+    if (this->sentState && state.engine.rank == this->ownRank)
+        return false;
+    Row &row = this->rows[state.engine.rank];
+    const RankState &known = row.state;
+    // A lower incarnation is accepted only after MaxMessageDelay: the incarnation is the time of
+    // the start, and the clock may have been set back between two starts.
+    const bool isNewer =
+            state.incarnation == known.incarnation
+                    ? state.sequence > known.sequence
+                    : state.incarnation > known.incarnation || now > row.heardAt + MaxMessageDelay;
+    if (!isNewer)
+        return false;
+    std::vector<std::vector<std::uint32_t>> experts;
+    if (state.experts.empty() && known.engine.epoch == state.engine.epoch
+        && known.engine.mapVersion == state.engine.mapVersion)
+        experts = std::move(row.state.experts);
+    row.state = state;
+    if (state.experts.empty())
+        row.state.experts = std::move(experts);
+    row.heardAt = now;
+    return true;
+}
+
+void GroupExchange::commandReceived(Instant now, const OwnerCommand &command)
+{
+    if (const auto found = this->rows.find(command.owner); found != this->rows.end())
+        found->second.heardAt = now;
+}
+
+void GroupExchange::countsSampled(ExpertCounts counts)
+{
+    this->sample = std::move(counts);
+}
+
+milliseconds GroupExchange::silenceLimit() const
+{
+    return this->switchingSince ? SwitchingSilenceLimit : livenessTimeout(this->ranks);
+}
+
+Instant GroupExchange::silentSince(std::uint32_t rank, const Row &row) const
+{
+    Instant since = row.heardAt;
+    if (this->switchingSince)
+        since = std::max(since, *this->switchingSince);
+    // The former hub reported to this agent all the time, the other ranks did not.
+    return rank == this->hub ? since : std::max(since, this->listeningSince);
+}
+
+void GroupExchange::updateMode(Instant now, const RankState &own)
+{
+    this->ranks = own.engine.ranks;
+    this->ownRank = own.engine.rank;
+    this->rows.erase(this->ownRank);
+    if (own.switching && !this->switchingSince)
+        this->switchingSince = now;
+    else if (!own.switching)
+        this->switchingSince.reset();
+
+    const Mode before = this->mode;
+    const auto lowest = std::find_if(this->rows.begin(), this->rows.end(), [&](const auto &entry) {
+        return now < this->silentSince(entry.first, entry.second) + this->silenceLimit();
+    });
+    if (lowest == this->rows.end() || lowest->first > this->ownRank) {
+        this->mode = Mode::Hub;
+    } else if (lowest->second.state.isHub) {
+        this->mode = Mode::Star;
+        this->hub = lowest->first;
+    } else {
+        this->mode = Mode::Mesh;
+    }
+    if (before == Mode::Star && this->mode != Mode::Star)
+        this->listeningSince = now;
+}
+
+void GroupExchange::tick(Instant now, RankState &own, const std::optional<OwnerCommand> &command,
+                         Messages &messages)
+{
+    this->updateMode(now, own);
+    own.isHub = this->isHub();
+    own.countsPeriod = this->countsPeriod();
+    this->sendState(now, own, messages);
+    if (command)
+        this->sendCommand(now, *command, messages);
+    this->sendCounts(now, own, messages);
+}
+
+void GroupExchange::sendState(Instant now, const RankState &own, Messages &messages)
+{
+    if (now < this->nextStateAt && this->sentState && !isNews(*this->sentState, own))
+        return;
+    this->nextStateAt =
+            now + (this->switchingSince ? SwitchingStatePeriod : statePeriod(this->ranks));
+    auto state = std::make_shared<RankState>(own);
+    state->sequence = this->sentState ? this->sentState->sequence + 1 : 1;
+    this->sentState = *state;
+    if (this->mode == Mode::Star) {
+        const RankState &hubState = this->rows[this->hub].state;
+        if (!hubState.wantsExperts)
+            state->experts.clear();
+        messages.push_back({hubState.address, state});
+        return;
+    }
+    if (this->isHub())
+        state->experts.clear();
+    std::set<std::string> addresses = this->peers;
+    for (const auto &[rank, row] : this->rows)
+        addresses.insert(row.state.address);
+    for (const std::string &address : addresses)
+        messages.push_back({address, state});
+}
+
+void GroupExchange::sendCommand(Instant now, const OwnerCommand &command, Messages &messages)
+{
+    const auto key = std::make_tuple(command.phase, command.ballot, command.change.version,
+                                     command.change.step);
+    if (this->sharedCommand == nullptr || this->sharedCommand->phase != command.phase
+        || this->sharedCommand->ballot != command.ballot
+        || this->sharedCommand->change != command.change)
+        this->sharedCommand = std::make_shared<OwnerCommand>(command);
+    const bool hasMap = command.phase == OwnerCommand::Phase::Prepare;
+    const milliseconds resendDelay = hasMap ? MapResendDelay : CommandResendDelay;
+    const std::chrono::microseconds mapTime(
+            hasMap ? packedMapSize(command.map) * MicrosecondsPerSecond
+                             / std::max<std::uint64_t>(1, this->settings.mapBytesPerSecond)
+                   : 0);
+    this->nextMapAt = std::max(this->nextMapAt, now);
+    for (auto &[rank, row] : this->rows) {
+        if (isFollowed(command, row.state)
+            || (row.sentCommand == key && now < row.commandSentAt + resendDelay))
+            continue;
+        if (hasMap && this->nextMapAt > now + MapBurst)
+            return;
+        this->nextMapAt += mapTime;
+        row.sentCommand = key;
+        row.commandSentAt = now;
+        messages.push_back({row.state.address, this->sharedCommand});
+    }
+}
+
+milliseconds GroupExchange::countsPeriod() const
+{
+    if (!this->sample || this->settings.countBytesPerSecond == 0)
+        return DefaultCountsPeriod;
+    const std::uint64_t bytes = this->ranks * this->sample->counts.size();
+    return std::max(MinCountsPeriod,
+                    milliseconds(bytes * 1000 / this->settings.countBytesPerSecond));
+}
+
+void GroupExchange::sendCounts(Instant now, const RankState &own, Messages &messages)
+{
+    if (this->mode != Mode::Star || !this->sample || this->ranks == 0)
+        return;
+    const RankState &hubState = this->rows[this->hub].state;
+    // Spreads the ranks over the period.
+    if (this->nextCountsAt == Instant())
+        this->nextCountsAt = now + hubState.countsPeriod * own.engine.rank / this->ranks;
+    if (now < this->nextCountsAt)
+        return;
+    this->nextCountsAt = now + hubState.countsPeriod;
+    messages.push_back(
+            {hubState.address, std::make_shared<ExpertCounts>(std::move(*this->sample))});
+    this->sample.reset();
+}
+
+std::vector<std::uint32_t> GroupExchange::silentRanks(Instant now) const
+{
+    std::vector<std::uint32_t> silent;
+    if (!this->isHub() || !this->switchingSince)
+        return silent;
+    for (const auto &[rank, row] : this->rows) {
+        if (now >= this->silentSince(rank, row) + SwitchingSilenceLimit)
+            silent.push_back(rank);
+    }
+    return silent;
+}
+
+std::vector<const RankState *> GroupExchange::states() const
+{
+    std::vector<const RankState *> list;
+    for (const auto &[rank, row] : this->rows)
+        list.push_back(&row.state);
+    return list;
+}
+
+const RankState *GroupExchange::find(std::uint32_t rank) const
+{
+    const auto found = this->rows.find(rank);
+    return found == this->rows.end() ? nullptr : &found->second.state;
+}
+
+Instant GroupExchange::heardAt(std::uint32_t rank) const
+{
+    const auto found = this->rows.find(rank);
+    return found == this->rows.end() ? Instant() : found->second.heardAt;
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Experts/GroupExchange.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "Core/Time.h"
+#include "Experts/ExpertCounts.h"
+#include "Experts/RankState.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace Nutmegrill {
+
+/// Decides which messages the agent of one rank sends to the agents of the other ranks, and when.
+///
+/// The group is a star. The agent of the lowest live rank is its hub: the other agents report to it
+/// alone, and its own state tells them what the group knows. While an agent hears no hub it sends
+/// its state to all others, which finds the next hub. Commands are repeated only to agents that
+/// have not confirmed them, and maps and counts keep to a rate, so that they leave room for the
+/// states.
+class GroupExchange
+{
+public:
+    struct Settings
+    {
+        /// Rate at which the hub sends maps.
+        std::uint64_t mapBytesPerSecond = 0;
+        /// Rate at which all agents together send counts to the hub.
+        std::uint64_t countBytesPerSecond = 0;
+    };
+
+    struct Message
+    {
+        using Body =
+                std::variant<std::shared_ptr<const RankState>, std::shared_ptr<const OwnerCommand>,
+                             std::shared_ptr<const ExpertCounts>>;
+
+        std::string address;
+        Body body;
+    };
+    using Messages = std::vector<Message>;
+
+    explicit GroupExchange(const Settings &settings) : settings(settings) {}
+
+    /// Addresses of the agents that the instance list names.
+    void setPeers(std::set<std::string> addresses) { this->peers = std::move(addresses); }
+
+    /// Returns whether the state is newer than the known one of its rank.
+    bool stateReceived(Instant now, const RankState &state);
+    void commandReceived(Instant now, const OwnerCommand &command);
+    /// Newest sample of the own rank, which is sent when its turn comes.
+    void countsSampled(ExpertCounts counts);
+    /// The engine changed without a report of its agent; read by the agent that stands in for it.
+    void stateReadForPeer(const RankState &state) { this->rows[state.engine.rank].state = state; }
+
+    /// Adds the messages that are due. \a own is completed with what only the hub tells.
+    void tick(Instant now, RankState &own, const std::optional<OwnerCommand> &command,
+              Messages &messages);
+
+    bool isHub() const { return this->mode == Mode::Hub; }
+
+    /// Ranks without a report although one was due, during a change of map. Only the hub acts for
+    /// them.
+    std::vector<std::uint32_t> silentRanks(Instant now) const;
+
+    /// Latest states of the other ranks.
+    std::vector<const RankState *> states() const;
+    const RankState *find(std::uint32_t rank) const;
+    Instant heardAt(std::uint32_t rank) const;
+
+    /// Time without a report after which a rank counts as failed, in a group of that size.
+    static std::chrono::milliseconds livenessTimeout(std::uint32_t ranks);
+
+private:
+    enum class Mode { Mesh, Star, Hub };
+
+    struct Row
+    {
+        RankState state;
+        Instant heardAt;
+        /// Identifies the last command sent to the agent.
+        std::tuple<OwnerCommand::Phase, std::uint64_t, std::uint64_t, std::uint64_t> sentCommand;
+        Instant commandSentAt;
+    };
+
+    void updateMode(Instant now, const RankState &own);
+    std::chrono::milliseconds silenceLimit() const;
+    /// Since when the rank has been silent although this agent listened to it.
+    Instant silentSince(std::uint32_t rank, const Row &row) const;
+    void sendState(Instant now, const RankState &own, Messages &messages);
+    void sendCommand(Instant now, const OwnerCommand &command, Messages &messages);
+    void sendCounts(Instant now, const RankState &own, Messages &messages);
+    std::chrono::milliseconds countsPeriod() const;
+
+    Settings settings;
+    std::set<std::string> peers;
+    std::map<std::uint32_t, Row> rows;
+    Mode mode = Mode::Mesh;
+    std::uint32_t ownRank = 0;
+    std::uint32_t ranks = 0;
+    std::uint32_t hub = 0;
+    /// The other ranks report to this agent since then.
+    Instant listeningSince;
+    /// Begin of the present change of map; states are sent more often during it.
+    std::optional<Instant> switchingSince;
+    std::optional<RankState> sentState;
+    Instant nextStateAt;
+    std::optional<ExpertCounts> sample;
+    Instant nextCountsAt;
+    Instant nextMapAt;
+    std::shared_ptr<const OwnerCommand> sharedCommand;
+};
+
+} // namespace Nutmegrill
--- a/Source/Experts/RankState.h
+++ b/Source/Experts/RankState.h
@@ -46,8 +46,6 @@
     std::string address;
     /// Address of the engine.
     std::string engineAddress;
-    /// The state was read by another agent, because the rank's own agent does not report.
-    bool isToldByOther = false;
     /// Differs between two starts of the agent; a higher one replaces a lower one.
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
@@ -59,13 +57,25 @@
     std::uint64_t highestVersion = 0;
     /// Version that the engine has refused to prepare.
     std::uint64_t refusedVersion = 0;
+    /// Highest version whose map the agent has received.
+    std::uint64_t receivedVersion = 0;
     /// Commands without an answer since the agent's start.
     std::uint64_t lostCommands = 0;
-    /// Experts that the rank holds, by layer; sent to the owner only.
+    /// Experts that the rank holds, by layer; empty unless the hub asks for them.
     std::vector<std::vector<std::uint32_t>> experts;
-    /// How often the requests of this rank chose each expert since its start, layer after layer;
-    /// sent to the owner only.
-    std::vector<std::uint64_t> counts;
+
+    /// What the agent knows of the whole group: a change for which a rank may be armed, the step
+    /// that the holder holds, and a change for which all ranks are armed.
+    std::optional<MapSwitch> groupSwitch;
+    std::optional<std::uint64_t> groupHeldStep;
+    std::optional<MapSwitch> allArmed;
+
+    /// The other agents report to this one alone; see GroupExchange.
+    bool isHub = false;
+    /// Told by the hub: it lacks the experts of some rank.
+    bool wantsExperts = false;
+    /// Told by the hub: period of the counts of each rank.
+    std::chrono::milliseconds countsPeriod{0};
 };
 
 /// Request of the owner of a group to all agents, repeated until all have followed it.
@@ -79,6 +89,8 @@
 
     std::string group;
     std::uint64_t epoch = 0;
+    /// Rank of the owner's agent.
+    std::uint32_t owner = 0;
     std::uint64_t ballot = 0;
     Phase phase = Phase::Survey;
     MapSwitch change;
--- a/Source/Experts/RankSwitch.cpp
+++ b/Source/Experts/RankSwitch.cpp
@@ -23,6 +23,8 @@
     this->armedPeers.clear();
     this->switchingPeers.clear();
     this->holderHolds.reset();
+    this->allArmedReported.reset();
+    this->receivedVersion = 0;
 }
 
 void RankSwitch::engineReported(const EngineState &engine)
@@ -33,6 +35,7 @@
     this->state = engine;
     this->highestVersion =
             std::max({this->highestVersion, engine.mapVersion, engine.preparedVersion.value_or(0)});
+    this->receivedVersion = std::max(this->receivedVersion, this->highestVersion);
     if (engine.armed)
         this->highestVersion = std::max(this->highestVersion, engine.armed->version);
 
@@ -70,6 +73,7 @@
     case OwnerCommand::Phase::Survey:
         return;
     case OwnerCommand::Phase::Prepare:
+        this->receivedVersion = std::max(this->receivedVersion, command.change.version);
         if (this->state->preparedVersion != command.change.version
             && this->refusedVersion < command.change.version
             && this->state->mapVersion < command.change.version)
@@ -92,8 +96,14 @@
         this->armedPeers[peer.engine.rank] = *peer.engine.armed;
     if (peer.engine.rank == Holder && peer.engine.heldStep)
         this->holderHolds = peer.engine.heldStep;
+    else if (peer.groupHeldStep)
+        this->holderHolds = peer.groupHeldStep;
     if (peer.switching)
         this->switchingPeers[peer.engine.rank] = *peer.switching;
+    else if (peer.groupSwitch)
+        this->switchingPeers[peer.engine.rank] = *peer.groupSwitch;
+    if (peer.allArmed)
+        this->allArmedReported = peer.allArmed;
     this->joinPeers();
 }
 
@@ -126,6 +136,8 @@
 {
     if (!this->rules.releaseWhenAllArmed)
         return this->isArmedHere();
+    if (this->allArmedReported == this->target)
+        return true;
     for (std::uint32_t rank = 0; rank < this->state->ranks; ++rank) {
         if (rank == this->state->rank)
             continue;
@@ -217,10 +229,28 @@
     }
 }
 
+std::optional<MapSwitch> RankSwitch::knownGroupSwitch() const
+{
+    if (this->target || !this->state)
+        return this->target;
+    for (const auto *peers : {&this->armedPeers, &this->switchingPeers}) {
+        for (const auto &[rank, change] : *peers) {
+            if (change.step > this->state->step)
+                return change;
+        }
+    }
+    return std::nullopt;
+}
+
 void RankSwitch::describe(RankState &description) const
 {
     if (this->state)
         description.engine = *this->state;
+    description.groupSwitch = this->knownGroupSwitch();
+    description.groupHeldStep =
+            this->state && this->state->rank == Holder ? this->state->heldStep : this->holderHolds;
+    description.allArmed = this->target && this->allArmed() ? this->target : std::nullopt;
+    description.receivedVersion = this->receivedVersion;
     description.ballot = this->ballot;
     description.switching = this->target;
     description.highestVersion = this->highestVersion;
--- a/Source/Experts/RankSwitch.h
+++ b/Source/Experts/RankSwitch.h
@@ -75,6 +75,7 @@
     bool isArmedHere() const;
     bool isStepHeld() const;
     bool allArmed() const;
+    std::optional<MapSwitch> knownGroupSwitch() const;
     void joinPeers();
 
     SafetyRules rules;
@@ -91,6 +92,9 @@
     std::map<std::uint32_t, MapSwitch> switchingPeers;
     /// Step that the holder last reported as held.
     std::optional<std::uint64_t> holderHolds;
+    /// Change for which another agent knows all ranks to be armed.
+    std::optional<MapSwitch> allArmedReported;
+    std::uint64_t receivedVersion = 0;
     std::uint64_t lostCommands = 0;
     bool commandOutstanding = false;
     Instant nextCommandAt;
--- a/Source/Experts/SwitchOwner.cpp
+++ b/Source/Experts/SwitchOwner.cpp
@@ -1,5 +1,7 @@
 #include "Experts/SwitchOwner.h"
 
+#include "Experts/GroupExchange.h"
+
 #include <algorithm>
 #include <set>
 #include <sstream>
@@ -11,8 +13,6 @@
 
 using std::chrono::milliseconds;
 
-/// An agent without a report for this long counts as failed; agents report every 250 ms.
-constexpr milliseconds LivenessTimeout{1500};
 /// Demand shifts every few seconds, so the weight of a count decays with this half-life.
 constexpr milliseconds DemandHalfLife{900};
 constexpr milliseconds TrendHalfLife{6000};
@@ -91,9 +91,6 @@
         rank.firstStepAt = now;
     }
     RankState next = state;
-    // Only reports to the owner contain these fields.
-    if (next.counts.empty())
-        next.counts = known.counts;
     if (next.experts.empty() && next.engine.epoch == known.engine.epoch
         && next.engine.mapVersion == known.engine.mapVersion)
         next.experts = known.experts;
@@ -103,7 +100,7 @@
 
 bool SwitchOwner::isLive(const Rank &rank, Instant now) const
 {
-    return now < rank.lastReportAt + LivenessTimeout;
+    return now < rank.lastReportAt + GroupExchange::livenessTimeout(rank.state.engine.ranks);
 }
 
 bool SwitchOwner::isOwner(Instant now, std::uint32_t ownRank) const
@@ -136,32 +133,30 @@
     if (now < this->nextObservationAt)
         return;
     this->nextObservationAt = now + ObservationPeriod;
-    ExpertLoad::Tokens tokens(this->settings.layers,
-                              std::vector<double>(this->settings.experts + 1, 0));
-    const std::size_t length = std::size_t(this->settings.layers) * this->settings.experts;
-    double sum = 0;
-    for (auto &[number, rank] : this->ranks) {
-        const std::vector<std::uint64_t> &counts = rank.state.counts;
-        if (counts.size() != length)
-            continue;
-        for (std::size_t index = 0; index < length; ++index) {
-            // The engine resets its counts when it starts.
-            const std::uint64_t before =
-                    rank.lastCounts.size() == length && rank.lastCounts[index] <= counts[index]
-                            ? rank.lastCounts[index]
-                            : counts[index];
-            const auto chosen = static_cast<double>(counts[index] - before);
-            tokens[index / this->settings.experts][index % this->settings.experts] += chosen;
-            sum += chosen;
-        }
-        rank.lastCounts = counts;
-    }
-    if (sum <= 0)
+    if (!this->hasReported)
         return;
-    this->load.observe(now, tokens);
+    this->load.observe(now, this->reported);
+    this->reported.clear();
+    this->hasReported = false;
     ++this->observations;
 }
 
+void SwitchOwner::addCounts(const ExpertCounts &sample)
+{
+    const std::size_t length = std::size_t(this->settings.layers) * this->settings.experts;
+    if (sample.counts.size() != length)
+        return;
+    if (this->reported.empty())
+        this->reported.assign(this->settings.layers,
+                              std::vector<double>(this->settings.experts + 1, 0));
+    for (std::size_t index = 0; index < length; ++index) {
+        const std::uint64_t chosen = sample.counts[index];
+        this->reported[index / this->settings.experts][index % this->settings.experts] +=
+                static_cast<double>(chosen);
+        this->hasReported = this->hasReported || chosen > 0;
+    }
+}
+
 std::optional<ExpertMap> SwitchOwner::currentMap() const
 {
     ExpertMap map;
@@ -211,10 +206,11 @@
     const auto plan = this->planner.consider(now, this->padded(*map), this->load.tokens());
     if (!plan)
         return;
-    std::uint64_t version = 0;
+    std::uint64_t version = this->lastVersion;
     std::uint64_t ballot = 0;
     for (const auto &[number, rank] : this->ranks) {
-        version = std::max({version, rank.state.highestVersion, rank.state.refusedVersion});
+        version = std::max({version, rank.state.highestVersion, rank.state.refusedVersion,
+                            rank.state.receivedVersion});
         ballot = std::max(ballot, rank.state.ballot);
     }
     const EngineState &engine = this->ranks.begin()->second.state.engine;
@@ -231,7 +227,8 @@
     next.ballot = surveyed
                           ? ballot
                           : (ballot / BallotStride + 1) * BallotStride + this->ranks.begin()->first;
-    next.change.version = version + 1;
+    next.owner = this->ranks.begin()->first;
+    next.change.version = this->lastVersion = version + 1;
     next.map = this->unpadded(plan->map).slots;
     this->command = next;
     this->epoch = engine.epoch;
@@ -325,6 +322,11 @@
             this->logText = "changed version=" + std::to_string(version)
                             + " step=" + std::to_string(this->command->change.step);
             this->completedBallot = ballot;
+            for (auto &[number, rank] : this->ranks) {
+                rank.state.experts.clear();
+                for (const auto &layer : this->command->map)
+                    rank.state.experts.push_back(layer[number]);
+            }
             this->command.reset();
             return std::nullopt;
         }
--- a/Source/Experts/SwitchOwner.h
+++ b/Source/Experts/SwitchOwner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Time.h"
+#include "Experts/ExpertCounts.h"
 #include "Experts/ExpertLoad.h"
 #include "Experts/PlacementPlanner.h"
 #include "Experts/RankState.h"
@@ -33,6 +34,7 @@
     explicit SwitchOwner(const Settings &settings);
 
     void report(Instant now, const RankState &state);
+    void addCounts(const ExpertCounts &sample);
 
     /// The command to send to all agents now, the own one included; nullopt when no change is
     /// in progress.
@@ -45,12 +47,14 @@
     /// otherwise.
     std::string takeObservation(Instant now);
 
+    /// The experts of a rank are missing, so that no change can be planned.
+    bool wantsExperts() const { return !this->currentMap(); }
+
 private:
     struct Rank
     {
         RankState state;
         Instant lastReportAt;
-        std::vector<std::uint64_t> lastCounts;
         /// Begin of the span over which the step time is measured.
         std::uint64_t firstStep = 0;
         Instant firstStepAt;
@@ -81,7 +85,12 @@
     std::uint64_t epoch = 0;
     /// Ballot of the last change that all ranks completed; 0 after any other outcome.
     std::uint64_t completedBallot = 0;
+    /// Choices reported since the last observation.
+    ExpertLoad::Tokens reported;
+    bool hasReported = false;
     std::uint64_t observations = 0;
+    /// Highest version of a change of this owner, so that no version names two maps.
+    std::uint64_t lastVersion = 0;
     /// When an agent last reported an engine command without an answer.
     std::optional<Instant> lostCommandAt;
     std::string logText;
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -1,6 +1,10 @@
 #include "RelayShell/PeerCodec.h"
 
 #include "Core/Cbor.h"
+#include "Experts/PackedMap.h"
+
+#include <algorithm>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -116,64 +120,90 @@
 
 } // namespace
 
+// Every agent sends a state at least every few seconds, and the hub receives those of all ranks, so
+// the names of the fields are short.
 std::string encodeRankState(const RankState &state)
 {
     const EngineState &engine = state.engine;
-    return toBytes({{"type", "state"},
-                    {"group", engine.group},
-                    {"epoch", engine.epoch},
-                    {"rank", engine.rank},
-                    {"ranks", engine.ranks},
-                    {"open", engine.isOpen},
-                    {"step", engine.step},
-                    {"map", engine.mapVersion},
-                    {"prepared", optionalToJson(engine.preparedVersion)},
-                    {"armed", switchToJson(engine.armed)},
-                    {"held", optionalToJson(engine.heldStep)},
-                    {"address", state.address},
-                    {"engine", state.engineAddress},
-                    {"told", state.isToldByOther},
-                    {"incarnation", state.incarnation},
-                    {"sequence", state.sequence},
-                    {"ballot", state.ballot},
-                    {"switching", switchToJson(state.switching)},
-                    {"highest", state.highestVersion},
-                    {"refused", state.refusedVersion},
-                    {"lost", state.lostCommands},
-                    {"experts", state.experts},
-                    {"counts", state.counts}});
+    Json json = {{"type", "rank"},
+                 {"g", engine.group},
+                 {"e", engine.epoch},
+                 {"r", engine.rank},
+                 {"n", engine.ranks},
+                 {"o", engine.isOpen},
+                 {"s", engine.step},
+                 {"m", engine.mapVersion},
+                 {"a", state.address},
+                 {"x", state.engineAddress},
+                 {"i", state.incarnation},
+                 {"q", state.sequence},
+                 {"b", state.ballot},
+                 {"hv", state.highestVersion},
+                 {"rv", state.refusedVersion},
+                 {"cv", state.receivedVersion},
+                 {"l", state.lostCommands}};
+    if (state.isHub)
+        json["hub"] = {state.wantsExperts, state.countsPeriod.count()};
+    const std::pair<const char *, Json> optionals[] = {
+            {"p", optionalToJson(engine.preparedVersion)},
+            {"ar", switchToJson(engine.armed)},
+            {"h", optionalToJson(engine.heldStep)},
+            {"sw", switchToJson(state.switching)},
+            {"gs", switchToJson(state.groupSwitch)},
+            {"gh", optionalToJson(state.groupHeldStep)},
+            {"ga", switchToJson(state.allArmed)}};
+    for (const auto &[name, value] : optionals) {
+        if (!value.is_null())
+            json[name] = value;
+    }
+    if (!state.experts.empty())
+        json["ex"] = Json::binary(packMap({state.experts}));
+    return toBytes(json);
 }
 
 std::optional<RankState> decodeRankState(std::string_view bytes)
 {
     const Json json = parseCbor(bytes);
     try {
-        if (!json.is_object() || json.at("type") != "state")
+        if (!json.is_object() || json.at("type") != "rank")
             return std::nullopt;
         RankState state;
         EngineState &engine = state.engine;
-        json.at("group").get_to(engine.group);
-        json.at("epoch").get_to(engine.epoch);
-        json.at("rank").get_to(engine.rank);
-        json.at("ranks").get_to(engine.ranks);
-        json.at("open").get_to(engine.isOpen);
-        json.at("step").get_to(engine.step);
-        json.at("map").get_to(engine.mapVersion);
-        engine.preparedVersion = optionalFromJson(json.at("prepared"));
-        engine.armed = switchFromJson(json.at("armed"));
-        engine.heldStep = optionalFromJson(json.at("held"));
-        json.at("address").get_to(state.address);
-        json.at("engine").get_to(state.engineAddress);
-        json.at("told").get_to(state.isToldByOther);
-        json.at("incarnation").get_to(state.incarnation);
-        json.at("sequence").get_to(state.sequence);
-        json.at("ballot").get_to(state.ballot);
-        state.switching = switchFromJson(json.at("switching"));
-        json.at("highest").get_to(state.highestVersion);
-        json.at("refused").get_to(state.refusedVersion);
-        json.at("lost").get_to(state.lostCommands);
-        json.at("experts").get_to(state.experts);
-        json.at("counts").get_to(state.counts);
+        const auto optional = [&json](const char *name) { return json.value(name, Json()); };
+        json.at("g").get_to(engine.group);
+        json.at("e").get_to(engine.epoch);
+        json.at("r").get_to(engine.rank);
+        json.at("n").get_to(engine.ranks);
+        json.at("o").get_to(engine.isOpen);
+        json.at("s").get_to(engine.step);
+        json.at("m").get_to(engine.mapVersion);
+        engine.preparedVersion = optionalFromJson(optional("p"));
+        engine.armed = switchFromJson(optional("ar"));
+        engine.heldStep = optionalFromJson(optional("h"));
+        json.at("a").get_to(state.address);
+        json.at("x").get_to(state.engineAddress);
+        json.at("i").get_to(state.incarnation);
+        json.at("q").get_to(state.sequence);
+        json.at("b").get_to(state.ballot);
+        state.switching = switchFromJson(optional("sw"));
+        json.at("hv").get_to(state.highestVersion);
+        json.at("rv").get_to(state.refusedVersion);
+        json.at("cv").get_to(state.receivedVersion);
+        json.at("l").get_to(state.lostCommands);
+        state.groupSwitch = switchFromJson(optional("gs"));
+        state.groupHeldStep = optionalFromJson(optional("gh"));
+        state.allArmed = switchFromJson(optional("ga"));
+        if (const Json hub = optional("hub"); !hub.is_null()) {
+            state.isHub = true;
+            state.wantsExperts = hub.at(0).get<bool>();
+            state.countsPeriod = std::chrono::milliseconds(hub.at(1).get<std::uint32_t>());
+        }
+        if (const Json experts = optional("ex"); !experts.is_null()) {
+            auto map = unpackMap(experts.get_binary());
+            if (!map || map->size() != 1)
+                return std::nullopt;
+            state.experts = std::move(map->front());
+        }
         return state;
     } catch (const Json::exception &) {
         return std::nullopt;
@@ -182,36 +212,81 @@
 
 std::string encodeOwnerCommand(const OwnerCommand &command)
 {
-    const bool hasMap = command.phase == OwnerCommand::Phase::Prepare;
-    return toBytes({{"type", "command"},
-                    {"group", command.group},
-                    {"epoch", command.epoch},
-                    {"ballot", command.ballot},
-                    {"phase", static_cast<int>(command.phase)},
-                    {"change", switchToJson(command.change)},
-                    {"map", hasMap ? Json(command.map) : Json::array()}});
+    Json json = {{"type", "order"},
+                 {"g", command.group},
+                 {"e", command.epoch},
+                 {"r", command.owner},
+                 {"b", command.ballot},
+                 {"p", static_cast<int>(command.phase)},
+                 {"c", switchToJson(command.change)}};
+    if (command.phase == OwnerCommand::Phase::Prepare)
+        json["m"] = Json::binary(packMap(command.map));
+    return toBytes(json);
 }
 
 std::optional<OwnerCommand> decodeOwnerCommand(std::string_view bytes)
 {
     const Json json = parseCbor(bytes);
     try {
-        if (!json.is_object() || json.at("type") != "command")
+        if (!json.is_object() || json.at("type") != "order")
             return std::nullopt;
         OwnerCommand command;
-        json.at("group").get_to(command.group);
-        json.at("epoch").get_to(command.epoch);
-        json.at("ballot").get_to(command.ballot);
-        const int phase = json.at("phase").get<int>();
+        json.at("g").get_to(command.group);
+        json.at("e").get_to(command.epoch);
+        json.at("r").get_to(command.owner);
+        json.at("b").get_to(command.ballot);
+        const int phase = json.at("p").get<int>();
         if (phase < 0 || phase > static_cast<int>(OwnerCommand::Phase::Switch))
             return std::nullopt;
         command.phase = static_cast<OwnerCommand::Phase>(phase);
-        command.change = switchFromJson(json.at("change")).value_or(MapSwitch());
-        json.at("map").get_to(command.map);
+        command.change = switchFromJson(json.at("c")).value_or(MapSwitch());
+        if (command.phase == OwnerCommand::Phase::Prepare) {
+            auto map = unpackMap(json.at("m").get_binary());
+            if (!map)
+                return std::nullopt;
+            command.map = std::move(*map);
+        }
         return command;
     } catch (const Json::exception &) {
         return std::nullopt;
     }
 }
 
+std::string encodeExpertCounts(const ExpertCounts &sample)
+{
+    // One byte a count: only the ratios matter.
+    constexpr std::uint64_t MaxByte = 255;
+    std::uint64_t highest = 1;
+    for (const std::uint64_t count : sample.counts)
+        highest = std::max(highest, count);
+    const std::uint64_t unit = (highest + MaxByte - 1) / MaxByte;
+    std::vector<std::uint8_t> bytes;
+    bytes.reserve(sample.counts.size());
+    for (const std::uint64_t count : sample.counts)
+        bytes.push_back(static_cast<std::uint8_t>((count + unit / 2) / unit));
+    return toBytes({{"type", "counts"},
+                    {"r", sample.rank},
+                    {"e", sample.epoch},
+                    {"u", unit},
+                    {"c", Json::binary(std::move(bytes))}});
+}
+
+std::optional<ExpertCounts> decodeExpertCounts(std::string_view bytes)
+{
+    const Json json = parseCbor(bytes);
+    try {
+        if (!json.is_object() || json.at("type") != "counts")
+            return std::nullopt;
+        ExpertCounts sample;
+        json.at("r").get_to(sample.rank);
+        json.at("e").get_to(sample.epoch);
+        const auto unit = json.at("u").get<std::uint64_t>();
+        for (const std::uint8_t count : json.at("c").get_binary())
+            sample.counts.push_back(count * unit);
+        return sample;
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
 } // namespace Nutmegrill
--- a/Source/RelayShell/PeerCodec.h
+++ b/Source/RelayShell/PeerCodec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Experts/ExpertCounts.h"
 #include "Experts/RankState.h"
 #include "Relay/EntryReport.h"
 #include "Relay/StoreMirror.h"
@@ -20,5 +21,7 @@
 std::optional<RankState> decodeRankState(std::string_view bytes);
 std::string encodeOwnerCommand(const OwnerCommand &command);
 std::optional<OwnerCommand> decodeOwnerCommand(std::string_view bytes);
+std::string encodeExpertCounts(const ExpertCounts &sample);
+std::optional<ExpertCounts> decodeExpertCounts(std::string_view bytes);
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -20,11 +20,6 @@
 constexpr milliseconds ReportPeriod{250};
 constexpr milliseconds BusyReportPeriod{40};
 constexpr milliseconds CountsPeriod{300};
-/// Datagrams of an earlier incarnation arrive within this time.
-constexpr milliseconds MaxDatagramDelay{500};
-constexpr milliseconds StatePeriod{250};
-constexpr milliseconds BusyStatePeriod{40};
-constexpr milliseconds CommandPeriod{60};
 /// The list of agents changes only with the instances. It is read with serializable reads, which
 /// may be stale and are cheap for the store.
 constexpr milliseconds PeersPeriod{4000};
@@ -48,11 +43,9 @@
 constexpr std::chrono::seconds DemandHorizon{6};
 /// Steps take 15% longer while experts are copied, according to the engine's specification.
 constexpr double CopySlowdown = 0.15;
-/// Agents send their state every 40 ms during a map change. Another agent takes over a rank from
-/// which no state arrived for this time, so at most five missed states in a row are tolerated.
-constexpr milliseconds PeerTimeout{250};
-/// An agent whose last state is older than this is not considered as owner.
-constexpr milliseconds OwnerTimeout{1500};
+/// Parts of the link that the hub of a group uses for maps, and for the counts of all ranks.
+constexpr std::uint64_t MapLinkDivisor = 2;
+constexpr std::uint64_t CountsLinkDivisor = 10;
 
 const char *commandName(EngineCommand::Kind kind)
 {
@@ -83,6 +76,8 @@
                       }),
       peerSocket(loop, options.ip + ":" + std::to_string(options.peerPort),
                  [this](std::string_view bytes) { this->handleDatagram(bytes); }),
+      exchange({options.linkBytesPerSecond / MapLinkDivisor,
+                options.linkBytesPerSecond / CountsLinkDivisor}),
       engine(loop, options.engineAddress), loopLag(TickPeriod)
 {
     this->state.engineAddress = options.engineAddress;
@@ -186,6 +181,7 @@
             this->peerAddresses = std::move(found);
         else
             this->peerAddresses.insert(found.begin(), found.end());
+        this->exchange.setPeers(this->peerAddresses);
     });
 }
 
@@ -215,9 +211,7 @@
     if (!this->engine.isBusy() && !this->expertsKnown && this->engineReachable)
         this->readExperts();
     this->takeOverSilentRanks();
-    this->tickOwner();
-    if (now >= this->nextStateAt)
-        this->sendState();
+    this->exchangeStates();
     this->metricsListener.tick(now);
     if (this->stopAt != NoDeadline && (!this->rankSwitch->isSwitching() || now >= this->stopAt))
         this->loop.stop();
@@ -244,6 +238,7 @@
                 if (!before || before->epoch != report->epoch
                     || before->mapVersion != report->mapVersion || before->rank != report->rank) {
                     this->expertsKnown = false;
+                    this->state.experts.clear();
                     this->log(RelayLog::MapInUse,
                               "group=" + report->group + " epoch=" + std::to_string(report->epoch)
                                       + " rank=" + std::to_string(report->rank)
@@ -263,8 +258,22 @@
                       [this](int status, const std::string &body) {
                           auto counts =
                                   status == 200 ? this->protocol.readCounts(body) : std::nullopt;
-                          if (counts)
-                              this->state.counts = std::move(*counts);
+                          if (!counts || !this->rankSwitch->engine())
+                              return;
+                          ExpertCounts sample;
+                          sample.rank = this->rank();
+                          sample.epoch = this->rankSwitch->engine()->epoch;
+                          // The engine resets its counts when it starts.
+                          if (this->lastCounts.size() == counts->size()) {
+                              for (std::size_t index = 0; index < counts->size(); ++index)
+                                  sample.counts.push_back(
+                                          (*counts)[index]
+                                          - std::min(this->lastCounts[index], (*counts)[index]));
+                              if (this->owner != nullptr && this->exchange.isHub())
+                                  this->owner->addCounts(sample);
+                              this->exchange.countsSampled(std::move(sample));
+                          }
+                          this->lastCounts = std::move(*counts);
                       });
 }
 
@@ -295,7 +304,6 @@
                           this->logCommand(*command, this->rank(), status);
                           this->rankSwitch->commandAnswered(this->loop.now(), *command, answer);
                           this->nextReportAt = this->loop.now();
-                          this->nextStateAt = this->loop.now();
                       });
 }
 
@@ -308,42 +316,25 @@
                       + std::to_string(command.epoch) + " status=" + std::to_string(status));
 }
 
-std::uint32_t RankAgent::lowestLiveRank() const
-{
-    for (const auto &[rank, known] : this->otherRanks) {
-        if (rank < this->rank() && this->loop.now() < known.second + OwnerTimeout)
-            return rank;
-    }
-    return this->rank();
-}
-
 void RankAgent::takeOverSilentRanks()
 {
-    if (!this->rankSwitch->isSwitching()) {
-        this->takeovers.clear();
-        return;
-    }
     const Instant now = this->loop.now();
-    for (const auto &[rank, known] : this->otherRanks) {
-        if (now < known.second + PeerTimeout || known.first.engineAddress.empty()) {
-            this->takeovers.erase(rank);
-            continue;
-        }
-        // Only the lowest live rank takes over; when it becomes silent, too, the next one does.
-        const bool isFirst = std::none_of(
-                this->otherRanks.begin(), this->otherRanks.end(), [&](const auto &other) {
-                    return other.first < this->rank() && now < other.second.second + PeerTimeout;
-                });
-        if (!isFirst)
+    const std::vector<std::uint32_t> silent = this->exchange.silentRanks(now);
+    std::erase_if(this->takeovers, [&silent](const auto &entry) {
+        return std::find(silent.begin(), silent.end(), entry.first) == silent.end();
+    });
+    for (const std::uint32_t rank : silent) {
+        const RankState *known = this->exchange.find(rank);
+        if (known->engineAddress.empty())
             continue;
         Takeover &takeover = this->takeovers[rank];
         if (takeover.engine == nullptr) {
-            takeover.engine = std::make_unique<EngineLink>(this->loop, known.first.engineAddress);
+            takeover.engine = std::make_unique<EngineLink>(this->loop, known->engineAddress);
+            const auto silence = now - this->exchange.heardAt(rank);
             this->log(RelayLog::OwnerDecided,
                       "takes over silent rank=" + std::to_string(rank) + " silent_ms="
                               + std::to_string(
-                                      std::chrono::duration_cast<milliseconds>(now - known.second)
-                                              .count()));
+                                      std::chrono::duration_cast<milliseconds>(silence).count()));
         }
         this->driveTakeover(rank, takeover);
     }
@@ -354,9 +345,9 @@
     const Instant now = this->loop.now();
     if (takeover.engine->isBusy())
         return;
-    for (const auto &[number, known] : this->otherRanks) {
-        if (number != rank)
-            takeover.rankSwitch.peerReported(known.first);
+    for (const RankState *known : this->exchange.states()) {
+        if (known->engine.rank != rank)
+            takeover.rankSwitch.peerReported(*known);
     }
     RankState own;
     this->rankSwitch->describe(own);
@@ -386,66 +377,58 @@
                               if (found == this->takeovers.end() || !report || report->rank != rank)
                                   return;
                               found->second.rankSwitch.engineReported(*report);
-                              // Forwards the state, so that the other agents learn that this rank
-                              // is armed.
-                              RankState seen = this->otherRanks[rank].first;
+                              RankState seen = *this->exchange.find(rank);
                               seen.engine = *report;
-                              seen.isToldByOther = true;
-                              this->otherRanks[rank].first = seen;
+                              this->exchange.stateReadForPeer(seen);
                               this->rankSwitch->peerReported(seen);
-                              this->sendToPeers(encodeRankState(seen));
                           });
 }
 
-void RankAgent::sendState()
+void RankAgent::exchangeStates()
 {
     const Instant now = this->loop.now();
-    this->nextStateAt = now + (this->rankSwitch->isBusy() ? BusyStatePeriod : StatePeriod);
     if (!this->rankSwitch->engine())
         return;
+    const std::optional<OwnerCommand> command = this->tickOwner();
+    if (command)
+        this->rankSwitch->ownerCommanded(*command);
     this->rankSwitch->describe(this->state);
-    ++this->state.sequence;
-    RankState sent = this->state;
-    if (!this->expertsKnown)
-        sent.experts.clear();
-    if (this->owner != nullptr)
-        this->owner->report(now, sent);
-    const std::uint32_t ownerRank = this->lowestLiveRank();
-    if (const auto found = this->otherRanks.find(ownerRank); found != this->otherRanks.end())
-        this->sendTo(found->second.first.address, encodeRankState(sent));
-    // Only the owner plans map changes; the other agents need neither experts nor counts.
-    sent.experts.clear();
-    sent.counts.clear();
-    const std::string shortState = encodeRankState(sent);
-    for (const std::string &address : this->peerAddresses) {
-        const auto found = this->otherRanks.find(ownerRank);
-        if (found == this->otherRanks.end() || found->second.first.address != address)
-            this->sendTo(address, shortState);
+    GroupExchange::Messages messages;
+    this->exchange.tick(now, this->state, command, messages);
+    for (const GroupExchange::Message &message : messages)
+        this->sendTo(message.address, this->encode(message.body));
+}
+
+std::string RankAgent::encode(const GroupExchange::Message::Body &body)
+{
+    if (const auto *state = std::get_if<std::shared_ptr<const RankState>>(&body))
+        return encodeRankState(**state);
+    if (const auto *counts = std::get_if<std::shared_ptr<const ExpertCounts>>(&body))
+        return encodeExpertCounts(**counts);
+    const auto &command = std::get<std::shared_ptr<const OwnerCommand>>(body);
+    if (this->encodedCommand != command) {
+        this->encodedCommand = command;
+        this->encodedCommandBytes = encodeOwnerCommand(*command);
     }
+    return this->encodedCommandBytes;
 }
 
-void RankAgent::tickOwner()
+std::optional<OwnerCommand> RankAgent::tickOwner()
 {
     const Instant now = this->loop.now();
-    if (this->owner == nullptr || !this->rankSwitch->engine() || this->stopAt != NoDeadline)
-        return;
+    if (this->owner == nullptr || this->stopAt != NoDeadline)
+        return std::nullopt;
+    RankState own = this->state;
+    this->rankSwitch->describe(own);
+    own.sequence = ++this->ownReports;
+    this->owner->report(now, own);
+    this->state.wantsExperts = this->owner->wantsExperts();
     const auto command = this->owner->tick(now, this->rank());
     if (const std::string logText = this->owner->takeLogText(); !logText.empty())
         this->log(RelayLog::OwnerDecided, logText);
     if (const std::string group = this->owner->takeObservation(now); !group.empty())
         this->log(RelayLog::GroupObserved, group);
-    if (!command)
-        return;
-    const bool isNew = !this->lastCommand || this->lastCommand->phase != command->phase
-                       || this->lastCommand->change != command->change
-                       || this->lastCommand->ballot != command->ballot;
-    if (!isNew && now < this->nextCommandAt)
-        return;
-    this->nextCommandAt = now + CommandPeriod;
-    this->lastCommand = command;
-    this->rankSwitch->ownerCommanded(*command);
-    this->nextStateAt = now;
-    this->sendToPeers(encodeOwnerCommand(*command));
+    return command;
 }
 
 void RankAgent::sendTo(const std::string &address, const std::string &bytes)
@@ -477,50 +460,34 @@
 {
     ++this->traffic.receivedMessages;
     this->traffic.receivedBytes += bytes.size();
+    const Instant now = this->loop.now();
     if (const auto state = decodeRankState(bytes)) {
-        const std::uint32_t from = state->engine.rank;
-        if (from == this->rank()) {
-            // From an agent that took over this rank, or from an earlier agent of this rank.
+        const RankState *known = this->exchange.find(state->engine.rank);
+        if (known != nullptr && known->incarnation == state->incarnation
+            && known->sequence < state->sequence)
+            this->traffic.missedStates += state->sequence - known->sequence - 1;
+        if (!this->exchange.stateReceived(now, *state))
             return;
-        }
-        auto &[known, receivedAt] = this->otherRanks[from];
-        // A lower incarnation is accepted only after MaxDatagramDelay: the incarnation is the time
-        // of the start, and the clock may have been set back between two starts.
-        const bool isOtherIncarnation = state->incarnation != known.incarnation;
-        const bool isNewer =
-                isOtherIncarnation
-                        ? state->incarnation > known.incarnation
-                                  || (!state->isToldByOther
-                                      && this->loop.now() > receivedAt + MaxDatagramDelay)
-                        : state->sequence > known.sequence;
-        if (!isOtherIncarnation && !state->isToldByOther && isNewer)
-            this->traffic.missedStates += state->sequence - known.sequence - 1;
-        if (isNewer) {
-            known = *state;
-            if (!state->isToldByOther)
-                receivedAt = this->loop.now();
-        }
         this->rankSwitch->peerReported(*state);
+        if (this->owner != nullptr)
+            this->owner->report(now, *state);
         // The next command is sent without waiting for the next tick: the shorter a step is held,
         // the lower the risk that an agent pauses meanwhile.
         this->sendNextCommand();
-        if (this->owner != nullptr && !state->isToldByOther)
-            this->owner->report(this->loop.now(), *state);
         return;
     }
     if (const auto command = decodeOwnerCommand(bytes)) {
+        this->exchange.commandReceived(now, *command);
         this->rankSwitch->ownerCommanded(*command);
-        this->nextStateAt = this->loop.now();
         this->sendNextCommand();
         return;
     }
+    if (const auto counts = decodeExpertCounts(bytes)) {
+        if (this->owner != nullptr)
+            this->owner->addCounts(*counts);
+        return;
+    }
     this->metrics.add("nutmegrill_reports_unreadable_total", {});
 }
 
-void RankAgent::sendToPeers(const std::string &bytes)
-{
-    for (const std::string &address : this->peerAddresses)
-        this->sendTo(address, bytes);
-}
-
 } // namespace Nutmegrill
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Experts/GroupExchange.h"
 #include "Experts/RankSwitch.h"
 #include "Experts/SwitchOwner.h"
 #include "Http/HttpListener.h"
@@ -37,6 +38,8 @@
         std::string engineAddress;
         std::string service;
         std::uint64_t incarnation = 0;
+        /// Rate of the link of this instance.
+        std::uint64_t linkBytesPerSecond = 0;
     };
 
     RankAgent(EventLoop &loop, const Options &options, const EngineProtocol &protocol,
@@ -84,13 +87,11 @@
     void takeOverSilentRanks();
     void driveTakeover(std::uint32_t rank, Takeover &takeover);
     void logCommand(const EngineCommand &command, std::uint32_t rank, int status);
-    void sendState();
-    void tickOwner();
+    void exchangeStates();
+    std::optional<OwnerCommand> tickOwner();
     void handleDatagram(std::string_view bytes);
-    void sendToPeers(const std::string &bytes);
+    std::string encode(const GroupExchange::Message::Body &body);
     std::uint32_t rank() const;
-    /// Lowest rank with a live agent, this one included. Its agent owns the group's map changes.
-    std::uint32_t lowestLiveRank() const;
     void log(std::uint32_t number, const std::string &text);
 
     EventLoop &loop;
@@ -102,14 +103,19 @@
     HttpListener metricsListener;
     DatagramSocket peerSocket;
     std::set<std::string> peerAddresses;
+    GroupExchange exchange;
+    /// The last command that was encoded, and its bytes: a map goes to many ranks.
+    std::shared_ptr<const OwnerCommand> encodedCommand;
+    std::string encodedCommandBytes;
     EngineLink engine;
-    /// Latest state of each other rank, and when it was received from the rank's own agent.
-    std::map<std::uint32_t, std::pair<RankState, Instant>> otherRanks;
     std::map<std::uint32_t, Takeover> takeovers;
     std::unique_ptr<RankSwitch> rankSwitch;
     std::unique_ptr<SwitchOwner> owner;
     RankState state;
-    std::optional<OwnerCommand> lastCommand;
+    /// Counts at the last read; a sample is the difference between two.
+    std::vector<std::uint64_t> lastCounts;
+    /// Sequence of the own states that the owner gets.
+    std::uint64_t ownReports = 0;
     LoopLag loopLag;
     PeerCounters traffic;
     Instant nextTrafficAt;
@@ -119,8 +125,6 @@
     bool expertsKnown = false;
     Instant nextReportAt;
     Instant nextCountsAt;
-    Instant nextStateAt;
-    Instant nextCommandAt;
     Instant nextPeersAt;
     Instant nextProfileAt;
     Instant stopAt = NoDeadline;
--- a/Tests/Experts/RankSwitchTest.cpp
+++ b/Tests/Experts/RankSwitchTest.cpp
@@ -31,7 +31,9 @@
 {
     std::uint64_t count = 0;
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
-        SwitchWorld world(Ranks, seed, faults, rules);
+        SwitchWorld::Scale scale;
+        scale.copyTime = std::chrono::milliseconds(300);
+        SwitchWorld world(Ranks, seed, faults, rules, scale);
         count += world.run(seconds(60)).empty() ? 0 : 1;
     }
     return count;
@@ -51,6 +53,7 @@
     CPPUNIT_TEST(lateHoldIsReleased);
     CPPUNIT_TEST(lowerBallotIsIgnored);
     CPPUNIT_TEST(pausedArmedAgentDoesNotBlockGroup);
+    CPPUNIT_TEST(largeGroupChangesMapsOverNarrowLinks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,6 +182,23 @@
         CPPUNIT_ASSERT(rank.isSwitching());
     }
 
+    // Guards against a group of 63 ranks whose own messages fill the links, so that no change of
+    // map ever reaches all ranks.
+    void largeGroupChangesMapsOverNarrowLinks()
+    {
+        SwitchWorld::Scale scale;
+        scale.layers = 8;
+        scale.experts = 252;
+        scale.placements = 5;
+        scale.copyTime = std::chrono::milliseconds(300);
+        scale.stepsPerShift = 80;
+        scale.links = {1000000, 64U << 10U};
+        SwitchWorld world(63, 1, {}, {}, scale);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.run(seconds(20)));
+        CPPUNIT_ASSERT(world.completedChanges() >= 3);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), world.links().dropped());
+    }
+
 private:
     EngineState openEngine() const
     {
--- a/Tests/Experts/SwitchWorld.cpp
+++ b/Tests/Experts/SwitchWorld.cpp
@@ -1,7 +1,12 @@
 #include "SwitchWorld.h"
 
+#include "Experts/LayerPlacement.h"
+#include "Experts/PlacementPlanner.h"
+#include "RelayShell/PeerCodec.h"
+
 #include <algorithm>
 #include <chrono>
+#include <numeric>
 #include <utility>
 
 namespace Nutmegrill {
@@ -10,24 +15,40 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t Experts = 12;
 constexpr milliseconds Tick{20};
 constexpr milliseconds StepTime{60};
+constexpr milliseconds CountsPeriod{300};
+/// Tokens of a rank in one step, and how many of them choose a hot expert of their layer.
+constexpr std::uint64_t TokensPerStep = 170;
+constexpr double HotShare = 0.35;
 
 } // namespace
 
 SwitchWorld::SwitchWorld(std::uint32_t ranks, std::uint64_t seed, const Faults &faults,
                          RankSwitch::SafetyRules rules)
-    : ranks(ranks), random(seed), faults(faults), rules(rules), engines(ranks), agents(ranks),
-      counts(ranks, std::vector<std::uint64_t>(Experts, 0))
+    : SwitchWorld(ranks, seed, faults, rules, Scale())
+{}
+
+SwitchWorld::SwitchWorld(std::uint32_t ranks, std::uint64_t seed, const Faults &faults,
+                         RankSwitch::SafetyRules rules, const Scale &scale)
+    : ranks(ranks), random(seed), faults(faults), rules(rules), scale(scale),
+      network(ranks, scale.links), demand(scale.layers), engines(ranks), agents(ranks)
 {
+    this->shiftDemand();
     for (std::uint32_t rank = 0; rank < ranks; ++rank) {
-        EngineState &state = this->engines[rank].state;
+        Engine &engine = this->engines[rank];
+        EngineState &state = engine.state;
         state.group = "g";
         state.epoch = 1;
         state.rank = rank;
         state.ranks = ranks;
         state.isOpen = true;
+        engine.counts.assign(std::size_t(scale.layers) * scale.experts, 0);
+        engine.map.assign(scale.layers, Slots::value_type(ranks));
+        for (auto &layer : engine.map) {
+            for (std::uint32_t expert = 0; expert < scale.experts; ++expert)
+                layer[expert % ranks].push_back(expert);
+        }
         this->startAgent(rank);
     }
 }
@@ -37,18 +58,31 @@
     Agent &agent = this->agents[rank];
     agent.rankSwitch = std::make_unique<RankSwitch>(this->rules);
     SwitchOwner::Settings settings;
-    settings.layers = 1;
-    settings.experts = Experts;
-    settings.placements = Experts;
-    settings.spares = 3;
+    settings.layers = this->scale.layers;
+    settings.experts = this->scale.experts;
+    settings.placements = this->scale.placements;
+    settings.spares = this->scale.spares;
     settings.planner.startSkew = 1.1;
     settings.planner.startAfter = std::chrono::seconds(0);
     settings.planner.minImprovement = 0.01;
-    settings.planner.loadsPerRank = 3;
+    settings.planner.loadsPerRank = this->scale.spares;
     settings.planner.chains = false;
     agent.owner = std::make_unique<SwitchOwner>(settings);
     agent.state = {};
     agent.state.incarnation = ++this->incarnations;
+    agent.state.address = std::to_string(rank);
+    agent.lastCounts.clear();
+    agent.ownReports = 0;
+    const std::uint64_t linkRate =
+            this->scale.links.bytesPerSecond == 0 ? 1000000 : this->scale.links.bytesPerSecond;
+    agent.exchange =
+            std::make_unique<GroupExchange>(GroupExchange::Settings{linkRate / 2, linkRate / 10});
+    std::set<std::string> addresses;
+    for (std::uint32_t other = 0; other < this->ranks; ++other) {
+        if (other != rank)
+            addresses.insert(std::to_string(other));
+    }
+    agent.exchange->setPeers(std::move(addresses));
 }
 
 EngineCommandResult SwitchWorld::execute(std::uint32_t rank, const EngineCommand &engineCommand)
@@ -62,7 +96,11 @@
         if (engineCommand.change.version <= engine.highestVersion || state.armed)
             return EngineCommandResult::Refused;
         engine.highestVersion = engineCommand.change.version;
-        state.preparedVersion = engineCommand.change.version;
+        state.preparedVersion.reset();
+        engine.prepared = engineCommand.map;
+        engine.loadingVersion = engineCommand.change.version;
+        engine.loadedAt = this->now + this->scale.copyTime;
+        this->finishLoading();
         return EngineCommandResult::Accepted;
     case EngineCommand::Kind::Hold:
         if (engineCommand.change.step <= this->currentStep)
@@ -83,6 +121,16 @@
     return EngineCommandResult::Refused;
 }
 
+void SwitchWorld::finishLoading()
+{
+    for (Engine &engine : this->engines) {
+        if (!engine.loadingVersion || this->now < engine.loadedAt)
+            continue;
+        engine.state.preparedVersion = engine.loadingVersion;
+        engine.loadingVersion.reset();
+    }
+}
+
 std::string SwitchWorld::advanceStep()
 {
     if (this->now < this->nextStepAt)
@@ -102,29 +150,58 @@
             engine.state.mapVersion = engine.state.armed->version;
             engine.state.armed.reset();
             engine.state.preparedVersion.reset();
+            engine.map = std::exchange(engine.prepared, {});
         }
     }
+    const Engine &first = this->engines.front();
     for (const Engine &engine : this->engines) {
-        if (engine.state.mapVersion != this->engines.front().state.mapVersion)
+        if (engine.state.mapVersion != first.state.mapVersion || engine.map != first.map)
             return "step " + std::to_string(next) + " began with maps "
-                   + std::to_string(this->engines.front().state.mapVersion) + " and "
+                   + std::to_string(first.state.mapVersion) + " and "
                    + std::to_string(engine.state.mapVersion);
     }
     this->changes += this->lowestMap() > before ? 1 : 0;
-    this->shiftDemand();
+    this->skewSum += this->skewOfStep();
+    ++this->measuredSteps;
+    if (this->random.below(this->scale.stepsPerShift) == 0)
+        this->shiftDemand();
+    for (Engine &engine : this->engines) {
+        for (std::uint32_t layer = 0; layer < this->scale.layers; ++layer) {
+            for (std::uint32_t expert = 0; expert < this->scale.experts; ++expert) {
+                const double chosen = this->demand[layer][expert] * TokensPerStep;
+                // Rounds up with the probability of the fraction.
+                engine.counts[std::size_t(layer) * this->scale.experts + expert] +=
+                        static_cast<std::uint64_t>(chosen + this->random.unit());
+            }
+        }
+    }
     return {};
 }
 
 void SwitchWorld::shiftDemand()
 {
-    if (this->random.below(40) == 0)
-        this->hotExpert = static_cast<std::uint32_t>(this->random.below(Experts));
-    for (auto &row : this->counts) {
-        for (std::uint32_t expert = 0; expert < Experts; ++expert)
-            row[expert] += expert == this->hotExpert ? 60 : 10;
+    for (auto &layer : this->demand) {
+        layer.assign(this->scale.experts, 0);
+        const std::uint32_t hotExperts = 1 + this->scale.experts / 20;
+        for (double &share : layer)
+            share = (1 - HotShare) / this->scale.experts;
+        for (std::uint32_t number = 0; number < hotExperts; ++number)
+            layer[this->random.below(this->scale.experts)] += HotShare / hotExperts;
     }
 }
 
+double SwitchWorld::skewOfStep() const
+{
+    ExpertMap map;
+    map.slots = this->engines.front().map;
+    return PlacementPlanner::skew(map, this->demand);
+}
+
+double SwitchWorld::meanSkew() const
+{
+    return this->skewSum / static_cast<double>(this->measuredSteps);
+}
+
 std::uint64_t SwitchWorld::lowestMap() const
 {
     return std::min_element(this->engines.begin(), this->engines.end(),
@@ -134,15 +211,81 @@
             ->state.mapVersion;
 }
 
-void SwitchWorld::send(std::uint32_t from, const RankState &state,
-                       const std::optional<OwnerCommand> &command)
+void SwitchWorld::post(std::uint32_t from, const GroupExchange::Message &message)
 {
-    for (std::uint32_t to = 0; to < this->ranks; ++to) {
-        if (to == from || this->random.unit() < this->faults.lostMessages)
-            continue;
-        this->messages.push_back(
-                {this->now + milliseconds(1 + this->random.below(60)), to, state, command});
-    }
+    const auto to = static_cast<std::uint32_t>(std::stoul(message.address));
+    if (to == from || this->random.unit() < this->faults.lostMessages)
+        return;
+    std::size_t bytes = 0;
+    if (const auto *state = std::get_if<std::shared_ptr<const RankState>>(&message.body))
+        bytes = encodeRankState(**state).size();
+    else if (const auto *counts = std::get_if<std::shared_ptr<const ExpertCounts>>(&message.body))
+        bytes = encodeExpertCounts(**counts).size();
+    else
+        bytes = encodeOwnerCommand(*std::get<std::shared_ptr<const OwnerCommand>>(message.body))
+                        .size();
+    if (const auto arrival = this->network.send(this->now, from, to, bytes))
+        this->messages.emplace(*arrival + milliseconds(1 + this->random.below(60)),
+                               Message{to, message.body});
+}
+
+void SwitchWorld::exchangeStates(std::uint32_t rank)
+{
+    Agent &agent = this->agents[rank];
+    agent.rankSwitch->describe(agent.state);
+    agent.state.experts.clear();
+    for (const auto &layer : this->engines[rank].map)
+        agent.state.experts.push_back(layer[rank]);
+    RankState own = agent.state;
+    own.sequence = ++agent.ownReports;
+    agent.owner->report(this->now, own);
+    agent.state.wantsExperts = agent.owner->wantsExperts();
+    const auto command = agent.owner->tick(this->now, rank);
+    if (command)
+        agent.rankSwitch->ownerCommanded(*command);
+    agent.rankSwitch->describe(agent.state);
+    GroupExchange::Messages out;
+    agent.exchange->tick(this->now, agent.state, command, out);
+    for (const GroupExchange::Message &message : out)
+        this->post(rank, message);
+}
+
+void SwitchWorld::sampleCounts(std::uint32_t rank)
+{
+    Agent &agent = this->agents[rank];
+    const std::vector<std::uint64_t> &counts = this->engines[rank].counts;
+    if (this->now < agent.nextCountsAt)
+        return;
+    agent.nextCountsAt = this->now + CountsPeriod;
+    ExpertCounts sample;
+    sample.rank = rank;
+    sample.epoch = this->engines[rank].state.epoch;
+    for (std::size_t index = 0; index < agent.lastCounts.size(); ++index)
+        sample.counts.push_back(counts[index] - agent.lastCounts[index]);
+    agent.lastCounts = counts;
+    if (agent.exchange->isHub())
+        agent.owner->addCounts(sample);
+    agent.exchange->countsSampled(std::move(sample));
+}
+
+void SwitchWorld::receive(std::uint32_t rank, const RankState &state)
+{
+    Agent &agent = this->agents[rank];
+    if (!agent.exchange->stateReceived(this->now, state))
+        return;
+    agent.rankSwitch->peerReported(state);
+    agent.owner->report(this->now, state);
+}
+
+void SwitchWorld::receive(std::uint32_t rank, const OwnerCommand &command)
+{
+    this->agents[rank].exchange->commandReceived(this->now, command);
+    this->agents[rank].rankSwitch->ownerCommanded(command);
+}
+
+void SwitchWorld::receive(std::uint32_t rank, const ExpertCounts &counts)
+{
+    this->agents[rank].owner->addCounts(counts);
 }
 
 void SwitchWorld::deliver()
@@ -153,23 +296,12 @@
     }
     std::erase_if(this->lateCommands,
                   [this](const LateCommand &late) { return late.due <= this->now; });
-    std::vector<Message> due;
-    for (const Message &message : this->messages) {
-        if (message.due <= this->now)
-            due.push_back(message);
-    }
-    std::erase_if(this->messages,
-                  [this](const Message &message) { return message.due <= this->now; });
-    for (const Message &message : due) {
-        Agent &agent = this->agents[message.to];
-        if (this->now < agent.pausedUntil)
+    while (!this->messages.empty() && this->messages.begin()->first <= this->now) {
+        const Message message = this->messages.begin()->second;
+        this->messages.erase(this->messages.begin());
+        if (this->now < this->agents[message.to].pausedUntil)
             continue;
-        if (message.command) {
-            agent.rankSwitch->ownerCommanded(*message.command);
-        } else {
-            agent.rankSwitch->peerReported(message.state);
-            agent.owner->report(this->now, message.state);
-        }
+        std::visit([&](const auto &body) { this->receive(message.to, *body); }, message.body);
     }
 }
 
@@ -202,24 +334,15 @@
                                               this->execute(rank, *engineCommand));
         }
     }
-    agent.rankSwitch->describe(agent.state);
-    ++agent.state.sequence;
-    agent.state.counts = this->counts[rank];
-    agent.state.experts = {{}};
-    for (std::uint32_t expert = rank; expert < Experts; expert += this->ranks)
-        agent.state.experts[0].push_back(expert);
-    agent.owner->report(this->now, agent.state);
-    this->send(rank, agent.state, std::nullopt);
-    if (const auto command = agent.owner->tick(this->now, rank)) {
-        agent.rankSwitch->ownerCommanded(*command);
-        this->send(rank, agent.state, command);
-    }
+    this->sampleCounts(rank);
+    this->exchangeStates(rank);
 }
 
 std::string SwitchWorld::run(milliseconds span)
 {
     for (const Instant end = this->now + span; this->now < end; this->now += Tick) {
         this->deliver();
+        this->finishLoading();
         for (std::uint32_t rank = 0; rank < this->ranks; ++rank)
             this->runAgent(rank);
         if (const std::string violation = this->advanceStep(); !violation.empty())
--- a/Tests/Experts/SwitchWorld.h
+++ b/Tests/Experts/SwitchWorld.h
@@ -2,10 +2,13 @@
 
 #include "Core/RandomSource.h"
 #include "Core/Time.h"
+#include "Experts/GroupExchange.h"
 #include "Experts/RankSwitch.h"
 #include "Experts/SwitchOwner.h"
+#include "SimulatedLinks.h"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -29,8 +32,24 @@
         bool restarts = false;
     };
 
+    struct Scale
+    {
+        std::uint32_t layers = 1;
+        std::uint32_t experts = 12;
+        std::uint32_t placements = 12;
+        /// Experts that a rank can load in a layer for one change.
+        std::uint32_t spares = 3;
+        /// Time from a prepare command until the experts are loaded.
+        std::chrono::milliseconds copyTime{0};
+        /// Mean steps between two shifts of demand.
+        std::uint32_t stepsPerShift = 40;
+        SimulatedLinks::Limits links;
+    };
+
     SwitchWorld(std::uint32_t ranks, std::uint64_t seed, const Faults &faults,
                 RankSwitch::SafetyRules rules = {});
+    SwitchWorld(std::uint32_t ranks, std::uint64_t seed, const Faults &faults,
+                RankSwitch::SafetyRules rules, const Scale &scale);
 
     /// Runs for \a span. Returns the first violation: a step that began with two maps.
     std::string run(std::chrono::milliseconds span);
@@ -41,12 +60,23 @@
     std::uint64_t step() const { return this->currentStep; }
     std::uint64_t lowestMap() const;
     std::uint64_t completedChanges() const { return this->changes; }
+    const SimulatedLinks &links() const { return this->network; }
+    /// Mean over the steps so far of the most loaded rank over the mean of all ranks.
+    double meanSkew() const;
 
 private:
+    using Slots = std::vector<std::vector<std::vector<std::uint32_t>>>;
+
     struct Engine
     {
         EngineState state;
         std::uint64_t highestVersion = 0;
+        /// Maps in use and prepared, by layer and rank.
+        Slots map;
+        Slots prepared;
+        std::optional<std::uint64_t> loadingVersion;
+        Instant loadedAt;
+        std::vector<std::uint64_t> counts;
     };
 
     struct LateCommand
@@ -58,10 +88,8 @@
 
     struct Message
     {
-        Instant due;
         std::uint32_t to = 0;
-        RankState state;
-        std::optional<OwnerCommand> command;
+        GroupExchange::Message::Body body;
     };
 
     struct Agent
@@ -70,15 +98,25 @@
         std::unique_ptr<SwitchOwner> owner;
         RankState state;
         Instant pausedUntil;
+        std::unique_ptr<GroupExchange> exchange;
         Instant nextReportAt;
+        Instant nextCountsAt;
+        std::vector<std::uint64_t> lastCounts;
+        std::uint64_t ownReports = 0;
     };
 
     EngineCommandResult execute(std::uint32_t rank, const EngineCommand &engineCommand);
     void startAgent(std::uint32_t rank);
     void runAgent(std::uint32_t rank);
-    void send(std::uint32_t from, const RankState &state,
-              const std::optional<OwnerCommand> &command);
+    void exchangeStates(std::uint32_t rank);
+    void sampleCounts(std::uint32_t rank);
+    void post(std::uint32_t from, const GroupExchange::Message &message);
+    void receive(std::uint32_t rank, const RankState &state);
+    void receive(std::uint32_t rank, const OwnerCommand &command);
+    void receive(std::uint32_t rank, const ExpertCounts &counts);
     void deliver();
+    void finishLoading();
+    double skewOfStep() const;
     std::string advanceStep();
     void shiftDemand();
 
@@ -91,12 +129,16 @@
     std::uint64_t currentStep = 0;
     std::uint64_t changes = 0;
     std::uint64_t incarnations = 0;
-    std::uint32_t hotExpert = 0;
+    Scale scale;
+    SimulatedLinks network;
+    /// Share of the tokens that choose each expert, by layer.
+    std::vector<std::vector<double>> demand;
+    double skewSum = 0;
+    std::uint64_t measuredSteps = 0;
     std::vector<Engine> engines;
     std::vector<Agent> agents;
     std::vector<LateCommand> lateCommands;
-    std::vector<Message> messages;
-    std::vector<std::vector<std::uint64_t>> counts;
+    std::multimap<Instant, Message> messages;
 };
 
 } // namespace Nutmegrill
