Let two entries a failure domain watch the store for the others

Two entries of each failure domain, chosen by rendezvous hash among those that report to reach the store, watch it now; the others learn changes from them as soon as a report names a newer revision. An entry whose report is 500 ms old or says that the store is lost is replaced. The return of the store after an outage is told in reports, because it decides how long removed rows stay usable.

MembershipPropertyTest covers the watchers; its switch withoutReplacingCutWatchersTheConfigurationIsMissing fails as it must. The entry that reaches the store at the end of a script is now any of them.

--- a/Source/Relay/BackendRoster.cpp
+++ b/Source/Relay/BackendRoster.cpp
@@ -54,7 +54,7 @@
 
 void BackendRoster::storeReturned(Instant now)
 {
-    this->storeReturnedAt = now;
+    this->storeReturnedAt = std::max(this->storeReturnedAt.value_or(now), now);
 }
 
 void BackendRoster::tick(Instant now)
--- a/Source/Relay/EntryReport.h
+++ b/Source/Relay/EntryReport.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace Nutmegrill {
@@ -25,6 +27,10 @@
     bool isLeaving = false;
     /// Store revision up to which this entry has every change.
     std::uint64_t knownRevision = 0;
+    /// The last call to the store succeeded.
+    bool reachesStore = true;
+    /// Time since the store answered this entry again after an outage; only shortly afterwards.
+    std::optional<std::chrono::milliseconds> sinceStoreReturned;
     /// Running requests of this entry, by id of the backend server.
     std::map<std::string, std::uint32_t> running;
     /// Requests that wait for a slot at this entry, by service.
--- a/Source/Relay/EntryTable.cpp
+++ b/Source/Relay/EntryTable.cpp
@@ -1,6 +1,9 @@
 #include "Relay/EntryTable.h"
 
+#include "Membership/RelaySelector.h"
+
 #include <chrono>
+#include <utility>
 
 namespace Nutmegrill {
 
@@ -19,6 +22,9 @@
 constexpr std::chrono::milliseconds MinSilenceBeforeEarlierStart{500};
 /// Addresses are deleted after this time without a report.
 constexpr std::chrono::seconds AddressRetention{60};
+/// An entry without a report for this long is not counted on to watch the store. An additional
+/// watcher costs little, and changes have to be known within two seconds.
+constexpr std::chrono::milliseconds WatcherTimeout{500};
 
 } // namespace
 
@@ -108,17 +114,38 @@
     return count;
 }
 
-std::optional<std::string> EntryTable::findPeerAhead(std::uint64_t revision, Instant now) const
+std::optional<std::string> EntryTable::findPeerAhead(std::uint64_t revision,
+                                                     const std::string &domain, Instant now) const
 {
+    const auto preference = [&domain](const Row &row) {
+        return std::make_pair(row.report->failureDomain == domain, row.report->knownRevision);
+    };
     const Row *best = nullptr;
     for (const auto &[address, row] : this->rows) {
         if (this->isLive(row, now) && row.report->knownRevision > revision
-            && (best == nullptr || row.report->knownRevision > best->report->knownRevision))
+            && (best == nullptr || preference(row) > preference(*best)))
             best = &row;
     }
     return best == nullptr ? std::nullopt : std::optional(best->peerAddress);
 }
 
+bool EntryTable::watchesStore(const std::string &name, const std::string &domain, Instant now) const
+{
+    const auto recordOf = [](const std::string &entry, const std::string &failureDomain) {
+        InstanceRecord record;
+        record.name = entry;
+        record.failureDomain = failureDomain;
+        return record;
+    };
+    std::vector<InstanceRecord> watchers = {recordOf(name, domain)};
+    for (const auto &[address, row] : this->rows) {
+        if (row.report && now < row.lastSeenAt + WatcherTimeout && !row.report->isLeaving
+            && (row.report->reachesStore || !this->switches.replacesCutWatchers))
+            watchers.push_back(recordOf(row.report->name, row.report->failureDomain));
+    }
+    return RelaySelector::isRelay(name, domain, watchers);
+}
+
 void EntryTable::tick(Instant now)
 {
     std::erase_if(this->rows, [now](const auto &entry) {
--- a/Source/Relay/EntryTable.h
+++ b/Source/Relay/EntryTable.h
@@ -34,6 +34,8 @@
         bool acceptsEarlierStart = true;
         /// Silent entries count for shared limits for some more seconds.
         bool countsSilent = true;
+        /// Entries that lost the store are not counted on to watch it.
+        bool replacesCutWatchers = true;
     };
 
     EntryTable() = default;
@@ -61,8 +63,14 @@
 
     std::uint32_t waitingElsewhere(const std::string &service, Instant now) const;
 
-    /// Peer address of the live entry with the highest store revision above \a revision.
-    std::optional<std::string> findPeerAhead(std::uint64_t revision, Instant now) const;
+    /// Peer address of the live entry with the highest store revision above \a revision, in the
+    /// given failure domain if there is one.
+    std::optional<std::string> findPeerAhead(std::uint64_t revision, const std::string &domain,
+                                             Instant now) const;
+
+    /// Whether the entry \a name watches the store: one of two in its failure domain that reach it.
+    /// The others learn changes from them, so the load of the store does not grow with the entries.
+    bool watchesStore(const std::string &name, const std::string &domain, Instant now) const;
 
     void tick(Instant now);
 
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -25,17 +25,21 @@
 
 std::string encodeReport(const EntryReport &report)
 {
-    return toBytes({{"name", report.name},
-                    {"incarnation", report.incarnation},
-                    {"sequence", report.sequence},
-                    {"domain", report.failureDomain},
-                    {"callers", report.callerAddress},
-                    {"peers", report.peerAddress},
-                    {"serving", report.isServing},
-                    {"leaving", report.isLeaving},
-                    {"revision", report.knownRevision},
-                    {"running", report.running},
-                    {"waiting", report.waiting}});
+    Json json = {{"name", report.name},
+                 {"incarnation", report.incarnation},
+                 {"sequence", report.sequence},
+                 {"domain", report.failureDomain},
+                 {"callers", report.callerAddress},
+                 {"peers", report.peerAddress},
+                 {"serving", report.isServing},
+                 {"leaving", report.isLeaving},
+                 {"revision", report.knownRevision},
+                 {"store", report.reachesStore},
+                 {"running", report.running},
+                 {"waiting", report.waiting}};
+    if (report.sinceStoreReturned)
+        json["returned"] = report.sinceStoreReturned->count();
+    return toBytes(json);
 }
 
 std::optional<EntryReport> decodeReport(std::string_view bytes)
@@ -54,6 +58,10 @@
         report.isServing = json.value("serving", false);
         report.isLeaving = json.value("leaving", false);
         report.knownRevision = json.value("revision", std::uint64_t(0));
+        report.reachesStore = json.value("store", true);
+        if (json.contains("returned"))
+            report.sinceStoreReturned =
+                    std::chrono::milliseconds(json.at("returned").get<std::uint32_t>());
         report.running = json.value("running", decltype(report.running)());
         report.waiting = json.value("waiting", decltype(report.waiting)());
         if (report.peerAddress.empty())
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -30,6 +30,8 @@
 constexpr int IdleClosePercent = 75;
 /// Share of the grace time after which the process ends even if requests are open.
 constexpr int ExitPercent = 96;
+/// Other entries learn of the return of the store for this long.
+constexpr milliseconds StoreReturnReportTime{1000};
 constexpr const char *PeerUpdatePrefix = "/state?after=";
 
 } // namespace
@@ -67,11 +69,7 @@
                                "reason=\"" + reason + "\" revision="
                                        + std::to_string(this->storeFeed.mirror().revision()));
                  },
-                 [this](milliseconds outage) {
-                     this->node.roster().storeReturned(this->loop.now());
-                     this->log(RelayLog::StoreRegained, LogRecord::Level::Info,
-                               "away_ms=" + std::to_string(outage.count()));
-                 }}),
+                 [this](milliseconds outage) { this->storeReturned(outage); }}),
       callerListener(
               loop, options.callerAddress, options.maxConnections,
               [this](HttpListener::Request &&request) { this->handleRequest(std::move(request)); }),
@@ -266,6 +264,17 @@
     this->execute(commands);
 }
 
+void RelayEntry::storeReturned(milliseconds outage)
+{
+    const Instant now = this->loop.now();
+    // The first answer after the start is no return.
+    if (this->storeFeed.isComplete())
+        this->storeReturnedAt = now;
+    this->node.roster().storeReturned(now);
+    this->log(RelayLog::StoreRegained, LogRecord::Level::Info,
+              "away_ms=" + std::to_string(outage.count()));
+}
+
 void RelayEntry::handleReport(std::string_view bytes)
 {
     const std::optional<EntryReport> report = decodeReport(bytes);
@@ -273,7 +282,13 @@
         this->metrics.add("nutmegrill_reports_unreadable_total", {});
         return;
     }
-    this->node.entries().update(this->loop.now(), *report);
+    const Instant now = this->loop.now();
+    if (!this->node.entries().update(now, *report))
+        return;
+    if (report->sinceStoreReturned)
+        this->node.roster().storeReturned(now - *report->sinceStoreReturned);
+    if (!this->isWatchingStore && report->knownRevision > this->storeFeed.mirror().revision())
+        this->pullFromPeer();
 }
 
 void RelayEntry::sendReports()
@@ -288,10 +303,18 @@
     report.isServing = this->isServing();
     report.isLeaving = this->stopAt != NoDeadline;
     report.knownRevision = this->storeFeed.mirror().revision();
+    report.reachesStore = this->storeFeed.isConnected();
+    const Instant now = this->loop.now();
+    if (this->storeReturnedAt && now < *this->storeReturnedAt + StoreReturnReportTime)
+        report.sinceStoreReturned =
+                std::chrono::duration_cast<milliseconds>(now - *this->storeReturnedAt);
     this->node.fillReport(report);
     const std::string bytes = encodeReport(report);
     for (const std::string &address : this->node.entries().peerAddresses())
         this->reportSocket.send(address, bytes);
+    this->isWatchingStore =
+            this->node.entries().watchesStore(this->options.name, this->options.failureDomain, now);
+    this->storeFeed.setWatching(this->isWatchingStore);
     this->pullFromPeer();
 }
 
@@ -300,7 +323,8 @@
     if (this->peerCall != nullptr && this->peerCall->isBusy())
         return;
     const std::uint64_t revision = this->storeFeed.mirror().revision();
-    const auto peer = this->node.entries().findPeerAhead(revision, this->loop.now());
+    const auto peer = this->node.entries().findPeerAhead(revision, this->options.failureDomain,
+                                                         this->loop.now());
     if (!peer)
         return;
     this->peerCall = std::make_unique<ClientConnection>(this->loop, *peer, PeerConnectTimeout);
@@ -332,6 +356,7 @@
     if (this->lease != 0) {
         this->store.renewLease(this->lease, [this](const StateStore::Result &result) {
             this->isAnnouncing = false;
+            this->storeFeed.recordCall(result);
             if (result.status == StateStore::Status::LeaseNotFound) {
                 this->lease = 0;
                 this->announce();
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -70,6 +70,7 @@
     void handleReport(std::string_view bytes);
     void sendReports();
     void pullFromPeer();
+    void storeReturned(std::chrono::milliseconds outage);
     void announce();
     void execute(RelayNode::Commands &commands);
     void executeOne(const RelayCommand::StartAttempt &command);
@@ -111,7 +112,10 @@
     std::unique_ptr<EventLoop::Timer> terminateSignal;
     std::uint64_t reportSequence = 0;
     std::uint64_t lease = 0;
+    /// When the store last answered again after an outage.
+    std::optional<Instant> storeReturnedAt;
     bool isAnnouncing = false;
+    bool isWatchingStore = true;
     bool wasServing = false;
     Instant stopAt = NoDeadline;
 };
--- a/Source/RelayShell/StoreFeed.cpp
+++ b/Source/RelayShell/StoreFeed.cpp
@@ -30,6 +30,7 @@
 
 void StoreFeed::readAll()
 {
+    this->isActive = true;
     this->store.readAll([this](const StateStore::Result &result) {
         if (result.status != StateStore::Status::Ok) {
             this->scheduleRetry(result.reason, &StoreFeed::readAll);
@@ -44,8 +45,24 @@
     });
 }
 
+void StoreFeed::setWatching(bool isWatching)
+{
+    this->watching = isWatching;
+    if (isWatching && !this->isActive)
+        this->watch();
+}
+
+void StoreFeed::recordCall(const StateStore::Result &result)
+{
+    result.status == StateStore::Status::Failed ? this->recordFailure(result.reason)
+                                                : this->recordSuccess();
+}
+
 void StoreFeed::watch()
 {
+    this->isActive = this->watching;
+    if (!this->isActive)
+        return;
     this->store.watch(
             this->localMirror.revision(), WatchTimeout, [this](const StateStore::Result &result) {
                 switch (result.status) {
@@ -79,13 +96,18 @@
             std::chrono::duration_cast<milliseconds>(this->loop.now() - this->lostAt));
 }
 
+void StoreFeed::recordFailure(const std::string &reason)
+{
+    if (!this->connected)
+        return;
+    this->connected = false;
+    this->lostAt = this->loop.now();
+    this->observer.onLost(reason);
+}
+
 void StoreFeed::scheduleRetry(const std::string &reason, void (StoreFeed::*retry)())
 {
-    if (this->connected) {
-        this->connected = false;
-        this->lostAt = this->loop.now();
-        this->observer.onLost(reason);
-    }
+    this->recordFailure(reason);
     this->loop.after(this->retryBackoff, [this, retry] { (this->*retry)(); });
     this->retryBackoff = std::min(this->retryBackoff * 2, MaxRetryBackoff);
 }
--- a/Source/RelayShell/StoreFeed.h
+++ b/Source/RelayShell/StoreFeed.h
@@ -32,6 +32,13 @@
     /// The last call to the store succeeded.
     bool isConnected() const { return this->connected; }
 
+    /// Whether this entry watches the store. If not, it only reads all keys once and then learns
+    /// changes from other entries.
+    void setWatching(bool isWatching);
+
+    /// Result of a call to the store that was not made by this feed.
+    void recordCall(const StateStore::Result &result);
+
     /// Applies changes that were received from another entry.
     void merge(const StoreMirror::Update &update);
 
@@ -39,6 +46,7 @@
     void readAll();
     void watch();
     void recordSuccess();
+    void recordFailure(const std::string &reason);
     void scheduleRetry(const std::string &reason, void (StoreFeed::*retry)());
 
     EventLoop &loop;
@@ -47,6 +55,9 @@
     StoreMirror localMirror;
     bool complete = false;
     bool connected = false;
+    bool watching = true;
+    /// A read, a watch or a retry is under way.
+    bool isActive = false;
     Instant lostAt;
     std::chrono::milliseconds retryBackoff;
 };
--- a/Tests/Relay/EntryCluster.cpp
+++ b/Tests/Relay/EntryCluster.cpp
@@ -50,6 +50,16 @@
     return "10.0.0." + std::to_string(entry + 1) + ":7340";
 }
 
+std::string nameOf(std::size_t entry)
+{
+    return "entry-" + std::to_string(entry);
+}
+
+std::string domainOf(std::size_t entry)
+{
+    return entry % 2 == 0 ? "north" : "south";
+}
+
 void dropBefore(std::deque<Instant> &times, Instant begin)
 {
     while (!times.empty() && times.front() <= begin)
@@ -88,6 +98,7 @@
     settings.reducesColdRateAfterStart = this->switches.reducesColdRateAfterStart;
     entry.node = std::make_unique<RelayNode>(settings);
     entry.mirror = {};
+    entry.noticedStore = true;
     this->clock += 10;
     entry.incarnation = this->clock + static_cast<std::uint64_t>(500'000 + clockJump);
     entry.sequence = 0;
@@ -145,6 +156,11 @@
 void EntryCluster::readStore(std::size_t number)
 {
     Entry &entry = this->entries[number];
+    const bool isComplete = entry.mirror.revision() > 0;
+    if (isComplete
+        && !entry.node->entries().watchesStore(nameOf(number), domainOf(number), this->now))
+        return;
+    entry.noticedStore = entry.reachesStore;
     if (!entry.reachesStore || entry.mirror.revision() == this->revision)
         return;
     RelayNode::Commands commands;
@@ -160,6 +176,9 @@
 {
     Entry &entry = this->entries[number];
     EntryReport report;
+    report.name = nameOf(number);
+    report.failureDomain = domainOf(number);
+    report.reachesStore = entry.noticedStore;
     report.peerAddress = addressOf(number);
     report.callerAddress = report.peerAddress;
     report.incarnation = entry.incarnation;
@@ -183,7 +202,8 @@
 void EntryCluster::pullFromPeer(std::size_t number)
 {
     Entry &entry = this->entries[number];
-    const auto peer = entry.node->entries().findPeerAhead(entry.mirror.revision(), this->now);
+    const auto peer = entry.node->entries().findPeerAhead(entry.mirror.revision(), domainOf(number),
+                                                          this->now);
     if (!peer || !this->switches.pullsFromPeers)
         return;
     for (std::size_t from = 0; from < Entries; ++from) {
@@ -316,8 +336,9 @@
     }
     // The partitions end, and only one entry reaches the store; the others learn from it.
     this->partitions.clear();
+    const std::size_t reaching = this->random.below(Entries);
     for (std::size_t entry = 0; entry < Entries; ++entry)
-        this->entries[entry].reachesStore = entry == 0;
+        this->entries[entry].reachesStore = entry == reaching;
     for (Instant end = this->now + ConvergenceTime; this->now < end;) {
         this->step(1, false);
         if (const std::string failure = this->checkLimits(); !failure.empty())
--- a/Tests/Relay/EntryCluster.h
+++ b/Tests/Relay/EntryCluster.h
@@ -51,6 +51,8 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         bool reachesStore = true;
+        /// What the entry learned by its last read.
+        bool noticedStore = true;
         Instant upAt;
     };
     struct Datagram
--- a/Tests/Relay/MembershipPropertyTest.cpp
+++ b/Tests/Relay/MembershipPropertyTest.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(withoutAcceptingEarlierStartsEntriesAreMissing);
     CPPUNIT_TEST(withoutPullingTheConfigurationIsMissing);
     CPPUNIT_TEST(withoutTheReducedColdRateAfterAStartTheLimitBreaks);
+    CPPUNIT_TEST(withoutReplacingCutWatchersTheConfigurationIsMissing);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -81,6 +82,14 @@
         CPPUNIT_ASSERT(!runScripts(switches).empty());
     }
 
+    // Two entries of a failure domain watch the store for the others; both may lose it.
+    void withoutReplacingCutWatchersTheConfigurationIsMissing()
+    {
+        EntryCluster::Switches switches;
+        switches.table.replacesCutWatchers = false;
+        CPPUNIT_ASSERT(!runScripts(switches).empty());
+    }
+
     // A restarted entry would send its full share again within the second in which its previous
     // start used it.
     void withoutTheReducedColdRateAfterAStartTheLimitBreaks()
