Give up on answers without end

Servers in trouble may send bytes that are no answer without end, in a head or in a body, until the caller closes. Entries read interim responses and late responses to earlier requests without end until the deadline, passed events without an id on to callers, and collected the bodies of the store, of engines and of other entries without a limit. A call to another entry had no timeout at all.

--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -20,6 +20,9 @@
 /// A Keep-Alive timeout is in whole seconds and may be rounded up. Half of it leaves a margin for a
 /// request that is in transit when the peer closes the connection.
 constexpr int KeepAliveTimeoutDivisor = 2;
+/// Bytes of interim responses and of responses to earlier requests that are skipped for one
+/// request. A faulty peer may send them without end.
+constexpr std::size_t MaxDiscardedBytes = 256U << 10U;
 
 std::chrono::milliseconds idleTimeoutOf(const HttpHead &head)
 {
@@ -95,6 +98,7 @@
 {
     this->handlers = std::move(newHandlers);
     this->busy = true;
+    this->discardedBytes = 0;
     if (this->connection == nullptr) {
         const std::weak_ptr<bool> guard = this->alive;
         this->loop.after(std::chrono::milliseconds(0), [this, guard] {
@@ -172,6 +176,12 @@
         if (guard.expired() || this->connection == nullptr)
             return;
         evbuffer_drain(input, used);
+        if (this->interim || this->skipping)
+            this->discardedBytes += used;
+        if (this->discardedBytes > MaxDiscardedBytes) {
+            this->fail(Failure::Malformed);
+            return;
+        }
         if (this->parser.state() == HttpParser::State::Failed) {
             this->fail(Failure::Malformed);
             return;
--- a/Source/Http/ClientConnection.h
+++ b/Source/Http/ClientConnection.h
@@ -85,6 +85,8 @@
     bool reusable = true;
     bool skipping = false;
     bool interim = false;
+    /// Bytes of interim and skipped responses to the present request.
+    std::size_t discardedBytes = 0;
     std::chrono::milliseconds peerIdleTimeout;
     Instant closeAt;
     /// Expires with this object; detects its destruction inside a handler.
--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -25,6 +25,8 @@
     Answer answer;
     AnswerHead head;
     EventStreamReader events;
+    /// Bytes of events without an id; a stream numbers its events.
+    std::size_t unnumberedBytes = 0;
     bool isOver = false;
 };
 
@@ -105,6 +107,11 @@
     }
     openAttempt.events.add(data);
     while (auto event = openAttempt.events.next()) {
+        openAttempt.unnumberedBytes += event->id ? 0 : event->bytes.size();
+        if (openAttempt.unnumberedBytes > MaxEventBytes) {
+            this->fail(attempt, AttemptFailure::Malformed);
+            return;
+        }
         this->observer.onEvent(attempt, std::move(*event));
         if (this->openAttempts.count(attempt) == 0)
             return;
--- a/Source/RelayShell/EngineLink.cpp
+++ b/Source/RelayShell/EngineLink.cpp
@@ -1,6 +1,7 @@
 #include "RelayShell/EngineLink.h"
 
 #include "Http/ClientConnection.h"
+#include "Http/HttpCall.h"
 #include "Net/EventLoop.h"
 
 #include <utility>
@@ -11,6 +12,8 @@
 
 /// The engine is on the same machine or in the same region, where connecting takes milliseconds.
 constexpr std::chrono::milliseconds ConnectTimeout{300};
+/// The counts of 128 ranks take some 100 KB.
+constexpr std::size_t MaxAnswerBytes = 4U << 20U;
 
 } // namespace
 
@@ -27,40 +30,21 @@
         || this->connection->idleDeadline() <= this->loop.now())
         this->connection =
                 std::make_shared<ClientConnection>(this->loop, this->engineAddress, ConnectTimeout);
-    const auto callConnection = this->connection;
-    const auto status = std::make_shared<int>(0);
-    const auto body = std::make_shared<std::string>();
-    // Reset by the first of answer, failure and timeout, so that the callback runs once.
-    const auto pending = std::make_shared<AnswerCallback>(std::move(onAnswer));
-    const std::weak_ptr<bool> guard = this->alive;
-    const auto finish = [this, guard, pending, status, body](bool isComplete) {
-        if (!*pending || guard.expired())
-            return;
-        --this->openCalls;
-        const AnswerCallback callback = std::exchange(*pending, nullptr);
-        callback(isComplete ? *status : 0, *body);
-    };
     ++this->openCalls;
-    ClientConnection::Handlers handlers;
-    handlers.onHead = [status](const HttpHead &head) {
-        *status = head.status;
-        return true;
-    };
-    handlers.onData = [body](std::string_view data) { body->append(data); };
-    handlers.onEnd = [finish] { finish(true); };
-    handlers.onFailure = [finish](ClientConnection::Failure) { finish(false); };
-    this->loop.after(timeout, [callConnection, pending, finish] {
-        if (!*pending)
-            return;
-        callConnection->close();
-        finish(false);
-    });
     std::string text = request.method + " " + request.target
                        + " HTTP/1.1\r\nHost: " + this->engineAddress + "\r\n";
     if (!request.body.empty())
         text += "Content-Type: application/json\r\nContent-Length: "
                 + std::to_string(request.body.size()) + "\r\n";
-    callConnection->send(text + "\r\n" + request.body, std::move(handlers));
+    const std::weak_ptr<bool> guard = this->alive;
+    HttpCall::send(this->loop, this->connection, text + "\r\n" + request.body,
+                   {timeout, MaxAnswerBytes},
+                   [this, guard, onAnswer](int status, const std::string &body) {
+                       if (guard.expired())
+                           return;
+                       --this->openCalls;
+                       onAnswer(status, body);
+                   });
 }
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -1,5 +1,6 @@
 #include "RelayShell/RelayEntry.h"
 
+#include "Http/HttpCall.h"
 #include "Net/EventLog.h"
 #include "Relay/RelayLog.h"
 #include "RelayShell/PeerCodec.h"
@@ -25,6 +26,10 @@
 constexpr milliseconds RenewPeriod{3000};
 /// Other entries accept connections within a few milliseconds.
 constexpr milliseconds PeerConnectTimeout{300};
+/// A peer that takes longer is paused or cut off, and another one is asked.
+constexpr milliseconds PeerAnswerTimeout{1000};
+/// The whole content of the store with 1,000 instances takes less.
+constexpr std::size_t MaxPeerAnswerBytes = 8U << 20U;
 /// Share of the grace time after which idle connections are closed. Until then, callers with a
 /// cached address lookup are still served.
 constexpr int IdleClosePercent = 75;
@@ -327,15 +332,12 @@
                                                          this->loop.now());
     if (!peer)
         return;
-    this->peerCall = std::make_unique<ClientConnection>(this->loop, *peer, PeerConnectTimeout);
-    auto body = std::make_shared<std::string>();
-    ClientConnection::Handlers handlers;
-    handlers.onHead = [](const HttpHead &) { return true; };
-    handlers.onData = [body](std::string_view data) { body->append(data); };
-    handlers.onFailure = [](ClientConnection::Failure) {};
-    handlers.onEnd = [this, body, peer = *peer] {
-        const auto update = decodeUpdate(*body);
-        if (!update)
+    this->peerCall = std::make_shared<ClientConnection>(this->loop, *peer, PeerConnectTimeout);
+    const std::string request = "GET " + std::string(PeerUpdatePrefix) + std::to_string(revision)
+                                + " HTTP/1.1\r\nHost: " + *peer + "\r\nConnection: close\r\n\r\n";
+    const auto merge = [this, peer = *peer](int status, const std::string &body) {
+        const auto update = decodeUpdate(body);
+        if (status != 200 || !update)
             return;
         this->log(RelayLog::MirroredFromPeer, LogRecord::Level::Info,
                   "peer=" + peer + " before=" + std::to_string(this->storeFeed.mirror().revision())
@@ -343,9 +345,8 @@
                           + " items=" + std::to_string(update->items.size()));
         this->storeFeed.merge(*update);
     };
-    this->peerCall->send("GET " + std::string(PeerUpdatePrefix) + std::to_string(revision)
-                                 + " HTTP/1.1\r\nHost: " + *peer + "\r\nConnection: close\r\n\r\n",
-                         std::move(handlers));
+    HttpCall::send(this->loop, this->peerCall, request, {PeerAnswerTimeout, MaxPeerAnswerBytes},
+                   merge);
 }
 
 void RelayEntry::announce()
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -104,7 +104,7 @@
     HttpListener metricsListener;
     DatagramSocket reportSocket;
     std::map<HttpListener::RequestId, OpenRequest> requests;
-    std::unique_ptr<ClientConnection> peerCall;
+    std::shared_ptr<ClientConnection> peerCall;
     LoopLag loopLag;
     std::unique_ptr<EventLoop::Timer> tickTimer;
     std::unique_ptr<EventLoop::Timer> reportTimer;
--- a/Tests/Http/ConnectionTest.cpp
+++ b/Tests/Http/ConnectionTest.cpp
@@ -1,9 +1,12 @@
 #include "Http/ClientConnection.h"
+#include "Http/HttpCall.h"
 #include "Http/HttpListener.h"
 #include "Net/EventLoop.h"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -11,6 +14,8 @@
 #include <unistd.h>
 #include <utility>
 
+#include <event2/event.h>
+
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -48,6 +53,11 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(this->port); }
     void accept() { this->accepted = ::accept(this->socket, nullptr, nullptr); }
     void send(const std::string &bytes) { ::send(this->accepted, bytes.data(), bytes.size(), 0); }
+    /// Sends what the socket takes at once. Returns the number of bytes, or -1 if the peer closed.
+    ssize_t sendSome(const std::string &bytes)
+    {
+        return ::send(this->accepted, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
     void endConnection() { shutdown(this->accepted, SHUT_RDWR); }
 
 private:
@@ -106,6 +116,10 @@
     CPPUNIT_TEST(oversizedRequestsAreRejected);
     CPPUNIT_TEST(ambiguousLengthIsRejected);
     CPPUNIT_TEST(whitespaceInHeaderNameIsRejected);
+    CPPUNIT_TEST(endlessHeadIsRejected);
+    CPPUNIT_TEST(endlessInterimResponsesAreRejected);
+    CPPUNIT_TEST(endlessSkippedBodyIsRejected);
+    CPPUNIT_TEST(endlessBodyFailsTheCall);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -268,7 +282,73 @@
         CPPUNIT_ASSERT(!handled);
     }
 
+    // Guards against a response head without end, which is read until the deadline.
+    void endlessHeadIsRejected()
+    {
+        HttpParser::setHeaderLimit(4096);
+        this->respondWithoutEnd("HTTP/1.1 200 OK\r\n", "X-More: xxxxxxxxxxxxxxxx\r\n");
+        this->respondWithoutEnd("HTTP/1.1 200 OK\r\nX-Long: ", "xxxxxxxxxxxxxxxxxxxxxxxx");
+    }
+
+    void endlessInterimResponsesAreRejected()
+    {
+        this->respondWithoutEnd({}, "HTTP/1.1 102 Processing\r\n\r\n");
+    }
+
+    // Guards against a late response to an earlier request that has no end.
+    void endlessSkippedBodyIsRejected()
+    {
+        this->respondWithoutEnd("HTTP/1.1 200 OK\r\nX-Id: old\r\n\r\n", "no end in sight ");
+    }
+
+    // Guards against a store, engine or peer whose response fills the memory.
+    void endlessBodyFailsTheCall()
+    {
+        RawServer server;
+        std::optional<int> status;
+        const auto connection =
+                std::make_shared<ClientConnection>(this->loop, server.address(), Timeout);
+        HttpCall::send(this->loop, connection, "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+                       {std::chrono::seconds(30), 100000},
+                       [&status](int received, const std::string &) { status = received; });
+        this->sendWithoutEnd(server, "HTTP/1.1 200 OK\r\n\r\n", "no end in sight ",
+                             [&status] { return status.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(0, status.value_or(-1));
+        CPPUNIT_ASSERT(!connection->isOpen());
+    }
+
 private:
+    /// Sends \a begin and then \a more again and again until \a done.
+    void sendWithoutEnd(RawServer &server, const std::string &begin, const std::string &more,
+                        const std::function<bool()> &done)
+    {
+        this->loop.runUntil([] { return false; }, milliseconds(30));
+        server.accept();
+        server.send(begin);
+        std::string block;
+        while (block.size() < 4096)
+            block += more;
+        ssize_t sentBytes = 0;
+        // Far above every limit, so that a missing limit ends the test.
+        constexpr ssize_t MaxSentBytes = 32 << 20;
+        while (!done() && sentBytes < MaxSentBytes) {
+            sentBytes += std::max<ssize_t>(0, server.sendSome(block));
+            event_base_loop(this->loop.base(), EVLOOP_NONBLOCK);
+        }
+        CPPUNIT_ASSERT_MESSAGE("read " + std::to_string(sentBytes) + " bytes", done());
+    }
+
+    void respondWithoutEnd(const std::string &begin, const std::string &more)
+    {
+        Outcome outcome;
+        RawServer server;
+        this->client = std::make_unique<ClientConnection>(this->loop, server.address(), Timeout);
+        this->client->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", outcome.handlers("new"));
+        this->sendWithoutEnd(server, begin, more, [&] { return outcome.isFinished(); });
+        CPPUNIT_ASSERT(outcome.failure == ClientConnection::Failure::Malformed);
+        CPPUNIT_ASSERT(!this->client->isOpen());
+    }
+
     /// Sends one request to a raw server that responds with \a bytes.
     void exchange(const std::string &bytes, Outcome &outcome, const std::string &expectedId = {},
                   bool endConnection = false)
--- a/Tests/Platform/RelayEntryTest.cpp
+++ b/Tests/Platform/RelayEntryTest.cpp
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include <cppunit/TestFixture.h>
@@ -21,6 +22,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds TestTimeout{3000};
+/// Twice the largest answer that an entry buffers.
+constexpr std::size_t MaxEndlessBytes = 8U << 20U;
 
 constexpr const char *ConfigurationText =
         R"({"version":%V,"routes":[
@@ -101,6 +104,51 @@
     std::vector<HttpListener::RequestId> brokenStreams;
 };
 
+/// Worker whose answers have no end: each repeats a text until the connection is closed.
+struct EndlessWorker
+{
+    EndlessWorker(EventLoop &loop, std::string text, const std::string &contentType)
+        : address(freeAddress()), text(std::move(text)),
+          listener(loop, this->address, 16,
+                   [this, contentType](HttpListener::Request &&request) {
+                       auto *connection = this->listener.find(request.id);
+                       connection->startStream(200, "OK",
+                                               {{"Attempt-Id", *request.head.find("Attempt-Id")},
+                                                {"Response-Seal", "seal-endless"},
+                                                {"Content-Type", contentType}});
+                       this->open.insert(request.id);
+                   }),
+          timer(loop.every(milliseconds(1), [this] { this->sendMore(); }))
+    {
+        this->listener.onCallerDisconnected(
+                [this](HttpListener::RequestId id) { this->open.erase(id); });
+    }
+
+    void sendMore()
+    {
+        for (const auto id : this->open) {
+            std::string block;
+            while (block.size() < 32768)
+                block += this->text;
+            this->listener.find(id)->sendChunk(block);
+            this->sentBytes += block.size();
+        }
+    }
+
+    std::string record(const std::string &service) const
+    {
+        return R"({"service":")" + service + R"(","address":")" + this->address
+               + R"(","zone":"n","slots":4,"state":"ready","coldLeftMs":0,"born":5})";
+    }
+
+    std::string address;
+    std::string text;
+    std::size_t sentBytes = 0;
+    std::set<HttpListener::RequestId> open;
+    HttpListener listener;
+    std::unique_ptr<EventLoop::Timer> timer;
+};
+
 struct Answer
 {
     int status = 0;
@@ -118,6 +166,7 @@
     CPPUNIT_TEST(entryIsNotReadyWithoutConfiguration);
     CPPUNIT_TEST(nonStreamAnswerIsRelayedUnchanged);
     CPPUNIT_TEST(brokenStreamIsResumedWithinOneAnswer);
+    CPPUNIT_TEST(answersWithoutEndAreGivenUp);
     CPPUNIT_TEST(revokedKeyIsRefused);
     CPPUNIT_TEST(requestsDuringPlannedStopAreServed);
     CPPUNIT_TEST(changedGraceTimeAppliesToNextStop);
@@ -196,6 +245,24 @@
         CPPUNIT_ASSERT_EQUAL(1, healthy.requests);
     }
 
+    // Guards against an answer without end that is buffered or passed on until the deadline.
+    void answersWithoutEndAreGivenUp()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        for (const std::string text : {"no answer ", "no answer\n\n"}) {
+            EndlessWorker endless(*this->loop, text, "text/event-stream");
+            this->store->put("servers/i-1", endless.record("m"));
+            const Answer stream = this->send("/s/1", "k");
+            CPPUNIT_ASSERT(stream.isOver && (stream.status == 502 || !stream.isWhole));
+            CPPUNIT_ASSERT(this->loop->runUntil([&] { return endless.open.empty(); }, TestTimeout));
+            CPPUNIT_ASSERT(endless.sentBytes < MaxEndlessBytes);
+        }
+        EndlessWorker plain(*this->loop, "no answer ", "text/plain");
+        this->store->put("servers/i-2", plain.record("p"));
+        CPPUNIT_ASSERT_EQUAL(502, this->send("/r/1", "k").status);
+        CPPUNIT_ASSERT(plain.open.empty() && plain.sentBytes < MaxEndlessBytes);
+    }
+
     void revokedKeyIsRefused()
     {
         Worker worker(*this->loop, "i-1", false);
