Keep the cold rate with more entries than it has requests

The share of each of 31 entries in 17 requests a second is below one, and each was allowed one at least; at 340 entries that would be 340.

If the rate is below one request a second and entry, only as many entries send as the rate has requests, chosen by rendezvous hash for each backend server. A warm one, which may become cold without notice, is used by 1.5 times as many.

MembershipPropertyTest::coldRateHoldsWithMoreEntriesThanItsRequests (60 entries) fails with the choice turned off.

--- a/Source/Relay/ColdRateLimit.cpp
+++ b/Source/Relay/ColdRateLimit.cpp
@@ -6,8 +6,8 @@
 
 bool ColdRateLimit::hasCapacity(Instant now, double perSecond, std::uint32_t entries)
 {
-    // With more entries than requests a second, each entry still may send one: the platform
-    // tolerates 1.5 times the rate and some fixed excess.
+    // With more entries than requests a second, only some of them may send; see
+    // EntryTable::isAmongChosen().
     const auto allowed = std::max(1.0, perSecond / entries);
     return this->sent.count(now) + 1 <= allowed;
 }
--- a/Source/Relay/EntryTable.cpp
+++ b/Source/Relay/EntryTable.cpp
@@ -1,5 +1,6 @@
 #include "Relay/EntryTable.h"
 
+#include "Core/Hash.h"
 #include "Membership/RelaySelector.h"
 
 #include <chrono>
@@ -76,16 +77,34 @@
     return addresses;
 }
 
-std::uint32_t EntryTable::entryCount(Instant now) const
+bool EntryTable::countsForLimits(const Row &row, Instant now) const
 {
     const auto silence =
             this->switches.countsSilent ? SilentEntryRetention : std::chrono::milliseconds(0);
+    const bool isKnown = row.report.has_value() || this->switches.countsAnnounced;
+    return isKnown && now <= row.lastSeenAt + LivenessTimeout + silence;
+}
+
+std::uint32_t EntryTable::entryCount(Instant now) const
+{
     std::uint32_t count = 1;
+    for (const auto &[address, row] : this->rows)
+        count += this->countsForLimits(row, now) ? 1 : 0;
+    return count;
+}
+
+bool EntryTable::isAmongChosen(const std::string &backend, const std::string &ownAddress,
+                               std::uint32_t count, Instant now) const
+{
+    if (!this->switches.choosesEntries)
+        return true;
+    const std::uint64_t ownWeight = rendezvousWeight(backend, ownAddress);
+    std::uint32_t ahead = 0;
     for (const auto &[address, row] : this->rows) {
-        const bool isKnown = row.report.has_value() || this->switches.countsAnnounced;
-        count += isKnown && now <= row.lastSeenAt + LivenessTimeout + silence ? 1 : 0;
+        if (this->countsForLimits(row, now) && rendezvousWeight(backend, address) > ownWeight)
+            ++ahead;
     }
-    return count;
+    return ahead < count;
 }
 
 std::uint32_t EntryTable::runningElsewhere(const std::string &backend, Instant now) const
--- a/Source/Relay/EntryTable.h
+++ b/Source/Relay/EntryTable.h
@@ -36,6 +36,8 @@
         bool countsSilent = true;
         /// Entries that lost the store are not counted on to watch it.
         bool replacesCutWatchers = true;
+        /// A rate below one request a second and entry is used by some entries only.
+        bool choosesEntries = true;
     };
 
     EntryTable() = default;
@@ -58,6 +60,11 @@
     /// hide entries that still send.
     std::uint32_t entryCount(Instant now) const;
 
+    /// Whether the entry at \a ownAddress is one of \a count entries that all entries agree on for
+    /// a backend server.
+    bool isAmongChosen(const std::string &backend, const std::string &ownAddress,
+                       std::uint32_t count, Instant now) const;
+
     /// Requests that the other entries run at a backend server, by their last reports.
     std::uint32_t runningElsewhere(const std::string &backend, Instant now) const;
 
@@ -78,6 +85,7 @@
 
 private:
     bool isLive(const Row &row, Instant now) const;
+    bool countsForLimits(const Row &row, Instant now) const;
 
     Switches switches;
     /// By peer address.
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -45,6 +45,8 @@
     struct Settings
     {
         std::uint64_t seed = 1;
+        /// Address under which the other entries know this one.
+        std::string peerAddress;
         ServiceRetryBudget::Limit retryLimit;
         std::chrono::milliseconds retryWindow{10000};
         RelayPolicy policy;
@@ -100,6 +102,10 @@
         /// Requests that this entry has sent to the backend server.
         std::uint64_t sends = 0;
         ColdRateLimit cold;
+        /// Whether this entry is one of those that use a scarce cold rate, and until when that
+        /// holds.
+        bool isChosen = true;
+        Instant chosenUntil;
     };
 
     Exchange *findByAttempt(AttemptId attempt);
@@ -129,6 +135,8 @@
     ServiceWaitEstimator &waitEstimatorOf(const Exchange &exchange);
     ServiceRetryBudget &retryBudgetOf(const std::string &service);
     std::uint32_t usableSlots(const std::string &service, Instant now) const;
+    bool hasColdCapacity(Instant now, const std::string &backend, BackendUse &use, bool isCold,
+                         double rate, std::uint32_t entries) const;
     double coldRateOf(const ServiceDeclaration *service, bool isCold, Instant now) const;
     double shareOfFreedSlots(const std::string &service, Instant now) const;
     std::uint32_t waitingCount(const std::string &service) const;
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -31,6 +31,11 @@
 /// which covers three restarts of all entries within a second.
 constexpr double StartupColdRateShare = 0.25;
 constexpr milliseconds StartupPeriod{1000};
+/// A warm backend server gets up to this multiple of its cold rate, which platforms tolerate also
+/// when it becomes cold without notice.
+constexpr double WarmRateFactor = 1.5;
+/// The entries that use a scarce cold rate change only with the entries.
+constexpr milliseconds ChoicePeriod{500};
 /// Callers honour Retry-After up to this fraction (1/3) of their remaining time.
 constexpr int RetryAfterDivisor = 3;
 
@@ -82,7 +87,7 @@
         BackendUse &use = this->backendUses[id];
         const bool isCold = now < row.coldUntil;
         const double coldRate = this->coldRateOf(service, isCold, now);
-        if (coldRate > 0 && !use.cold.hasCapacity(now, coldRate, entries))
+        if (coldRate > 0 && !this->hasColdCapacity(now, id, use, isCold, coldRate, entries))
             continue;
         candidates.push_back({id, concurrency.limit(row.record.slots),
                               use.running + this->peers.runningElsewhere(id, now),
@@ -169,6 +174,24 @@
     return std::max(RelayLimits::MinRetryAfter, minPause + spread);
 }
 
+bool RelayNode::hasColdCapacity(Instant now, const std::string &backend, BackendUse &use,
+                                bool isCold, double rate, std::uint32_t entries) const
+{
+    if (!use.cold.hasCapacity(now, rate, entries))
+        return false;
+    const double total = isCold ? rate : rate * WarmRateFactor;
+    if (total >= entries)
+        return true;
+    // Each entry may send one request a second at least, so only as many entries may send.
+    if (now >= use.chosenUntil) {
+        use.chosenUntil = now + ChoicePeriod;
+        use.isChosen =
+                this->peers.isAmongChosen(backend, this->settings.peerAddress,
+                                          std::max(1U, static_cast<std::uint32_t>(total)), now);
+    }
+    return use.isChosen;
+}
+
 double RelayNode::coldRateOf(const ServiceDeclaration *service, bool isCold, Instant now) const
 {
     if (service == nullptr)
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -39,12 +39,19 @@
 constexpr milliseconds StoreReturnReportTime{1000};
 constexpr const char *PeerUpdatePrefix = "/state?after=";
 
+RelayNode::Settings nodeSettings(const RelayEntry::Options &options)
+{
+    RelayNode::Settings settings = options.node;
+    settings.peerAddress = options.peerAddress;
+    return settings;
+}
+
 } // namespace
 
 RelayEntry::RelayEntry(EventLoop &loop, const Options &options, const RelayProtocol &protocol,
                        const StateDecoder &decoder, StateStore &store)
     : loop(loop), options(options), protocol(protocol), decoder(decoder), store(store),
-      node(options.node),
+      node(nodeSettings(options)),
       attempts(loop, protocol,
                {[this](auto attempt) { this->node.attemptConnected(this->loop.now(), attempt); },
                 [this](auto attempt, const AnswerHead &head) {
--- a/Tests/Relay/EntryCluster.cpp
+++ b/Tests/Relay/EntryCluster.cpp
@@ -68,13 +68,14 @@
 
 } // namespace
 
-EntryCluster::EntryCluster(const Switches &switches) : switches(switches), entries(Entries)
+EntryCluster::EntryCluster(const Switches &switches, std::size_t count)
+    : switches(switches), count(count), entries(count)
 {
     this->writeConfiguration();
     // Each entry registers its address in the store, where the others find it.
-    for (std::size_t entry = 0; entry < Entries; ++entry)
+    for (std::size_t entry = 0; entry < this->count; ++entry)
         this->store.push_back({"entry/" + addressOf(entry), addressOf(entry), ++this->revision});
-    for (std::size_t entry = 0; entry < Entries; ++entry)
+    for (std::size_t entry = 0; entry < this->count; ++entry)
         this->start(entry, 0);
 }
 
@@ -92,6 +93,7 @@
     Entry &entry = this->entries[number];
     RelayNode::Settings settings;
     settings.seed = number + 1;
+    settings.peerAddress = addressOf(number);
     settings.retryLimit = {RetryRatio, RetryAllowance};
     settings.retryWindow = RetryWindow;
     settings.entries = this->switches.table;
@@ -119,13 +121,13 @@
 
 void EntryCluster::injectFault(ChoiceScript &script)
 {
-    const std::size_t entry = script.below(Entries);
+    const std::size_t entry = script.below(this->count);
     switch (script.below(9)) {
     case 0: // Partition in one direction only.
-        this->partitions.insert({entry, script.below(Entries)});
+        this->partitions.insert({entry, script.below(this->count)});
         break;
     case 1:
-        for (std::size_t other = 0; other < Entries; ++other) {
+        for (std::size_t other = 0; other < this->count; ++other) {
             this->partitions.insert({entry, other});
             this->partitions.insert({other, entry});
         }
@@ -144,7 +146,7 @@
         this->start(entry, script.below(2) == 0 ? 0 : -100'000);
         break;
     case 6:
-        for (std::size_t each = 0; each < Entries; ++each)
+        for (std::size_t each = 0; each < this->count; ++each)
             this->start(each, script.below(2) == 0 ? 0 : -100'000);
         break;
     default:
@@ -187,7 +189,7 @@
     report.knownRevision = entry.mirror.revision();
     entry.node->fillReport(report);
     for (const std::string &address : entry.node->entries().peerAddresses()) {
-        for (std::size_t to = 0; to < Entries; ++to) {
+        for (std::size_t to = 0; to < this->count; ++to) {
             if (addressOf(to) != address || this->isPartitioned(number, to))
                 continue;
             const std::uint64_t fate = isLossy ? this->random.below(10) : 9;
@@ -206,7 +208,7 @@
                                                           this->now);
     if (!peer || !this->switches.pullsFromPeers)
         return;
-    for (std::size_t from = 0; from < Entries; ++from) {
+    for (std::size_t from = 0; from < this->count; ++from) {
         if (addressOf(from) != *peer || !this->isUp(from) || this->isPartitioned(from, number)
             || this->isPartitioned(number, from))
             continue;
@@ -279,7 +281,7 @@
     }
     std::erase_if(this->inFlight,
                   [this](const Datagram &datagram) { return datagram.arrival <= this->now; });
-    for (std::size_t entry = 0; entry < Entries; ++entry) {
+    for (std::size_t entry = 0; entry < this->count; ++entry) {
         if (!this->isUp(entry))
             continue;
         this->readStore(entry);
@@ -308,11 +310,11 @@
 
 std::string EntryCluster::checkConvergence()
 {
-    for (std::size_t entry = 0; entry < Entries; ++entry) {
+    for (std::size_t entry = 0; entry < this->count; ++entry) {
         const RelayNode &node = *this->entries[entry].node;
         const std::size_t known =
                 this->entries[entry].node->entries().servingAddresses(this->now).size();
-        if (known != Entries - 1)
+        if (known != this->count - 1)
             return "entry " + std::to_string(entry) + " names " + std::to_string(known)
                    + " other entries";
         if (this->entries[entry].mirror.revision() != this->revision)
@@ -336,8 +338,8 @@
     }
     // The partitions end, and only one entry reaches the store; the others learn from it.
     this->partitions.clear();
-    const std::size_t reaching = this->random.below(Entries);
-    for (std::size_t entry = 0; entry < Entries; ++entry)
+    const std::size_t reaching = this->random.below(this->count);
+    for (std::size_t entry = 0; entry < this->count; ++entry)
         this->entries[entry].reachesStore = entry == reaching;
     for (Instant end = this->now + ConvergenceTime; this->now < end;) {
         this->step(1, false);
--- a/Tests/Relay/EntryCluster.h
+++ b/Tests/Relay/EntryCluster.h
@@ -32,7 +32,7 @@
         bool reducesColdRateAfterStart = true;
     };
 
-    explicit EntryCluster(const Switches &switches);
+    explicit EntryCluster(const Switches &switches, std::size_t count = DefaultEntries);
     ~EntryCluster();
     EntryCluster(const EntryCluster &) = delete;
     EntryCluster &operator=(const EntryCluster &) = delete;
@@ -41,7 +41,7 @@
     /// violated property, or an empty string.
     std::string run(ChoiceScript &script);
 
-    static constexpr std::size_t Entries = 5;
+    static constexpr std::size_t DefaultEntries = 5;
 
 private:
     struct Entry
@@ -77,6 +77,7 @@
     std::string checkConvergence();
 
     Switches switches;
+    std::size_t count;
     RandomSource random{1};
     Instant now{std::chrono::seconds(100)};
     std::vector<Entry> entries;
--- a/Tests/Relay/MembershipPropertyTest.cpp
+++ b/Tests/Relay/MembershipPropertyTest.cpp
@@ -15,17 +15,23 @@
 
 constexpr std::size_t ScriptLength = 240;
 constexpr std::uint64_t Seeds = 60;
+/// More entries than a cold server takes requests a second, its tolerance included.
+constexpr std::size_t ManyEntries = 60;
+constexpr std::uint64_t FewSeeds = 3;
 
 /// Runs one script per seed; returns the first failure.
-std::string runScripts(const EntryCluster::Switches &switches)
+std::string runScripts(const EntryCluster::Switches &switches,
+                       std::size_t entries = EntryCluster::DefaultEntries,
+                       std::uint64_t seeds = Seeds)
 {
-    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         RandomSource random(seed);
         std::vector<int> choices(ScriptLength);
         for (int &choice : choices)
             choice = static_cast<int>(random.below(840));
         ChoiceScript script(std::move(choices));
-        if (const std::string failure = EntryCluster(switches).run(script); !failure.empty())
+        if (const std::string failure = EntryCluster(switches, entries).run(script);
+            !failure.empty())
             return "seed " + std::to_string(seed) + ": " + failure;
     }
     return {};
@@ -45,6 +51,7 @@
     CPPUNIT_TEST(withoutAcceptingEarlierStartsEntriesAreMissing);
     CPPUNIT_TEST(withoutPullingTheConfigurationIsMissing);
     CPPUNIT_TEST(withoutTheReducedColdRateAfterAStartTheLimitBreaks);
+    CPPUNIT_TEST(coldRateHoldsWithMoreEntriesThanItsRequests);
     CPPUNIT_TEST(withoutReplacingCutWatchersTheConfigurationIsMissing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -82,6 +89,16 @@
         CPPUNIT_ASSERT(!runScripts(switches).empty());
     }
 
+    // Guards against a share of at least one request a second in each entry: 31 entries sent 31
+    // requests in a second to a cold server that takes 17.
+    void coldRateHoldsWithMoreEntriesThanItsRequests()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string(), runScripts({}, ManyEntries, FewSeeds));
+        EntryCluster::Switches switches;
+        switches.table.choosesEntries = false;
+        CPPUNIT_ASSERT(!runScripts(switches, ManyEntries, FewSeeds).empty());
+    }
+
     // Two entries of a failure domain watch the store for the others; both may lose it.
     void withoutReplacingCutWatchersTheConfigurationIsMissing()
     {
