Hold less for slow readers in links between processes

The agent grew by 9.7 to 10.2 MB with 40 slow readers, near its budget of 10.2 MB: the output of a stream kept up to 64 KB that had been passed on, and the input of a stream doubled its capacity. The first is 16 KB now, and the second grows exactly.

--- a/Source/Net/PeerSession.cpp
+++ b/Source/Net/PeerSession.cpp
@@ -27,7 +27,7 @@
 constexpr std::int32_t ConnectionWindowBytes = 256 << 20;
 constexpr std::uint32_t MaxConcurrentStreams = 4096;
 // Bytes already passed to nghttp2 after which a stream's output buffer is compacted.
-constexpr std::size_t OutputCompactionBytes = 64U << 10U;
+constexpr std::size_t OutputCompactionBytes = 16U << 10U;
 // Limit on the output buffer of the connection. It is small, so that unsent data stays in the
 // streams and is counted by pendingBytes().
 constexpr std::size_t MaxConnectionOutputBytes = 256U << 10U;
@@ -38,6 +38,20 @@
     output.append(reinterpret_cast<const char *>(&bytes), sizeof bytes);
 }
 
+// Appends without spare capacity: the streams of slow readers wait with a full window, and
+// std::string would double its capacity beyond that.
+void appendExactly(std::string &text, std::string_view data)
+{
+    if (text.size() + data.size() <= text.capacity()) {
+        text.append(data);
+        return;
+    }
+    std::string grown;
+    grown.reserve(text.size() + data.size());
+    grown.append(text).append(data);
+    text = std::move(grown);
+}
+
 std::uint32_t readLength(const std::string &input, std::size_t offset)
 {
     std::uint32_t bytes = 0;
@@ -156,7 +170,7 @@
         // backpressure to the sender.
         nghttp2_session_consume_connection(session->session, length);
         if (Stream *stream = session->find(id)) {
-            stream->input.append(reinterpret_cast<const char *>(data), length);
+            appendExactly(stream->input, {reinterpret_cast<const char *>(data), length});
             stream->unconsumedBytes += length;
             session->deliverMessages(id);
         }
