Count messages that the socket does not take, and test the target group

DatagramSocket::send ignored its result. Messages that the socket does not take are counted now and named in event 5039.

New tests at the size to design for: at 128 ranks of 64 experts in 8 layers a rank other than the hub stays below 12 KB/s with changes under way, a map fits a datagram, and a larger one does not; a rank without the base of a difference waits for the whole map; the next rank becomes the hub.

--- a/Source/RelayShell/DatagramSocket.cpp
+++ b/Source/RelayShell/DatagramSocket.cpp
@@ -39,12 +39,13 @@
         close(this->socket);
 }
 
-void DatagramSocket::send(const std::string &address, std::string_view bytes)
+bool DatagramSocket::send(const std::string &address, std::string_view bytes)
 {
     sockaddr_in peer{};
-    if (this->socket >= 0 && parseSocketAddress(address, peer))
-        sendto(this->socket, bytes.data(), bytes.size(), MSG_DONTWAIT,
-               reinterpret_cast<sockaddr *>(&peer), sizeof(peer));
+    return this->socket >= 0 && parseSocketAddress(address, peer)
+           && sendto(this->socket, bytes.data(), bytes.size(), MSG_DONTWAIT,
+                     reinterpret_cast<sockaddr *>(&peer), sizeof(peer))
+                      == static_cast<ssize_t>(bytes.size());
 }
 
 void DatagramSocket::readAll()
--- a/Source/RelayShell/DatagramSocket.h
+++ b/Source/RelayShell/DatagramSocket.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <string>
 #include <string_view>
@@ -23,8 +24,12 @@
 
     bool isOpen() const { return this->readEvent != nullptr; }
 
-    /// Unreliable: a full send buffer drops the datagram, too.
-    void send(const std::string &address, std::string_view bytes);
+    /// Largest payload of a datagram over IPv4.
+    static constexpr std::size_t MaxBytes = 65507;
+
+    /// Returns whether the datagram was handed to the network, which may still lose it. A full send
+    /// buffer and a payload above MaxBytes drop it.
+    bool send(const std::string &address, std::string_view bytes);
 
 private:
     void readAll();
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -436,7 +436,8 @@
 {
     ++this->traffic.sentMessages;
     this->traffic.sentBytes += bytes.size();
-    this->peerSocket.send(address, bytes);
+    if (!this->peerSocket.send(address, bytes))
+        ++this->traffic.unsentMessages;
 }
 
 void RankAgent::logTraffic()
@@ -447,7 +448,10 @@
                       + " sent_bytes=" + std::to_string(counters.sentBytes)
                       + " received=" + std::to_string(counters.receivedMessages)
                       + " received_bytes=" + std::to_string(counters.receivedBytes)
-                      + " missed_states=" + std::to_string(counters.missedStates));
+                      + " missed_states=" + std::to_string(counters.missedStates)
+                      + " unsent=" + std::to_string(counters.unsentMessages));
+    this->metrics.add("nutmegrill_messages_unsent_total", {},
+                      static_cast<double>(counters.unsentMessages));
     this->metrics.add("nutmegrill_peer_bytes_total", {{"direction", "sent"}},
                       static_cast<double>(counters.sentBytes));
     this->metrics.add("nutmegrill_peer_bytes_total", {{"direction", "received"}},
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -74,6 +74,8 @@
         std::uint64_t receivedBytes = 0;
         /// States that were sent to this agent and did not arrive, by their sequence numbers.
         std::uint64_t missedStates = 0;
+        /// Messages that the socket did not take.
+        std::uint64_t unsentMessages = 0;
     };
 
     void readEngineProfile();
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -323,7 +323,8 @@
     this->node.fillReport(report);
     const std::string bytes = encodeReport(report);
     for (const std::string &address : this->node.entries().peerAddresses())
-        this->reportSocket.send(address, bytes);
+        if (!this->reportSocket.send(address, bytes))
+            this->metrics.add("nutmegrill_messages_unsent_total", {});
     this->isWatchingStore =
             this->node.entries().watchesStore(this->options.name, this->options.failureDomain, now);
     this->storeFeed.setWatching(this->isWatchingStore);
--- a/Tests/Experts/RankSwitchTest.cpp
+++ b/Tests/Experts/RankSwitchTest.cpp
@@ -1,4 +1,7 @@
 #include "Experts/RankSwitch.h"
+#include "Experts/GroupExchange.h"
+#include "RelayShell/DatagramSocket.h"
+#include "RelayShell/PeerCodec.h"
 #include "SwitchWorld.h"
 
 #include <chrono>
@@ -54,6 +57,10 @@
     CPPUNIT_TEST(lowerBallotIsIgnored);
     CPPUNIT_TEST(pausedArmedAgentDoesNotBlockGroup);
     CPPUNIT_TEST(largeGroupChangesMapsOverNarrowLinks);
+    CPPUNIT_TEST(controlOfTargetGroupStaysWithinItsBudget);
+    CPPUNIT_TEST(mapOfTargetGroupFitsDatagram);
+    CPPUNIT_TEST(rankWithoutBaseGetsWholeMap);
+    CPPUNIT_TEST(nextRankBecomesHub);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -199,7 +206,116 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), world.links().dropped());
     }
 
+    // Guards against traffic of each rank that grows with the group: 128 ranks may spend 12 KB/s.
+    void controlOfTargetGroupStaysWithinItsBudget()
+    {
+        SwitchWorld::Scale scale;
+        scale.layers = TargetLayers;
+        scale.experts = TargetExperts;
+        scale.placements = 2;
+        scale.copyTime = std::chrono::milliseconds(300);
+        scale.links = {1000000, 64U << 10U};
+        SwitchWorld world(TargetRanks, 1, {}, {}, scale);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.run(seconds(20)));
+        CPPUNIT_ASSERT(world.completedChanges() >= 3);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), world.links().dropped());
+        for (const std::uint32_t rank : {1U, TargetRanks / 2, TargetRanks - 1}) {
+            const std::uint64_t bytes =
+                    world.links().sentBytes(rank) + world.links().receivedBytes(rank);
+            CPPUNIT_ASSERT(bytes / 20 <= TargetBytesPerSecond);
+        }
+    }
+
+    // Guards against a map that the network does not carry in one message.
+    void mapOfTargetGroupFitsDatagram()
+    {
+        OwnerCommand command;
+        command.phase = OwnerCommand::Phase::Prepare;
+        command.map.assign(TargetLayers, ExpertSlots::value_type(TargetRanks));
+        for (auto &layer : command.map) {
+            for (std::uint32_t rank = 0; rank < TargetRanks; ++rank)
+                layer[rank].assign(TargetExperts, TargetExperts + rank);
+        }
+        const std::string bytes = encodeOwnerCommand(command);
+        const auto decoded = decodeOwnerCommand(bytes);
+        CPPUNIT_ASSERT(decoded && decoded->map == command.map);
+        // Even with each rank holding as many experts as there are, in numbers of one byte.
+        CPPUNIT_ASSERT(bytes.size() > DatagramSocket::MaxBytes);
+        for (auto &layer : command.map) {
+            for (auto &rank : layer)
+                rank.resize(TargetPlacements);
+        }
+        CPPUNIT_ASSERT(encodeOwnerCommand(command).size() < DatagramSocket::MaxBytes / 4);
+    }
+
+    // Guards against a difference that is applied to another map than its base.
+    void rankWithoutBaseGetsWholeMap()
+    {
+        RankSwitch rank;
+        EngineState engine = this->openEngine();
+        engine.mapVersion = 4;
+        rank.engineReported(engine);
+        OwnerCommand prepare = this->command(OwnerCommand::Phase::Prepare, 1, {5, 0});
+        prepare.delta = MapDelta{4, {{0, 1, {7}}}};
+        rank.ownerCommanded(prepare);
+        RankState state;
+        rank.describe(state);
+        CPPUNIT_ASSERT(state.receivedVersion < 5 && state.knownVersion == 0);
+        prepare.map = {{{1}, {2}}};
+        prepare.delta.reset();
+        rank.ownerCommanded(prepare);
+        engine.mapVersion = 5;
+        rank.engineReported(engine);
+        rank.describe(state);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), state.knownVersion);
+        prepare.change.version = 6;
+        prepare.delta = MapDelta{5, {{0, 1, {7}}}};
+        prepare.map.clear();
+        rank.ownerCommanded(prepare);
+        const auto engineCommand = rank.nextCommand(Instant());
+        CPPUNIT_ASSERT(engineCommand && engineCommand->map == (ExpertSlots{{{1}, {7}}}));
+    }
+
+    // Guards against a group that reports to a hub whose agent has failed.
+    void nextRankBecomesHub()
+    {
+        GroupExchange exchange(GroupExchange::Settings{});
+        RankState own = this->stateOf(1, 1);
+        GroupExchange::Messages messages;
+        Instant now(seconds(100));
+        for (const std::uint32_t other : {0U, 2U}) {
+            RankState state = this->stateOf(other, 1);
+            state.isHub = other == 0;
+            exchange.stateReceived(now, state);
+        }
+        exchange.tick(now, own, {}, messages);
+        CPPUNIT_ASSERT(!exchange.isHub() && messages.size() == 1);
+        CPPUNIT_ASSERT_EQUAL(std::string("0"), messages.front().address);
+        now += GroupExchange::livenessTimeout(own.engine.ranks);
+        messages.clear();
+        exchange.tick(now, own, {}, messages);
+        CPPUNIT_ASSERT(exchange.isHub() && messages.size() == 2);
+    }
+
 private:
+    static constexpr std::uint32_t TargetRanks = 128;
+    static constexpr std::uint32_t TargetLayers = 8;
+    static constexpr std::uint32_t TargetExperts = 64;
+    static constexpr std::uint32_t TargetPlacements = 8;
+    static constexpr std::uint64_t TargetBytesPerSecond = 12000;
+
+    RankState stateOf(std::uint32_t rank, std::uint64_t sequence) const
+    {
+        RankState state;
+        state.engine = this->openEngine();
+        state.engine.rank = rank;
+        state.engine.ranks = 3;
+        state.address = std::to_string(rank);
+        state.incarnation = 1;
+        state.sequence = sequence;
+        return state;
+    }
+
     EngineState openEngine() const
     {
         EngineState engine;
