Let one rank follow a hub that failed

An agent that loses its hub, or starts, becomes the hub only if it knows all lower ranks to have failed, or after it has listened for the time in which they would have reported.

RankSwitchTest::onlyOneRankFollowsFailedHub fails without it.

--- a/Source/Experts/GroupExchange.cpp
+++ b/Source/Experts/GroupExchange.cpp
@@ -123,7 +123,18 @@
     if (this->switchingSince)
         since = std::max(since, *this->switchingSince);
     // The former hub reported to this agent all the time, the other ranks did not.
-    return rank == this->hub ? since : std::max(since, this->listeningSince);
+    return rank == this->hub ? since : std::max(since, this->listeningSince.value_or(since));
+}
+
+bool GroupExchange::isLowestLive(Instant now) const
+{
+    if (now >= *this->listeningSince + this->silenceLimit())
+        return true;
+    for (std::uint32_t rank = 0; rank < this->ownRank; ++rank) {
+        if (this->rows.count(rank) == 0)
+            return false;
+    }
+    return true;
 }
 
 void GroupExchange::updateMode(Instant now, const RankState &own)
@@ -137,19 +148,25 @@
         this->switchingSince.reset();
 
     const Mode before = this->mode;
+    if (!this->listeningSince)
+        this->listeningSince = now;
+    // Without its hub, the agent has to hear the other ranks before it can tell which ones live.
+    if (const auto row = this->rows.find(this->hub);
+        before == Mode::Star
+        && (row == this->rows.end() || !row->second.state.isHub
+            || now >= this->silentSince(this->hub, row->second) + this->silenceLimit()))
+        this->listeningSince = now;
     const auto lowest = std::find_if(this->rows.begin(), this->rows.end(), [&](const auto &entry) {
         return now < this->silentSince(entry.first, entry.second) + this->silenceLimit();
     });
     if (lowest == this->rows.end() || lowest->first > this->ownRank) {
-        this->mode = Mode::Hub;
+        this->mode = before == Mode::Hub || this->isLowestLive(now) ? Mode::Hub : Mode::Mesh;
     } else if (lowest->second.state.isHub) {
         this->mode = Mode::Star;
         this->hub = lowest->first;
     } else {
         this->mode = Mode::Mesh;
     }
-    if (before == Mode::Star && this->mode != Mode::Star)
-        this->listeningSince = now;
 }
 
 void GroupExchange::tick(Instant now, RankState &own, const std::optional<OwnerCommand> &command,
--- a/Source/Experts/GroupExchange.h
+++ b/Source/Experts/GroupExchange.h
@@ -91,6 +91,9 @@
 
     void updateMode(Instant now, const RankState &own);
     std::chrono::milliseconds silenceLimit() const;
+    /// Whether all lower ranks are known to have failed. One that this agent has not heard of may
+    /// live: while there is a hub, only the hub hears the others.
+    bool isLowestLive(Instant now) const;
     /// Since when the rank has been silent although this agent listened to it.
     Instant silentSince(std::uint32_t rank, const Row &row) const;
     void sendState(Instant now, const RankState &own, Messages &messages);
@@ -107,7 +110,7 @@
     std::uint32_t ranks = 0;
     std::uint32_t hub = 0;
     /// The other ranks report to this agent since then.
-    Instant listeningSince;
+    std::optional<Instant> listeningSince;
     /// Begin of the present change of map; states are sent more often during it.
     std::optional<Instant> switchingSince;
     std::optional<RankState> sentState;
--- a/Tests/Experts/RankSwitchTest.cpp
+++ b/Tests/Experts/RankSwitchTest.cpp
@@ -61,6 +61,7 @@
     CPPUNIT_TEST(mapOfTargetGroupFitsDatagram);
     CPPUNIT_TEST(rankWithoutBaseGetsWholeMap);
     CPPUNIT_TEST(nextRankBecomesHub);
+    CPPUNIT_TEST(onlyOneRankFollowsFailedHub);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -297,6 +298,35 @@
         CPPUNIT_ASSERT(exchange.isHub() && messages.size() == 2);
     }
 
+    // Guards against many hubs at once: while there is a hub, an agent does not hear of lower
+    // ranks.
+    void onlyOneRankFollowsFailedHub()
+    {
+        GroupExchange exchange(GroupExchange::Settings{});
+        RankState own = this->stateOf(2, 1);
+        RankState hub = this->stateOf(0, 1);
+        hub.isHub = true;
+        GroupExchange::Messages messages;
+        Instant now(seconds(100));
+        exchange.stateReceived(now, hub);
+        exchange.tick(now, own, {}, messages);
+        now += GroupExchange::livenessTimeout(own.engine.ranks);
+        messages.clear();
+        exchange.setPeers({"0", "1"});
+        exchange.tick(now, own, {}, messages);
+        CPPUNIT_ASSERT(!exchange.isHub());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), messages.size());
+        RankState next = this->stateOf(1, 1);
+        next.isHub = true;
+        exchange.stateReceived(now, next);
+        now += std::chrono::milliseconds(300);
+        messages.clear();
+        exchange.tick(now, own, {}, messages);
+        CPPUNIT_ASSERT(!exchange.isHub());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), messages.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), messages.front().address);
+    }
+
 private:
     static constexpr std::uint32_t TargetRanks = 128;
     static constexpr std::uint32_t TargetLayers = 8;
