Change maps only for skews that the change pays for

At 63 ranks the requests of single steps vary by more than that, and each change slows all steps while it copies.

A change begins above a skew of 1.35 and must gain 0.2, and the counts of all ranks may use a third of the hub's link, which halves their age.

--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -32,20 +32,20 @@
 /// A planned stop waits for a map change in progress, which takes some tenths of a second.
 constexpr milliseconds StopTimeout{3000};
 constexpr std::size_t MaxMetricsConnections = 16;
-/// A map change begins above StartSkew and is planned to reach TargetSkew. The skew of single steps
-/// varies by more than the difference, so lower values only copy more experts; see
+/// A map change begins above StartSkew and is planned to reach TargetSkew. The requests of a single
+/// step vary by more than the difference, and every change slows the steps while it copies; see
 /// docs/measurements/platform.md.
-constexpr double StartSkew = 1.20;
+constexpr double StartSkew = 1.35;
 constexpr double TargetSkew = 1.15;
 /// A smaller gain does not make up for the slower steps during the copy.
-constexpr double MinImprovement = 0.08;
+constexpr double MinImprovement = 0.2;
 /// Demand shifts every few seconds, so a plan has to pay off within this time.
 constexpr std::chrono::seconds DemandHorizon{6};
 /// Steps take 15% longer while experts are copied, according to the engine's specification.
 constexpr double CopySlowdown = 0.15;
 /// Parts of the link that the hub of a group uses for maps, and for the counts of all ranks.
 constexpr std::uint64_t MapLinkDivisor = 2;
-constexpr std::uint64_t CountsLinkDivisor = 10;
+constexpr std::uint64_t CountsLinkDivisor = 3;
 
 const char *commandName(EngineCommand::Kind kind)
 {
