--- a/Source/Experts/GroupExchange.h
+++ b/Source/Experts/GroupExchange.h
@@ -33,6 +33,12 @@
         std::uint64_t mapBytesPerSecond = 0;
         /// Rate at which all agents together send counts to the hub.
         std::uint64_t countBytesPerSecond = 0;
+
+        /// Half of the link for maps and a third for counts; states need little.
+        static Settings forLink(std::uint64_t bytesPerSecond)
+        {
+            return {bytesPerSecond / 2, bytesPerSecond / 3};
+        }
     };
 
     struct Message
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -43,9 +43,6 @@
 constexpr std::chrono::seconds DemandHorizon{6};
 /// Steps take 15% longer while experts are copied, according to the engine's specification.
 constexpr double CopySlowdown = 0.15;
-/// Parts of the link that the hub of a group uses for maps, and for the counts of all ranks.
-constexpr std::uint64_t MapLinkDivisor = 2;
-constexpr std::uint64_t CountsLinkDivisor = 3;
 
 const char *commandName(EngineCommand::Kind kind)
 {
@@ -76,8 +73,7 @@
                       }),
       peerSocket(loop, options.ip + ":" + std::to_string(options.peerPort),
                  [this](std::string_view bytes) { this->handleDatagram(bytes); }),
-      exchange({options.linkBytesPerSecond / MapLinkDivisor,
-                options.linkBytesPerSecond / CountsLinkDivisor}),
+      exchange(GroupExchange::Settings::forLink(options.linkBytesPerSecond)),
       engine(loop, options.engineAddress), loopLag(TickPeriod)
 {
     this->state.engineAddress = options.engineAddress;
--- a/Tests/Experts/SwitchWorld.cpp
+++ b/Tests/Experts/SwitchWorld.cpp
@@ -75,8 +75,7 @@
     agent.ownReports = 0;
     const std::uint64_t linkRate =
             this->scale.links.bytesPerSecond == 0 ? 1000000 : this->scale.links.bytesPerSecond;
-    agent.exchange =
-            std::make_unique<GroupExchange>(GroupExchange::Settings{linkRate / 2, linkRate / 10});
+    agent.exchange = std::make_unique<GroupExchange>(GroupExchange::Settings::forLink(linkRate));
     std::set<std::string> addresses;
     for (std::uint32_t other = 0; other < this->ranks; ++other) {
         if (other != rank)
