Reset the connection of an abandoned request

The worker's machine stood still. Requests that were sent to it on kept connections waited on the way, and the orderly close of an abandoned one arrived after them. A reset drops the bytes that have not arrived.

--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sys/socket.h>
 #include <utility>
 
 #include <event2/buffer.h>
@@ -113,9 +114,16 @@
 void ClientConnection::close()
 {
     this->reusable = false;
-    this->busy = false;
+    const bool isAbandoned = std::exchange(this->busy, false);
     if (this->connection == nullptr)
         return;
+    if (isAbandoned) {
+        // A reset drops the bytes that are still on their way. Otherwise a peer that stood still
+        // would get a request whose caller has left.
+        const linger reset{1, 0};
+        setsockopt(bufferevent_getfd(this->connection), SOL_SOCKET, SO_LINGER, &reset,
+                   sizeof(reset));
+    }
     bufferevent_free(this->connection);
     this->connection = nullptr;
 }
--- a/Source/Http/ClientConnection.h
+++ b/Source/Http/ClientConnection.h
@@ -49,7 +49,7 @@
     /// Sends one whole request. The connection must be idle.
     void send(std::string_view request, Handlers handlers);
 
-    /// Closes the connection at once, without calling a handler.
+    /// Closes the connection at once, without calling a handler. Resets it if a request is open.
     void close();
 
     /// Closes the connection at once; a pending request fails with Failure::Broken.
--- a/Tests/Http/ConnectionTest.cpp
+++ b/Tests/Http/ConnectionTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -58,6 +59,15 @@
     {
         return ::send(this->accepted, bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
     }
+    /// Reads to the end of the connection.
+    bool isReset()
+    {
+        char byte = 0;
+        ssize_t length = 1;
+        while (length > 0)
+            length = recv(this->accepted, &byte, 1, MSG_DONTWAIT);
+        return length < 0 && errno == ECONNRESET;
+    }
     void endConnection() { shutdown(this->accepted, SHUT_RDWR); }
 
 private:
@@ -116,6 +126,7 @@
     CPPUNIT_TEST(oversizedRequestsAreRejected);
     CPPUNIT_TEST(ambiguousLengthIsRejected);
     CPPUNIT_TEST(whitespaceInHeaderNameIsRejected);
+    CPPUNIT_TEST(abandonedRequestResetsConnection);
     CPPUNIT_TEST(endlessHeadIsRejected);
     CPPUNIT_TEST(endlessInterimResponsesAreRejected);
     CPPUNIT_TEST(endlessSkippedBodyIsRejected);
@@ -282,6 +293,21 @@
         CPPUNIT_ASSERT(!handled);
     }
 
+    // Guards against a request that reaches a server which stood still after its caller has left.
+    void abandonedRequestResetsConnection()
+    {
+        RawServer server;
+        Outcome outcome;
+        this->client = std::make_unique<ClientConnection>(this->loop, server.address(), Timeout);
+        this->client->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", outcome.handlers());
+        this->loop.runUntil([] { return false; }, milliseconds(30));
+        server.accept();
+        this->client->close();
+        // libevent closes the socket from its loop.
+        this->loop.runUntil([] { return false; }, milliseconds(30));
+        CPPUNIT_ASSERT(server.isReset());
+    }
+
     // Guards against a response head without end, which is read until the deadline.
     void endlessHeadIsRejected()
     {
