Number the change after a break by the map that is then in use

Its log shows that the product kept its promises: change 1 was aborted at 38.147 s, since its rank was killed, made again and committed at 38.476 s, and change 2 was committed at 40.010 s; all ranks used each map. The case had read the map in use between abort and repeat, and so waited for change 1 when change 2 was due.

The number is read again after the second in which the steps are watched. The case still requires that exact change at all ranks.

--- a/Tests/Process/group-test.sh
+++ b/Tests/Process/group-test.sh
@@ -194,6 +194,8 @@
 expect_change_after_break() { # shift of the experts
   wait_for "the ranks to agree on a map" agreed
   expect_steps_go_on
+  # The owner makes an aborted change again at once, so the map may have changed meanwhile.
+  wait_for "the ranks to agree on a map" agreed
   local next=$((AGREED + 1))
   expect_accepted "$1"
   wait_for "change $next" in_use_everywhere "$next"
