Log prompt parts and refused connections of failed attempts

Event 5011 now names the backend server and the parts, and a refused connection is told apart from one that timed out. RelayRequest carries the shared parts.

ConnectionTest::refusedConnectionIsReportedAsRefused expected NotConnected before; the narrower result replaces it.

--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -4,6 +4,7 @@
 #include "Net/EventLoop.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <sys/socket.h>
 #include <utility>
@@ -61,10 +62,11 @@
                 self->handlers.onConnected();
             return;
         }
+        const bool refused = (what & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
         const std::weak_ptr<bool> alive = self->alive;
         self->readInput();
         if (!alive.expired())
-            self->connectionEnded((what & BEV_EVENT_EOF) != 0);
+            self->connectionEnded((what & BEV_EVENT_EOF) != 0, refused);
     }
 };
 
@@ -202,7 +204,7 @@
     }
 }
 
-void ClientConnection::connectionEnded(bool clean)
+void ClientConnection::connectionEnded(bool clean, bool refused)
 {
     if (!this->busy) {
         this->close();
@@ -215,7 +217,10 @@
         if (guard.expired() || !this->busy)
             return;
     }
-    this->fail(this->connected ? Failure::Broken : Failure::NotConnected);
+    if (this->connected)
+        this->fail(Failure::Broken);
+    else
+        this->fail(refused ? Failure::Refused : Failure::NotConnected);
 }
 
 void ClientConnection::responseEnded()
--- a/Source/Http/ClientConnection.h
+++ b/Source/Http/ClientConnection.h
@@ -23,6 +23,7 @@
 public:
     enum class Failure {
         NotConnected, ///< the connection was not established and no byte was sent
+        Refused,      ///< the same, because nothing listens at the address
         Broken,       ///< it failed after it was established, so the request may have been sent
         Malformed     ///< the peer sent data that is not an HTTP/1.1 response
     };
@@ -72,7 +73,7 @@
     void headParsed(HttpHead &&head) override;
     void bodyParsed(std::string_view data) override;
     void readInput();
-    void connectionEnded(bool clean);
+    void connectionEnded(bool clean, bool refused);
     void responseEnded();
     void fail(Failure failure);
 
--- a/Source/Relay/Exchange.h
+++ b/Source/Relay/Exchange.h
@@ -37,6 +37,7 @@
     std::optional<Attempt> attempt;
     /// Backend servers at which an attempt failed; they get no further attempt.
     std::set<std::string> failedOn;
+    std::string lastBackend;
     /// Attempts that a backend server has run or may have run.
     std::uint32_t runs = 0;
     /// Attempts sent, whether run or not.
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -42,6 +42,8 @@
     switch (failure) {
     case AttemptFailure::NotSent:
         return "not sent";
+    case AttemptFailure::Refused:
+        return "connection refused";
     case AttemptFailure::Broken:
         return "connection broke";
     case AttemptFailure::Malformed:
@@ -328,10 +330,10 @@
         this->placeWaiting(now, commands);
         return;
     }
+    const bool wasSent = failure != AttemptFailure::NotSent && failure != AttemptFailure::Refused;
     if (BackendRoster::Row *row = this->backends.find(backend))
-        failure == AttemptFailure::NotSent ? row->health.recordUnreachable(now)
-                                           : row->health.recordFailure(now);
-    if (failure == AttemptFailure::NotSent && exchange->runs > 0)
+        wasSent ? row->health.recordFailure(now) : row->health.recordUnreachable(now);
+    if (!wasSent && exchange->runs > 0)
         --exchange->runs;
     exchange->failedOn.insert(backend);
     if (exchange->failureAnswer == attempt)
@@ -346,10 +348,13 @@
 {
     exchange.waitingSince = now;
     std::ostringstream text;
-    text << "request=" << exchange.request.id << " why=\"" << why << "\" sends=" << exchange.sends
+    text << "request=" << exchange.request.id << " why=\"" << why
+         << "\" backend=" << exchange.lastBackend << " sends=" << exchange.sends
          << " runs=" << exchange.runs
          << " last_event=" << (exchange.lastEvent ? std::to_string(*exchange.lastEvent) : "none")
-         << " left_ms=" << toMilliseconds(exchange.deadline - now).count();
+         << " left_ms=" << toMilliseconds(exchange.deadline - now).count() << " parts=";
+    for (const std::string &part : exchange.request.sharedParts)
+        text << part << ",";
     commands.push_back(RelayCommand::Log{
             makeRecord(RelayLog::AttemptFailed, LogRecord::Level::Warning, text.str())});
     const bool allowed =
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -28,6 +28,7 @@
 /// Why an attempt ended without an answer.
 enum class AttemptFailure {
     NotSent,  ///< no byte reached the backend server
+    Refused,  ///< the same, because nothing listens at the address
     Broken,   ///< the connection ended before the answer did
     Malformed ///< the bytes were no valid answer
 };
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -114,6 +114,7 @@
     started.connectedAt = now;
     exchange.times.waiting += now - exchange.waitingSince;
     started.lastActivityAt = now;
+    exchange.lastBackend = *chosen;
     ++exchange.runs;
     ++exchange.sends;
     this->attempts.emplace(attempt, exchange.caller);
--- a/Source/Relay/RelayRequest.h
+++ b/Source/Relay/RelayRequest.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Nutmegrill {
 
@@ -24,6 +25,10 @@
     std::optional<std::uint64_t> lastEvent;
     std::uint32_t promptTokens = 0;
     std::uint32_t outputTokens = 0;
+    /// Ids of the parts of the prompt that other requests may share, in order.
+    std::vector<std::string> sharedParts;
+    /// Hash of everything that an identical repeat has in common; 0 if unknown.
+    std::uint64_t contentHash = 0;
 };
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -63,6 +63,9 @@
         case ClientConnection::Failure::NotConnected:
             this->fail(attempt, AttemptFailure::NotSent);
             return;
+        case ClientConnection::Failure::Refused:
+            this->fail(attempt, AttemptFailure::Refused);
+            return;
         case ClientConnection::Failure::Broken:
             this->fail(attempt, AttemptFailure::Broken);
             return;
--- a/Tests/Http/ConnectionTest.cpp
+++ b/Tests/Http/ConnectionTest.cpp
@@ -119,7 +119,7 @@
     CPPUNIT_TEST(truncatedResponseIsAFailure);
     CPPUNIT_TEST(responseWithoutLengthEndsWithTheConnection);
     CPPUNIT_TEST(malformedResponseIsAFailure);
-    CPPUNIT_TEST(refusedConnectionIsReportedAsNotConnected);
+    CPPUNIT_TEST(refusedConnectionIsReportedAsRefused);
     CPPUNIT_TEST(responseIsCompleteBeforeConnectionCloses);
     CPPUNIT_TEST(abortedStreamIsReportedAsBroken);
     CPPUNIT_TEST(pipelinedRequestsAreAnsweredInOrder);
@@ -191,13 +191,13 @@
         CPPUNIT_ASSERT(outcome.failure == ClientConnection::Failure::Malformed);
     }
 
-    void refusedConnectionIsReportedAsNotConnected()
+    void refusedConnectionIsReportedAsRefused()
     {
         Outcome outcome;
         this->client = std::make_unique<ClientConnection>(this->loop, unusedAddress(), Timeout);
         this->client->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", outcome.handlers());
         this->loop.runUntil([&] { return outcome.isFinished(); }, Timeout);
-        CPPUNIT_ASSERT(outcome.failure == ClientConnection::Failure::NotConnected);
+        CPPUNIT_ASSERT(outcome.failure == ClientConnection::Failure::Refused);
     }
 
     // Guards against closing the connection before the last response is written: callers that sent
--- a/Tests/Platform/AdapterTest.cpp
+++ b/Tests/Platform/AdapterTest.cpp
@@ -129,6 +129,7 @@
                         {"Expect-Instance", "i-9"},
                         {"Deadline-Ms", "8000"},
                         {"Token-Usage", "1460,80"},
+                        {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
                         {"Connection", "keep-alive, X-Own"},
                         {"X-Own", "1"},
                         {"X-Other", "kept"},
@@ -139,6 +140,8 @@
         CPPUNIT_ASSERT_EQUAL(1460U, request.promptTokens);
         CPPUNIT_ASSERT_EQUAL(80U, request.outputTokens);
         CPPUNIT_ASSERT(request.lastEvent == std::uint64_t(12));
+        // The last part belongs to the request alone.
+        CPPUNIT_ASSERT(request.sharedParts == std::vector<std::string>({"5c1e07a2", "91bd3f06"}));
         RelayCommand::StartAttempt start;
         start.backend = "i-1";
         start.account = "x";
@@ -146,6 +149,8 @@
         start.lastEvent = 14;
         CPPUNIT_ASSERT_EQUAL(std::string("POST /a/b?c=d%20e HTTP/1.1\r\nHost: h.example\r\n"
                                          "Attempt-Id: 9c41\r\nToken-Usage: 1460,80\r\n"
+                                         "Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,"
+                                         "e4402b7d:250\r\n"
                                          "X-Other: kept\r\nDeadline-Ms: 700\r\n"
                                          "Expect-Instance: i-1\r\nTenant: x\r\n"
                                          "Last-Event-Id: 14\r\nContent-Length: 2\r\n\r\nhi"),
