--- a/Tests/Relay/LoadPatternTest.cpp
+++ b/Tests/Relay/LoadPatternTest.cpp
@@ -61,6 +61,53 @@
     return means;
 }
 
+struct CrashScene
+{
+    std::uint32_t entries;
+    std::size_t ranks;
+    double load;
+    /// Share of the streams with the crashing part.
+    double share;
+    Disruptions further = {};
+};
+
+/// Plays streams of which some have a part that crashes servers. Returns which rule was broken.
+std::string crashFailure(const CrashScene &scene, std::uint64_t seed)
+{
+    constexpr milliseconds StableWindow{3000};
+    constexpr std::size_t NamedCrashes = 5;
+    constexpr std::size_t MaxLaterSends = 3;
+    constexpr double MinServed = 0.9;
+    LoadSimulation::Options options;
+    options.seed = seed;
+    options.entries = scene.entries;
+    options.ranks = scene.ranks;
+    options.load = scene.load;
+    options.length = seconds(40);
+    options.disruptions = scene.further;
+    options.disruptions.push_back({Fault::CrashingPart, DisruptionStart, seconds(34), scene.share});
+    const LoadSimulation::Result result = LoadSimulation(options).run();
+    const std::string crashes = std::to_string(result.crashes.size()) + " crashes";
+    if (result.crashes.empty())
+        return "no crash";
+    const Instant last = result.crashes[std::min(result.crashes.size(), NamedCrashes) - 1];
+    const auto later = std::count_if(result.crashingSends.begin(), result.crashingSends.end(),
+                                     [&](Instant at) { return at > last + StableWindow; });
+    if (static_cast<std::size_t>(later) > MaxLaterSends)
+        return std::to_string(later) + " sends after the fifth crash, " + crashes;
+    const auto begin =
+            std::chrono::duration_cast<seconds>(last - Instant(seconds(100))).count() + 7;
+    LoadSimulation::Tally sound;
+    for (auto second = static_cast<std::size_t>(begin); second < 40; ++second) {
+        sound.counted += result.bySecond[second].counted;
+        sound.inTime += result.bySecond[second].inTime;
+        sound.late += result.bySecond[second].late;
+    }
+    if (sound.served() < MinServed)
+        return std::to_string(sound.served()) + " of the sound requests are served, " + crashes;
+    return {};
+}
+
 std::string text(double current, double baseline)
 {
     return std::to_string(current) + " against " + std::to_string(baseline);
@@ -82,6 +129,7 @@
     CPPUNIT_TEST(requestsAreRefusedBeforeCallersDisconnect);
     CPPUNIT_TEST(earlyDisconnectsFreeTheirSlots);
     CPPUNIT_TEST(lostPlainServersAreAvoided);
+    CPPUNIT_TEST(crashingPromptPartReachesServersAgainAndAgain);
     CPPUNIT_TEST(sameSeedGivesTheSameResult);
     CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +220,17 @@
                        > 0.99);
     }
 
+    // Guards against requests with one crashing prompt part that reach server after server, at the
+    // sizes of a small and of a large deployment, and against sound requests that are refused with
+    // them.
+    void crashingPromptPartReachesServersAgainAndAgain()
+    {
+        for (const CrashScene &scene : {CrashScene{6, 12, 1, 0.05}, CrashScene{34, 63, 5, 0.01}}) {
+            for (std::uint64_t seed = 1; seed <= 3; ++seed)
+                CPPUNIT_ASSERT_EQUAL(std::string(), crashFailure(scene, seed));
+        }
+    }
+
     void sameSeedGivesTheSameResult()
     {
         const Disruptions pattern = {{Fault::SlowSteps, DisruptionStart, seconds(1), 1.8}};
--- a/Tests/Relay/LoadSimulation.cpp
+++ b/Tests/Relay/LoadSimulation.cpp
@@ -53,24 +53,28 @@
     return made;
 }
 
-BackendRecord record(const std::string &id, const std::string &service, std::uint32_t slots)
+} // namespace
+
+BackendRecord LoadSimulation::Backend::record() const
 {
     BackendRecord made;
-    made.id = id;
-    made.service = service;
-    made.address = "10.0.0.1:" + std::to_string(1000 + hash64(id) % 60000);
+    made.id = this->id;
+    made.service = this->isRank ? "model" : "plain";
+    // Restarts keep the address.
+    made.address = "10.0.0.1:"
+                   + std::to_string(1000 + hash64(this->id.substr(0, this->id.find('.'))) % 60000);
     made.failureDomain = "north";
-    made.slots = slots;
+    made.slots = this->slots;
+    made.incarnation = this->incarnation;
     return made;
 }
 
-} // namespace
-
-LoadSimulation::LoadSimulation(const Options &options) : options(options), random(options.seed)
+LoadSimulation::LoadSimulation(const Options &options)
+    : options(options), random(options.seed), partRandom(options.seed)
 {
-    for (std::size_t number = 0; number < Ranks + PlainServers; ++number) {
+    for (std::size_t number = 0; number < options.ranks + PlainServers; ++number) {
         Backend backend;
-        backend.isRank = number < Ranks;
+        backend.isRank = number < options.ranks;
         backend.id = (backend.isRank ? "rank-" : "plain-") + std::to_string(number);
         backend.slots = backend.isRank ? RankSlots : PlainSlots;
         this->backends.push_back(std::move(backend));
@@ -120,8 +124,7 @@
     RelayNode::Commands commands;
     entry.node->configure(configuration(), commands);
     for (const Backend &backend : this->backends)
-        entry.node->roster().update(
-                this->now, record(backend.id, backend.isRank ? "model" : "plain", backend.slots));
+        entry.node->roster().update(this->now, backend.record());
     for (std::size_t other = 0; other < this->entries.size(); ++other) {
         if (other != number)
             entry.node->entries().addAddress(this->now, "entry-" + std::to_string(other));
@@ -245,7 +248,7 @@
                    || row.kind == Fault::PlainServersFlaky) {
             const bool isGone = row.kind == Fault::PlainServersUnreachable;
             for (std::size_t server = 0; server < plain; ++server) {
-                Backend &backend = this->backends[Ranks + server];
+                Backend &backend = this->backends[this->options.ranks + server];
                 this->schedule(row.at, [this, &backend, isGone] {
                     (isGone ? backend.isUnreachable : backend.isFlaky) = true;
                     if (!isGone)
--- a/Tests/Relay/LoadSimulation.h
+++ b/Tests/Relay/LoadSimulation.h
@@ -33,7 +33,9 @@
         GroupReforming,          ///< the model group rejects everything
         PlainServersUnreachable, ///< this share of the plain backend servers is unreachable
         PlainServersFlaky, ///< this share of the plain backend servers fails half of its requests
-        EntriesRestarted   ///< this share of the entries stops and is started again after the span
+        EntriesRestarted,  ///< this share of the entries stops and is started again after the span
+        CrashingPart ///< this share of the streams has a prompt part that crashes the ranks that
+                     ///< run it
     };
 
     struct Disruption
@@ -48,6 +50,7 @@
     {
         std::uint64_t seed = 1;
         std::uint32_t entries = 6;
+        std::size_t ranks = 12;
         std::chrono::milliseconds length{20000};
         /// Factor on all arrival rates.
         double load = 1;
@@ -88,6 +91,9 @@
         double worstAccount = 1;
         /// Attempts for requests that their caller has repeated.
         std::uint32_t repeats = 0;
+        /// When a rank crashed, and when a request that crashes ranks was sent to one.
+        std::vector<Instant> crashes;
+        std::vector<Instant> crashingSends;
         /// Longest time from the sending of a request to its refusal.
         std::chrono::milliseconds longestHold{0};
     };
@@ -130,11 +136,15 @@
     void serve(Backend &backend);
     void stepGroup();
     void abortGroup();
+    void crashRank(Backend &backend);
+    void returnRank(Backend &backend);
     Backend *backendOf(const std::string &id);
     Entry *findRunning(std::size_t entry, std::uint32_t start);
 
     Options options;
     RandomSource random;
+    /// Separate, so that prompt parts leave the arrivals of a seed as they are.
+    RandomSource partRandom;
     Instant now{std::chrono::seconds(100)};
     std::multimap<Instant, Action> eventQueue;
     std::vector<Caller> callers;
--- a/Tests/Relay/LoadSimulationBackends.cpp
+++ b/Tests/Relay/LoadSimulationBackends.cpp
@@ -22,6 +22,11 @@
 /// streams, because all ranks wait for the slowest one.
 constexpr microseconds StepBaseTime{32000};
 constexpr microseconds StepTimePerStream{3000};
+/// A group that loses a rank stalls for this long before it aborts its requests.
+constexpr milliseconds StallTime{1500};
+/// A rank that crashed is back after this time, and its group then forms again.
+constexpr milliseconds RankRestartTime{2500};
+constexpr milliseconds GroupFormTime{600};
 
 } // namespace
 
@@ -46,13 +51,21 @@
     if (number != this->byCallerId.end()) {
         Caller &caller = this->callers[number->second];
         this->result.repeats += caller.attempts == 1 && caller.attempt != 0 ? 0 : 1;
+        work.crashesRank = caller.crashesRanks;
+        if (work.crashesRank)
+            this->result.crashingSends.push_back(this->now);
     }
     this->schedule(NetworkDelay, [this, work] { this->accept(work); });
 }
 
 void LoadSimulation::accept(const Work &work)
 {
-    Backend &backend = *this->backendOf(work.backend);
+    Backend *const found = this->backendOf(work.backend);
+    if (found == nullptr || found->isCrashed) {
+        this->breakWork(work, AttemptFailure::Refused);
+        return;
+    }
+    Backend &backend = *found;
     if (backend.isUnreachable) {
         this->breakWork(work, AttemptFailure::NotSent);
         return;
@@ -157,6 +170,11 @@
         for (Backend &backend : this->backends) {
             if (!backend.isRank)
                 continue;
+            if (std::any_of(backend.running.begin(), backend.running.end(),
+                            [](const Work &work) { return work.crashesRank; })) {
+                this->crashRank(backend);
+                continue;
+            }
             for (Work &work : backend.running) {
                 stepped.push_back(work);
                 work.hasHead = true;
@@ -215,4 +233,41 @@
     }
 }
 
+void LoadSimulation::crashRank(Backend &backend)
+{
+    this->result.crashes.push_back(this->now);
+    for (const auto *list : {&backend.running, &backend.queue}) {
+        for (const Work &work : *list)
+            this->breakWork(work, AttemptFailure::Broken);
+    }
+    backend.running.clear();
+    backend.queue.clear();
+    backend.isCrashed = true;
+    if (!this->isGroupStalled)
+        this->schedule(StallTime, [this] { this->abortGroup(); });
+    this->isGroupStalled = true;
+    this->schedule(RankRestartTime, [this, &backend] { this->returnRank(backend); });
+}
+
+void LoadSimulation::returnRank(Backend &backend)
+{
+    const std::string before = backend.id;
+    backend.isCrashed = false;
+    ++backend.incarnation;
+    backend.id = before.substr(0, before.find('.')) + "." + std::to_string(backend.incarnation);
+    for (Entry &entry : this->entries) {
+        if (entry.node == nullptr)
+            continue;
+        entry.node->roster().remove(this->now, before);
+        entry.node->roster().update(this->now, backend.record());
+    }
+    this->schedule(GroupFormTime, [this] {
+        const bool isWhole =
+                std::none_of(this->backends.begin(), this->backends.end(),
+                             [](const Backend &row) { return row.isRank && row.isCrashed; });
+        if (isWhole)
+            this->isGroupStalled = this->isGroupRejecting = false;
+    });
+}
+
 } // namespace Nutmegrill
--- a/Tests/Relay/LoadSimulationCallers.cpp
+++ b/Tests/Relay/LoadSimulationCallers.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds StreamIdleTimeout{2000};
 constexpr milliseconds EarlyDisconnectDelay{200};
 constexpr std::uint32_t ImpatientRepeats = 3;
+/// Different first parts of prompts.
+constexpr std::size_t FirstParts = 60;
 
 } // namespace
 
@@ -58,9 +60,16 @@
     if (caller.repeatsAtOnce)
         caller.repeatsLeft = ImpatientRepeats;
     caller.isCounted = !(this->random.unit() < this->factorOf(Fault::EarlyDisconnects));
+    if (LoadKinds[kind].isStream)
+        caller.sharedParts = {"first-" + std::to_string(this->partRandom.below(FirstParts))};
+    if (LoadKinds[kind].isStream && this->partRandom.unit() < this->factorOf(Fault::CrashingPart)) {
+        caller.sharedParts.push_back("crashing");
+        caller.crashesRanks = true;
+        caller.isCounted = false;
+    }
     const std::size_t number = this->callers.size();
     this->callers.push_back(caller);
-    if (!caller.isCounted)
+    if (!caller.isCounted && !caller.crashesRanks)
         this->schedule(EarlyDisconnectDelay, [this, number] {
             Caller &row = this->callers[number];
             this->disconnect(row);
@@ -108,6 +117,7 @@
     request.key = accountName(caller.account);
     request.timeLeft = std::chrono::duration_cast<milliseconds>(caller.deadline - this->now);
     request.lastEvent = caller.lastEvent;
+    request.sharedParts = caller.sharedParts;
     const std::size_t entry = caller.entry;
     const std::uint32_t start = this->entries[entry].start;
     const RelayCommand::CallerId id = caller.id;
--- a/Tests/Relay/LoadSimulationParts.h
+++ b/Tests/Relay/LoadSimulationParts.h
@@ -9,10 +9,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Nutmegrill {
 
-inline constexpr std::size_t Ranks = 12;
 inline constexpr std::uint32_t RankSlots = 12;
 inline constexpr std::size_t PlainServers = 3;
 inline constexpr std::uint32_t PlainSlots = 6;
@@ -61,6 +61,8 @@
     Instant attemptAt;
     Instant lastEventAt;
     std::optional<std::uint64_t> lastEvent;
+    std::vector<std::string> sharedParts;
+    bool crashesRanks = false;
     bool isLate = false;
     bool isClosed = false;
     bool isCounted = true;
@@ -83,6 +85,7 @@
     RelayCommand::AttemptId attempt = 0;
     std::string backend;
     std::uint64_t nextEvent = 1;
+    bool crashesRank = false;
     bool hasHead = false;
 };
 
@@ -92,9 +95,13 @@
     bool isRank = false;
     bool isUnreachable = false;
     bool isFlaky = false;
+    bool isCrashed = false;
+    std::uint64_t incarnation = 1;
     std::uint32_t slots = 1;
     std::deque<Work> running;
     std::deque<Work> queue;
+
+    BackendRecord record() const;
 };
 
 } // namespace Nutmegrill
