--- a/Source/Membership/CrashRecords.cpp
+++ b/Source/Membership/CrashRecords.cpp
@@ -9,8 +9,7 @@
 namespace {
 
 constexpr std::chrono::minutes RecordLifetime(10);
-constexpr std::size_t QuarantineCrashes = 2;
-// Memory limits. Two crashes already quarantine a fingerprint, and one crash adds at most the
+// Memory limits. A few crashes already quarantine a fingerprint, and one crash adds at most the
 // running requests of one backend server.
 constexpr std::size_t MaxCrashIds = 8;
 constexpr std::size_t MaxRecords = 4096;
@@ -20,10 +19,23 @@
 bool CrashRecords::add(Instant now, std::uint64_t fingerprint, const std::string &crashId)
 {
     Record &record = this->findOrCreate(now, fingerprint);
-    if (record.crashIds.count(crashId) != 0 || record.endedIds.count(crashId) != 0)
+    if (record.crashes.count(crashId) != 0 || record.endedIds.count(crashId) != 0)
         return false;
     record.deadline = std::max(record.deadline, now + RecordLifetime);
-    return record.crashIds.size() < MaxCrashIds && record.crashIds.insert(crashId).second;
+    return this->addCrash(record, crashId, now);
+}
+
+bool CrashRecords::addCrash(Record &record, const std::string &crashId, Instant at) const
+{
+    const bool isOld =
+            record.endedIds.count(crashId) != 0 || (record.ranWellAt && at <= *record.ranWellAt);
+    const bool isCounted =
+            std::any_of(record.crashes.begin(), record.crashes.end(), [&](const auto &crash) {
+                return at < crash.second + this->rules.spacing
+                       && crash.second < at + this->rules.spacing;
+            });
+    return !isOld && !isCounted && record.crashes.size() < MaxCrashIds
+           && record.crashes.emplace(crashId, at).second;
 }
 
 bool CrashRecords::merge(Instant now, const PeerMessage::CrashNotice &notice)
@@ -31,15 +43,15 @@
     if (notice.crashIds.empty() || notice.remaining <= std::chrono::milliseconds(0))
         return false;
     Record &record = this->findOrCreate(now, notice.fingerprint);
-    const bool isActive = !record.crashIds.empty();
-    const bool quarantines = notice.crashIds.size() >= QuarantineCrashes;
+    const bool isActive = !record.crashes.empty();
+    const bool quarantines = notice.crashIds.size() >= this->rules.crashes;
     bool isNew = false;
     for (const std::string &crashId : notice.crashIds) {
         const bool ended = record.endedIds.count(crashId) != 0;
         // A crash that was cleared here counts again when the peer knows of a second one, so that
         // both sides agree on the quarantine.
-        if (record.crashIds.size() < MaxCrashIds && (!ended || (isActive && quarantines)))
-            isNew = record.crashIds.insert(crashId).second && !ended ? true : isNew;
+        if (record.crashes.size() < MaxCrashIds && (!ended || (isActive && quarantines)))
+            isNew = record.crashes.emplace(crashId, now).second && !ended ? true : isNew;
     }
     if (isNew || !this->switches.fixedDeadline)
         record.deadline = std::max(
@@ -48,6 +60,21 @@
     return isNew;
 }
 
+bool CrashRecords::mergeReport(Instant now, const CrashReport &report)
+{
+    if (report.remaining <= std::chrono::milliseconds(0))
+        return false;
+    Record &record = this->findOrCreate(now, report.fingerprint);
+    bool isNew = report.sinceSuccess && recordSuccess(record, now - *report.sinceSuccess);
+    for (const auto &[id, age] : report.crashes)
+        isNew = this->addCrash(record, id, now - age) || isNew;
+    if (isNew)
+        record.deadline = std::max(
+                record.deadline,
+                now + std::min<std::chrono::milliseconds>(report.remaining, RecordLifetime));
+    return isNew;
+}
+
 bool CrashRecords::isSuspect(Instant now, std::uint64_t fingerprint) const
 {
     return this->find(now, fingerprint) != nullptr;
@@ -56,22 +83,84 @@
 bool CrashRecords::isQuarantined(Instant now, std::uint64_t fingerprint) const
 {
     const Record *record = this->find(now, fingerprint);
-    return record != nullptr && record->crashIds.size() >= QuarantineCrashes;
+    return record != nullptr && this->isQuarantined(*record);
+}
+
+bool CrashRecords::isQuarantined(const Record &record) const
+{
+    return record.crashes.size()
+           >= (record.ranWellAt ? this->rules.crashesAfterSuccess : this->rules.crashes);
 }
 
 void CrashRecords::clearSuspect(std::uint64_t fingerprint)
 {
     const auto found = this->records.find(fingerprint);
-    if (found != this->records.end() && found->second.crashIds.size() < QuarantineCrashes)
+    if (found != this->records.end() && !this->isQuarantined(found->second))
         this->expire(found->second);
 }
 
+bool CrashRecords::recordSuccess(Instant at, std::uint64_t fingerprint)
+{
+    const auto found = this->records.find(fingerprint);
+    return found != this->records.end() && recordSuccess(found->second, at);
+}
+
+bool CrashRecords::recordSuccess(Record &record, Instant at)
+{
+    const bool isFirst = !record.ranWellAt;
+    record.ranWellAt = std::max(record.ranWellAt.value_or(at), at);
+    return std::erase_if(record.crashes,
+                         [&](const auto &crash) { return crash.second <= *record.ranWellAt; })
+                   > 0
+           || isFirst;
+}
+
+bool CrashRecords::hasRunWell(Instant now, std::uint64_t fingerprint) const
+{
+    const Record *record = this->find(now, fingerprint);
+    return record != nullptr && record->ranWellAt.has_value();
+}
+
+CrashRecords::Crashes CrashRecords::crashes(Instant now, std::uint64_t fingerprint) const
+{
+    const Record *record = this->find(now, fingerprint);
+    return record == nullptr ? Crashes() : record->crashes;
+}
+
+std::vector<std::uint64_t> CrashRecords::quarantined(Instant now) const
+{
+    std::vector<std::uint64_t> fingerprints;
+    for (const auto &[fingerprint, record] : this->records) {
+        if (this->isQuarantined(now, fingerprint))
+            fingerprints.push_back(fingerprint);
+    }
+    return fingerprints;
+}
+
+CrashReport CrashRecords::report(Instant now, std::uint64_t fingerprint) const
+{
+    using std::chrono::milliseconds;
+    CrashReport report;
+    report.fingerprint = fingerprint;
+    const auto found = this->records.find(fingerprint);
+    if (found == this->records.end() || found->second.deadline <= now)
+        return report;
+    const Record &record = found->second;
+    for (const auto &[id, at] : record.crashes)
+        report.crashes.push_back({id, std::chrono::duration_cast<milliseconds>(now - at)});
+    if (record.ranWellAt)
+        report.sinceSuccess = std::chrono::duration_cast<milliseconds>(now - *record.ranWellAt);
+    report.remaining = std::chrono::duration_cast<milliseconds>(record.deadline - now);
+    return report;
+}
+
 PeerMessage::CrashNotice CrashRecords::notice(Instant now, std::uint64_t fingerprint) const
 {
     PeerMessage::CrashNotice notice;
     notice.fingerprint = fingerprint;
     if (const Record *record = this->find(now, fingerprint)) {
-        notice.crashIds.assign(record->crashIds.begin(), record->crashIds.end());
+        for (const auto &[id, at] : record->crashes)
+            notice.crashIds.push_back(id);
         notice.remaining =
                 std::chrono::duration_cast<std::chrono::milliseconds>(record->deadline - now);
     }
@@ -98,9 +187,11 @@
 
 void CrashRecords::expire(Record &record) const
 {
-    if (this->switches.rememberEnded)
-        record.endedIds.merge(record.crashIds);
-    record.crashIds.clear();
+    for (const auto &[id, at] : record.crashes) {
+        if (this->switches.rememberEnded)
+            record.endedIds.insert(id);
+    }
+    record.crashes.clear();
     while (record.endedIds.size() > MaxCrashIds)
         record.endedIds.erase(record.endedIds.begin());
 }
@@ -108,8 +199,8 @@
 void CrashRecords::evictRecord()
 {
     // Evicts suspects before quarantined fingerprints, and records with earlier deadlines first.
-    const auto rank = [](const auto &row) {
-        return std::pair(row.second.crashIds.size() >= QuarantineCrashes, row.second.deadline);
+    const auto rank = [this](const auto &row) {
+        return std::pair(this->isQuarantined(row.second), row.second.deadline);
     };
     this->records.erase(std::min_element(
             this->records.begin(), this->records.end(),
@@ -120,7 +211,7 @@
 {
     const auto found = this->records.find(fingerprint);
     if (found == this->records.end() || found->second.deadline <= now
-        || found->second.crashIds.empty())
+        || found->second.crashes.empty())
         return nullptr;
     return &found->second;
 }
--- a/Source/Membership/CrashRecords.h
+++ b/Source/Membership/CrashRecords.h
@@ -1,18 +1,23 @@
 #pragma once
 
 #include "Core/Time.h"
+#include "Membership/CrashReport.h"
 #include "Messages/PeerMessage.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Nutmegrill {
 
-/// Fingerprints of requests that were running when a backend server crashed. One crash marks a
-/// fingerprint as suspect, two crashes quarantine it; both states expire at a deadline.
+/// Fingerprints of requests, or of parts of requests, that were running when a backend server
+/// crashed. One crash marks a fingerprint as suspect, several crashes quarantine it; both states
+/// expire at a deadline.
 class CrashRecords
 {
 public:
@@ -25,8 +30,21 @@
         bool rememberEnded = true;
     };
 
+    struct Rules
+    {
+        /// Crashes that quarantine a fingerprint.
+        std::size_t crashes = 2;
+        /// The same for a fingerprint under which a request has run well before.
+        std::size_t crashesAfterSuccess = 2;
+        /// Crashes closer together than this have one cause, such as a lost rack, and count once.
+        std::chrono::milliseconds spacing{0};
+    };
+
+    using Crashes = std::map<std::string, Instant>;
+
     CrashRecords() : CrashRecords(Switches{}) {}
-    explicit CrashRecords(Switches switches) : switches(switches) {}
+    explicit CrashRecords(Switches switches) : CrashRecords(switches, Rules{}) {}
+    CrashRecords(Switches switches, Rules rules) : switches(switches), rules(rules) {}
 
     /// Adds one crash of a backend server. \a crashId identifies the crash, so that duplicate
     /// notices count once. Returns whether the crash is new.
@@ -36,6 +54,9 @@
     /// the notice contained a new crash and must be forwarded.
     bool merge(Instant now, const PeerMessage::CrashNotice &notice);
 
+    /// Merges what a peer or the store reports. Returns whether the report contained news.
+    bool mergeReport(Instant now, const CrashReport &report);
+
     bool isSuspect(Instant now, std::uint64_t fingerprint) const;
     bool isQuarantined(Instant now, std::uint64_t fingerprint) const;
 
@@ -43,6 +64,16 @@
     /// of a second crash still quarantines the fingerprint.
     void clearSuspect(std::uint64_t fingerprint);
 
+    /// A request with the fingerprint ran well at the given time: crashes until then had another
+    /// cause and no longer count. Returns whether that changes the decision about the fingerprint.
+    bool recordSuccess(Instant at, std::uint64_t fingerprint);
+    bool hasRunWell(Instant now, std::uint64_t fingerprint) const;
+
+    /// The crashes that count, with their times.
+    Crashes crashes(Instant now, std::uint64_t fingerprint) const;
+    std::vector<std::uint64_t> quarantined(Instant now) const;
+    CrashReport report(Instant now, std::uint64_t fingerprint) const;
+
     /// Returns the record as a notice for peers.
     PeerMessage::CrashNotice notice(Instant now, std::uint64_t fingerprint) const;
 
@@ -54,19 +85,24 @@
 private:
     struct Record
     {
-        std::set<std::string> crashIds;
+        Crashes crashes;
         /// Crashes that no longer count. They are kept so that a delayed copy of a notice, whose
         /// deadline moves a little with each peer that forwards it, does not revive the record.
         std::set<std::string> endedIds;
+        std::optional<Instant> ranWellAt;
         Instant deadline;
     };
 
     Record &findOrCreate(Instant now, std::uint64_t fingerprint);
     void expire(Record &record) const;
+    bool addCrash(Record &record, const std::string &crashId, Instant at) const;
+    static bool recordSuccess(Record &record, Instant at);
+    bool isQuarantined(const Record &record) const;
     void evictRecord();
     const Record *find(Instant now, std::uint64_t fingerprint) const;
 
     Switches switches;
+    Rules rules;
     std::map<std::uint64_t, Record> records;
 };
 
--- a/Source/Relay/Attempt.h
+++ b/Source/Relay/Attempt.h
@@ -19,8 +19,13 @@
     Instant connectedAt;
     /// When the head or the last event was received; the time of sending before that.
     Instant lastActivityAt;
+    Instant firstEventAt;
     bool hasHead = false;
     bool hasEvent = false;
+    /// The backend server has written for long enough to show that the request does not crash it.
+    bool hasRunWell = false;
+    /// The request tests a quarantined trait.
+    bool isTest = false;
     /// Head of an answer which states that the backend server did not run the request.
     std::optional<AnswerHead> refusal;
 };
--- a/Source/Relay/EntryReport.h
+++ b/Source/Relay/EntryReport.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "Membership/CrashReport.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Nutmegrill {
 
@@ -35,6 +38,8 @@
     std::map<std::string, std::uint32_t> running;
     /// Requests that wait for a slot at this entry, by service.
     std::map<std::string, std::uint32_t> waiting;
+    /// News about requests that crash backend servers.
+    std::vector<CrashReport> crashes;
 };
 
 } // namespace Nutmegrill
--- a/Source/Relay/Exchange.h
+++ b/Source/Relay/Exchange.h
@@ -5,6 +5,7 @@
 #include "Relay/Attempt.h"
 #include "Relay/RelayCommand.h"
 #include "Relay/RelayRequest.h"
+#include "Relay/RequestQuarantine.h"
 #include "Relay/RequestTimes.h"
 
 #include <cstdint>
@@ -38,6 +39,8 @@
     /// Backend servers at which an attempt failed; they get no further attempt.
     std::set<std::string> failedOn;
     std::string lastBackend;
+    /// What it has in common with other requests that crash backend servers.
+    RequestQuarantine::Traits traits;
     /// Attempts that a backend server has run or may have run.
     std::uint32_t runs = 0;
     /// Attempts sent, whether run or not.
--- a/Source/Relay/RelayCommand.h
+++ b/Source/Relay/RelayCommand.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/LogRecord.h"
+#include "Membership/CrashReport.h"
 #include "Relay/RequestTimes.h"
 
 #include <chrono>
@@ -81,6 +82,23 @@
     CallerId caller = 0;
 };
 
+/// Finds out whether anything listens at a backend server's address; see
+/// RelayNode::backendChecked().
+struct CheckBackend
+{
+    /// Names one start of the backend server.
+    std::string incarnation;
+    std::string address;
+};
+
+/// Writes a crash record to the store, where it outlasts this process.
+struct StoreCrashes
+{
+    CrashReport report;
+    /// Revision of the record in the store; 0 if there is none.
+    std::uint64_t revision = 0;
+};
+
 /// Records where the time of an answered request was spent.
 struct RecordTimes
 {
@@ -94,7 +112,7 @@
 };
 
 using Any = std::variant<StartAttempt, CancelAttempt, Refuse, RelayAnswer, OpenStream, SendEvent,
-                         EndStream, AbortStream, RecordTimes, Log>;
+                         EndStream, AbortStream, CheckBackend, StoreCrashes, RecordTimes, Log>;
 using List = std::vector<Any>;
 
 } // namespace RelayCommand
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -26,6 +26,8 @@
 constexpr std::uint32_t MaxSends = 4;
 /// Backoff before a request that a backend server rejected as not run is sent again.
 constexpr milliseconds RejectionBackoff{40};
+/// Time between events after which a request is known not to crash its backend server.
+constexpr milliseconds MinProgress{500};
 
 milliseconds toMilliseconds(std::chrono::microseconds span)
 {
@@ -141,6 +143,7 @@
     exchange.deadline = now + std::min(request.timeLeft.value_or(DefaultDeadline), route->timeout);
     exchange.lastEvent = request.lastEvent;
     exchange.request = std::move(request);
+    exchange.traits = RequestQuarantine::traitsOf(exchange.service, exchange.request);
     exchange.accountOpenRequests = static_cast<std::uint32_t>(
             std::count_if(this->exchanges.begin(), this->exchanges.end(), [&](const auto &entry) {
                 return entry.second.account == exchange.account
@@ -198,6 +201,7 @@
     running.hasHead = true;
     running.lastActivityAt = now;
     this->lastServiceActivityAt[exchange->service] = now;
+    this->quarantine.recordAlive(this->incarnationOf(running.backend));
     if (BackendRoster::Row *row = this->backends.find(running.backend)) {
         row->lastReceivedAt = now;
         if (head.load)
@@ -254,9 +258,12 @@
     } else {
         exchange->times.serving += now - exchange->attempt->connectedAt;
         this->waitEstimatorOf(*exchange).recordDelay(now - exchange->attempt->sentAt);
+        exchange->attempt->firstEventAt = now;
     }
     exchange->attempt->lastActivityAt = now;
     exchange->attempt->hasEvent = true;
+    if (now >= exchange->attempt->firstEventAt + MinProgress)
+        this->recordProgress(now, *exchange);
     this->circuitBreakers[exchange->service].recordServed();
     this->lastServiceActivityAt[exchange->service] = now;
     if (BackendRoster::Row *row = this->backends.find(exchange->attempt->backend))
@@ -289,6 +296,7 @@
         row->lastReceivedAt = now;
         failed ? row->health.recordFailure(now) : row->health.recordSuccess(now);
     }
+    this->recordProgress(now, *exchange);
     this->circuitBreakers[exchange->service].recordServed();
     this->waitEstimatorOf(*exchange).recordHoldTime(now - running.sentAt);
     if (!running.hasEvent) {
@@ -335,6 +343,10 @@
         wasSent ? row->health.recordFailure(now) : row->health.recordUnreachable(now);
     if (!wasSent && exchange->runs > 0)
         --exchange->runs;
+    if (failure == AttemptFailure::Broken)
+        this->recordBreak(now, *exchange, commands);
+    else if (failure == AttemptFailure::Refused)
+        this->recordEnd(now, this->incarnationOf(backend), commands);
     exchange->failedOn.insert(backend);
     if (exchange->failureAnswer == attempt)
         exchange->failureAnswer.reset();
@@ -404,6 +416,9 @@
         this->startedAt = now;
     this->backends.tick(now);
     this->peers.tick(now);
+    this->quarantine.tick(now);
+    this->checkRestarts(now, commands);
+    this->cancelBlocked(now, commands);
     this->checkDeadlines(now, commands);
     this->checkSilence(now, commands);
     this->placeWaiting(now, commands);
@@ -524,8 +539,9 @@
     this->exchanges.erase(exchange.caller);
 }
 
-void RelayNode::fillReport(EntryReport &report) const
+void RelayNode::fillReport(Instant now, EntryReport &report)
 {
+    this->quarantine.fillReports(now, report.crashes);
     for (const auto &[backend, use] : this->backendUses) {
         if (use.running > 0)
             report.running[backend] = use.running;
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -9,6 +9,7 @@
 #include "Relay/Exchange.h"
 #include "Relay/RelayCommand.h"
 #include "Relay/RelayPolicy.h"
+#include "Relay/RequestQuarantine.h"
 #include "Relay/RouteTable.h"
 #include "Relay/ServiceCircuitBreaker.h"
 #include "Relay/ServiceRetryBudget.h"
@@ -33,6 +34,13 @@
     Malformed ///< the bytes were no valid answer
 };
 
+/// What listens at the address of a backend server.
+enum class BackendCheck {
+    Listening,
+    Refused, ///< nothing
+    Unknown  ///< no answer in time
+};
+
 /// Decision logic of an entry that relays requests directly to backend servers: routing, placement,
 /// queueing, admission, retries, resumption of streams and deadlines. It uses no clock and no
 /// sockets: times are passed in, and commands for the I/O layer are returned.
@@ -89,11 +97,19 @@
     void answerEnded(Instant now, AttemptId attempt, Commands &commands);
     void attemptFailed(Instant now, AttemptId attempt, AttemptFailure failure, Commands &commands);
 
+    void backendChecked(Instant now, const std::string &incarnation, BackendCheck result,
+                        Commands &commands);
+
+    /// Another entry's report arrived. Returns whether it is newer than its last one.
+    bool reportArrived(Instant now, const EntryReport &report);
+    RequestQuarantine &requestQuarantine() { return this->quarantine; }
+
     void tick(Instant now, Commands &commands);
 
     std::size_t openRequests() const { return this->exchanges.size(); }
-    /// Adds the running and waiting requests to this entry's report to the other entries.
-    void fillReport(EntryReport &report) const;
+    /// Adds the running and waiting requests and the news about crashes to this entry's report to
+    /// the other entries.
+    void fillReport(Instant now, EntryReport &report);
 
 private:
     using Exchanges = std::map<CallerId, Exchange>;
@@ -133,6 +149,14 @@
     std::string reasonToRefuse(Instant now, const Exchange &exchange, std::uint32_t ahead);
     std::chrono::milliseconds retryAfterFor(Instant now, const Exchange &exchange,
                                             std::chrono::milliseconds wait);
+    bool isBlocked(Instant now, const Exchange &exchange) const;
+    /// Ends attempts that have become blocked, before their backend servers begin to run them.
+    void cancelBlocked(Instant now, Commands &commands);
+    void recordBreak(Instant now, const Exchange &exchange, Commands &commands);
+    void recordEnd(Instant now, const std::string &incarnation, Commands &commands);
+    void recordProgress(Instant now, Exchange &exchange);
+    std::string incarnationOf(const std::string &backend) const;
+    void checkRestarts(Instant now, Commands &commands);
     ServiceWaitEstimator &waitEstimatorOf(const Exchange &exchange);
     ServiceRetryBudget &retryBudgetOf(const std::string &service);
     std::uint32_t usableSlots(const std::string &service, Instant now) const;
@@ -147,6 +171,8 @@
     std::unique_ptr<RouteTable> routes;
     BackendRoster backends;
     EntryTable peers;
+    RequestQuarantine quarantine;
+    std::uint64_t cancelledGeneration = 0;
     Exchanges exchanges;
     std::map<AttemptId, CallerId> attempts;
     std::map<std::string, BackendUse> backendUses;
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -23,6 +23,8 @@
 /// Minimum of the wait from which Retry-After is derived while the circuit breaker of a service is
 /// open: a group that has lost a rank is back after one to four seconds.
 constexpr milliseconds MinOutageRetryAfter{1200};
+/// Quarantined requests stay refused for minutes.
+constexpr milliseconds QuarantineRetryAfter{10000};
 /// Share of a backend server's connection limit that the entries use; the rest covers connections
 /// that are being closed.
 constexpr double ConnectionShare = 0.8;
@@ -74,7 +76,7 @@
 bool RelayNode::tryPlace(Instant now, Exchange &exchange, Commands &commands)
 {
     ServiceCircuitBreaker &circuit = this->circuitBreakers[exchange.service];
-    if (!circuit.allowsRequest(now))
+    if (!circuit.allowsRequest(now) || this->isBlocked(now, exchange))
         return false;
     const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
     const std::uint32_t entries = this->peers.entryCount(now);
@@ -114,6 +116,7 @@
     started.connectedAt = now;
     exchange.times.waiting += now - exchange.waitingSince;
     started.lastActivityAt = now;
+    started.isTest = this->quarantine.recordSent(now, exchange.traits);
     exchange.lastBackend = *chosen;
     ++exchange.runs;
     ++exchange.sends;
@@ -146,6 +149,8 @@
 
 std::string RelayNode::reasonToRefuse(Instant now, const Exchange &exchange, std::uint32_t ahead)
 {
+    if (this->isBlocked(now, exchange))
+        return "quarantined";
     AdmissionInput input;
     input.now = now;
     input.arrivedAt = exchange.arrivedAt;
@@ -165,6 +170,8 @@
 {
     if (this->circuitBreakers[exchange.service].isOpen())
         wait = std::max(wait, MinOutageRetryAfter);
+    if (this->isBlocked(now, exchange))
+        wait = std::max(wait, QuarantineRetryAfter);
     // Jitter of up to the same length keeps refused callers from returning together. The sum stays
     // within the time for which callers honour Retry-After.
     const milliseconds maxPause = toMilliseconds(exchange.deadline - now) / RetryAfterDivisor;
--- /dev/null
+++ b/Source/Relay/RequestQuarantine.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "Core/Time.h"
+#include "Membership/CrashRecords.h"
+#include "Membership/CrashReport.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Nutmegrill {
+
+struct RelayRequest;
+
+/// Keeps requests that crash backend servers away from them. A request is known by its traits: its
+/// content and the shared parts of its prompt. A crash counts against the traits of all requests
+/// that had not made progress when it happened; a request that runs well clears its traits. The
+/// entries exchange their records, so each of them counts every crash.
+class RequestQuarantine
+{
+public:
+    using Traits = std::vector<std::uint64_t>;
+    /// Whether this entry is the one that may test a trait.
+    using IsTester = std::function<bool(std::uint64_t trait)>;
+
+    RequestQuarantine();
+
+    static Traits traitsOf(const std::string &service, const RelayRequest &request);
+
+    /// The connection of an attempt broke before it made progress. \a incarnation names one start
+    /// of a backend server. Returns whether it has to be checked that this start has ended.
+    bool recordBreak(Instant now, const std::string &incarnation, const Traits &traits);
+    /// The backend server answers, so connections to it broke for another reason.
+    void recordAlive(const std::string &incarnation) { this->broken.erase(incarnation); }
+    /// The start of the backend server has ended: the breaks were a crash. Returns the number of
+    /// traits that it counts against.
+    std::size_t recordEnd(Instant now, const std::string &incarnation);
+    /// Starts of backend servers with breaks that are not explained yet.
+    std::vector<std::string> unexplained() const;
+
+    /// A request made progress or was answered.
+    void recordSuccess(Instant now, const Traits &traits);
+
+    /// Whether a request may not be sent. Traits whose crashes all happened under another
+    /// quarantined trait do not block; when it is not decided which of the two is the cause, single
+    /// requests of one entry are let through as a test.
+    bool blocks(Instant now, const Traits &traits, const IsTester &isTester) const;
+    /// A request was sent. Returns whether it tests a quarantined trait.
+    bool recordSent(Instant now, const Traits &traits);
+
+    /// Adds news, and now and then the record of a quarantined trait, for the other entries.
+    void fillReports(Instant now, std::vector<CrashReport> &reports);
+    void merge(Instant now, const CrashReport &report);
+
+    struct StoreWrite
+    {
+        CrashReport report;
+        /// Revision of the record in the store; 0 if there is none.
+        std::uint64_t revision = 0;
+    };
+    /// Whether this entry is among the given number of entries that may write a trait.
+    using IsWriter = std::function<bool(std::uint64_t trait, std::uint32_t writers)>;
+
+    /// The store has a record of a trait.
+    void recordStored(Instant now, const CrashReport &report, std::uint64_t revision);
+    /// The record of a trait was removed from the store.
+    void recordUnstored(std::uint64_t trait) { this->stored.erase(trait); }
+    /// Records that this entry has to write to the store now: those of quarantined traits, which
+    /// outlast a restart of all entries there, and those of traits that no longer are.
+    std::vector<StoreWrite> takeStoreWrites(Instant now, const IsWriter &isWriter);
+
+    /// Changes whenever a trait may have become quarantined.
+    std::uint64_t generation() const { return this->changes; }
+    std::size_t size() const { return this->records.size(); }
+
+    void tick(Instant now);
+
+private:
+    struct Break
+    {
+        Instant at;
+        std::set<std::uint64_t> traits;
+        bool isEnd = false;
+    };
+
+    struct StoredRow
+    {
+        std::uint64_t revision = 0;
+        bool isQuarantined = false;
+        /// Since when the store differs from this entry; NoDeadline while it does not.
+        Instant differsSince = NoDeadline;
+        Instant notBefore;
+    };
+
+    void countCrash(Instant now, std::uint64_t trait, const std::string &incarnation);
+    /// Applies what this entry itself has seen run well to the record of a trait.
+    bool recordLocalSuccess(Instant now, std::uint64_t trait);
+    void rememberSuccess(Instant now, std::uint64_t trait);
+    void announce(std::uint64_t trait, std::uint32_t times);
+
+    CrashRecords records;
+    /// By incarnation.
+    std::map<std::string, Break> broken;
+    /// When a request with the trait last ran well here; the oldest rows are dropped first.
+    std::map<std::uint64_t, Instant> successes;
+    std::deque<std::uint64_t> successOrder;
+    std::map<std::uint64_t, Instant> testedUntil;
+    /// In how many further reports a changed record is included.
+    std::map<std::uint64_t, std::uint32_t> news;
+    std::uint64_t lastRepeated = 0;
+    Instant nextRepeatAt;
+    std::map<std::uint64_t, StoredRow> stored;
+    /// Quarantined traits at the last tick, in ascending order.
+    std::vector<std::uint64_t> quarantined;
+    Instant quarantinedUntil;
+    std::uint64_t changes = 0;
+    std::uint64_t countedChanges = 0;
+};
+
+} // namespace Nutmegrill
--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -15,6 +15,8 @@
 /// to 4,800 and 420 bytes; the limits are far above that and small compared with an entry's memory.
 constexpr std::size_t MaxAnswerBytes = 4U << 20U;
 constexpr std::size_t MaxEventBytes = 256U << 10U;
+/// Backend servers are in the same region and accept within milliseconds.
+constexpr std::chrono::milliseconds CheckTimeout{500};
 
 } // namespace
 
@@ -168,6 +170,29 @@
                    : &found->second->answer;
 }
 
+void BackendAttempts::check(const std::string &address, std::function<void(BackendCheck)> onResult)
+{
+    const std::uint64_t check = this->nextCheck++;
+    const auto connection = std::make_shared<ClientConnection>(this->loop, address, CheckTimeout);
+    this->checks.emplace(check, connection);
+    const auto finish = [this, check, onResult = std::move(onResult)](BackendCheck result) {
+        // The connection must not end within its own handler.
+        this->loop.after(std::chrono::milliseconds(0),
+                         [this, check] { this->checks.erase(check); });
+        onResult(result);
+    };
+    ClientConnection::Handlers handlers;
+    handlers.onConnected = [finish] { finish(BackendCheck::Listening); };
+    handlers.onHead = [](const HttpHead &) { return true; };
+    handlers.onData = [](std::string_view) {};
+    handlers.onEnd = [] {};
+    handlers.onFailure = [finish](ClientConnection::Failure failure) {
+        finish(failure == ClientConnection::Failure::Refused ? BackendCheck::Refused
+                                                             : BackendCheck::Unknown);
+    };
+    connection->send({}, std::move(handlers));
+}
+
 void BackendAttempts::pause(AttemptId attempt, bool paused)
 {
     if (const auto found = this->openAttempts.find(attempt);
--- a/Source/RelayShell/BackendAttempts.h
+++ b/Source/RelayShell/BackendAttempts.h
@@ -51,6 +51,8 @@
     /// Null if the attempt is unknown or no answer head has arrived.
     const Answer *answer(AttemptId attempt) const;
     void pause(AttemptId attempt, bool paused);
+    /// Finds out whether anything listens at the address, by a connection without a request.
+    void check(const std::string &address, std::function<void(BackendCheck)> onResult);
     void tick(Instant now) { this->pool.tick(now); }
     std::uint64_t connectionsOpened() const { return this->pool.connectionsOpened(); }
 
@@ -67,6 +69,8 @@
     Observer observer;
     BackendPool pool;
     std::map<AttemptId, std::unique_ptr<OpenAttempt>> openAttempts;
+    std::map<std::uint64_t, std::shared_ptr<ClientConnection>> checks;
+    std::uint64_t nextCheck = 1;
 };
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -21,8 +21,48 @@
     return bytes;
 }
 
+// Reports repeat the records several times a second, so the names of the fields are short.
+Json crashesToJson(const CrashReport &report)
+{
+    Json crashes = Json::array();
+    for (const auto &[id, age] : report.crashes)
+        crashes.push_back({id, age.count()});
+    Json json = {
+            {"f", report.fingerprint}, {"c", std::move(crashes)}, {"l", report.remaining.count()}};
+    if (report.sinceSuccess)
+        json["s"] = report.sinceSuccess->count();
+    return json;
+}
+
+CrashReport crashesFromJson(const Json &json)
+{
+    CrashReport report;
+    json.at("f").get_to(report.fingerprint);
+    for (const Json &crash : json.at("c"))
+        report.crashes.push_back({crash.at(0).get<std::string>(),
+                                  std::chrono::milliseconds(crash.at(1).get<std::uint32_t>())});
+    if (json.contains("s"))
+        report.sinceSuccess = std::chrono::milliseconds(json.at("s").get<std::uint32_t>());
+    report.remaining = std::chrono::milliseconds(json.at("l").get<std::uint32_t>());
+    return report;
+}
+
 } // namespace
 
+std::string encodeCrashReport(const CrashReport &report)
+{
+    return crashesToJson(report).dump();
+}
+
+std::optional<CrashReport> decodeCrashReport(std::string_view text)
+{
+    try {
+        return crashesFromJson(Json::parse(text));
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
 std::string encodeReport(const EntryReport &report)
 {
     Json json = {{"name", report.name},
@@ -39,6 +79,8 @@
                  {"waiting", report.waiting}};
     if (report.sinceStoreReturned)
         json["returned"] = report.sinceStoreReturned->count();
+    for (const CrashReport &crashes : report.crashes)
+        json["crashes"].push_back(crashesToJson(crashes));
     return toBytes(json);
 }
 
@@ -64,6 +106,8 @@
                     std::chrono::milliseconds(json.at("returned").get<std::uint32_t>());
         report.running = json.value("running", decltype(report.running)());
         report.waiting = json.value("waiting", decltype(report.waiting)());
+        for (const Json &crashes : json.value("crashes", Json::array()))
+            report.crashes.push_back(crashesFromJson(crashes));
         if (report.peerAddress.empty())
             return std::nullopt;
         return report;
--- a/Source/RelayShell/PeerCodec.h
+++ b/Source/RelayShell/PeerCodec.h
@@ -15,6 +15,9 @@
 /// ignore unknown fields and return nullopt for malformed bytes.
 std::string encodeReport(const EntryReport &report);
 std::optional<EntryReport> decodeReport(std::string_view bytes);
+/// JSON text with the record of a trait for the store.
+std::string encodeCrashReport(const CrashReport &report);
+std::optional<CrashReport> decodeCrashReport(std::string_view text);
 std::string encodeUpdate(const StoreMirror::Update &update);
 std::optional<StoreMirror::Update> decodeUpdate(std::string_view bytes);
 std::string encodeRankState(const RankState &state);
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -1,5 +1,6 @@
 #include "RelayShell/RelayEntry.h"
 
+#include "Core/Hash.h"
 #include "Http/HttpCall.h"
 #include "Net/EventLog.h"
 #include "Relay/RelayLog.h"
@@ -178,6 +179,8 @@
     open.head = std::move(request.head);
     open.body = std::move(request.body);
     open.arrivedAt = now;
+    facts.contentHash = hash64(open.head.method + ' ' + open.head.target + '\n' + facts.host + '\n'
+                               + facts.key + '\n' + open.body);
     RelayNode::Commands commands;
     this->node.requestArrived(now, id, std::move(facts), commands);
     this->execute(commands);
@@ -262,6 +265,11 @@
         } else if (const auto *entry = std::get_if<StateDecoder::EntryAnnounced>(&decoded)) {
             if (entry->peerAddress != this->options.peerAddress)
                 this->node.entries().addAddress(now, entry->peerAddress);
+        } else if (const auto *crashes = std::get_if<StateDecoder::CrashesRecorded>(&decoded)) {
+            if (!crashes->value)
+                this->node.requestQuarantine().recordUnstored(crashes->trait);
+            else if (const auto report = decodeCrashReport(*crashes->value))
+                this->node.requestQuarantine().recordStored(now, *report, change.revision);
         } else if (const auto *unreadable = std::get_if<StateDecoder::Unreadable>(&decoded)) {
             if (unreadable->backend)
                 this->node.roster().remove(now, *unreadable->backend);
@@ -295,7 +303,7 @@
         return;
     }
     const Instant now = this->loop.now();
-    if (!this->node.entries().update(now, *report))
+    if (!this->node.reportArrived(now, *report))
         return;
     if (report->sinceStoreReturned)
         this->node.roster().storeReturned(now - *report->sinceStoreReturned);
@@ -320,7 +328,7 @@
     if (this->storeReturnedAt && now < *this->storeReturnedAt + StoreReturnReportTime)
         report.sinceStoreReturned =
                 std::chrono::duration_cast<milliseconds>(now - *this->storeReturnedAt);
-    this->node.fillReport(report);
+    this->node.fillReport(now, report);
     const std::string bytes = encodeReport(report);
     for (const std::string &address : this->node.entries().peerAddresses())
         if (!this->reportSocket.send(address, bytes))
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -81,6 +81,8 @@
     void executeOne(const RelayCommand::SendEvent &command);
     void executeOne(const RelayCommand::EndStream &command);
     void executeOne(const RelayCommand::AbortStream &command);
+    void executeOne(const RelayCommand::CheckBackend &command);
+    void executeOne(const RelayCommand::StoreCrashes &command);
     void executeOne(const RelayCommand::RecordTimes &command);
     void executeOne(const RelayCommand::Log &command);
     void tick();
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -1,6 +1,7 @@
 // Executes the commands that RelayNode returns.
 
 #include "Net/EventLog.h"
+#include "RelayShell/PeerCodec.h"
 #include "RelayShell/RelayEntry.h"
 #include "RelayShell/RelayProtocol.h"
 
@@ -131,6 +132,30 @@
     this->metrics.add("nutmegrill_streams_cut_total", {});
 }
 
+void RelayEntry::executeOne(const RelayCommand::CheckBackend &command)
+{
+    this->attempts.check(
+            command.address, [this, incarnation = command.incarnation](BackendCheck result) {
+                RelayNode::Commands commands;
+                this->node.backendChecked(this->loop.now(), incarnation, result, commands);
+                this->execute(commands);
+            });
+}
+
+void RelayEntry::executeOne(const RelayCommand::StoreCrashes &command)
+{
+    this->store.grantLease(
+            command.report.remaining, [this, command](const StateStore::Result &granted) {
+                this->storeFeed.recordCall(granted);
+                if (granted.status != StateStore::Status::Ok)
+                    return;
+                // Whether the write took effect is seen in the store; otherwise it is repeated.
+                this->store.write(this->decoder.crashesKey(command.report.fingerprint),
+                                  encodeCrashReport(command.report), command.revision,
+                                  granted.lease, [](const StateStore::Result &) {});
+            });
+}
+
 void RelayEntry::executeOne(const RelayCommand::RecordTimes &command)
 {
     const std::pair<const char *, std::chrono::microseconds> phases[] = {
--- a/Source/RelayShell/StateDecoder.h
+++ b/Source/RelayShell/StateDecoder.h
@@ -4,6 +4,7 @@
 #include "Relay/BackendRecord.h"
 #include "Relay/StoreMirror.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <variant>
@@ -31,6 +32,12 @@
     {
         std::string peerAddress;
     };
+    /// An entry recorded crashes under a trait of requests; without a value if the record is gone.
+    struct CrashesRecorded
+    {
+        std::uint64_t trait = 0;
+        std::optional<std::string> value;
+    };
     /// The value could not be decoded.
     struct Unreadable
     {
@@ -40,8 +47,9 @@
     };
 
     /// Monostate if the change is irrelevant to entries and agents.
-    using DecodedChange = std::variant<std::monostate, ConfigurationPtr, BackendRecord,
-                                       BackendRemoved, DomainTakeOut, EntryAnnounced, Unreadable>;
+    using DecodedChange =
+            std::variant<std::monostate, ConfigurationPtr, BackendRecord, BackendRemoved,
+                         DomainTakeOut, EntryAnnounced, CrashesRecorded, Unreadable>;
 
     virtual ~StateDecoder() = default;
 
@@ -49,6 +57,8 @@
 
     /// Key under which an entry publishes its peer address.
     virtual std::string entryKey(const std::string &name) const = 0;
+    /// Key under which entries record crashes under a trait of requests.
+    virtual std::string crashesKey(std::uint64_t trait) const = 0;
 };
 
 } // namespace Nutmegrill
--- a/Tests/Relay/EntryCluster.cpp
+++ b/Tests/Relay/EntryCluster.cpp
@@ -187,7 +187,7 @@
     report.sequence = ++entry.sequence;
     report.isServing = entry.node->isConfigured();
     report.knownRevision = entry.mirror.revision();
-    entry.node->fillReport(report);
+    entry.node->fillReport(this->now, report);
     for (const std::string &address : entry.node->entries().peerAddresses()) {
         for (std::size_t to = 0; to < this->count; ++to) {
             if (addressOf(to) != address || this->isPartitioned(number, to))
@@ -277,7 +277,7 @@
     this->now += Step;
     for (const Datagram &datagram : this->inFlight) {
         if (datagram.arrival <= this->now && this->isUp(datagram.to))
-            this->entries[datagram.to].node->entries().update(this->now, datagram.report);
+            this->entries[datagram.to].node->reportArrived(this->now, datagram.report);
     }
     std::erase_if(this->inFlight,
                   [this](const Datagram &datagram) { return datagram.arrival <= this->now; });
--- a/Tests/Relay/LoadPatternTest.cpp
+++ b/Tests/Relay/LoadPatternTest.cpp
@@ -225,7 +225,14 @@
     // them.
     void crashingPromptPartReachesServersAgainAndAgain()
     {
-        for (const CrashScene &scene : {CrashScene{6, 12, 1, 0.05}, CrashScene{34, 63, 5, 0.01}}) {
+        const Disruptions allRestart = {
+                {Fault::EntriesRestarted, seconds(20), milliseconds(700), 1}};
+        const Disruptions halfRestartAndSpike = {
+                {Fault::EntriesRestarted, seconds(8), milliseconds(700), 0.5},
+                {Fault::LoadSpike, seconds(12), seconds(4), 3}};
+        for (const CrashScene &scene :
+             {CrashScene{6, 12, 1, 0.05}, CrashScene{6, 12, 1, 0.05, allRestart},
+              CrashScene{6, 12, 1, 0.05, halfRestartAndSpike}, CrashScene{34, 63, 5, 0.01}}) {
             for (std::uint64_t seed = 1; seed <= 3; ++seed)
                 CPPUNIT_ASSERT_EQUAL(std::string(), crashFailure(scene, seed));
         }
--- a/Tests/Relay/LoadSimulation.cpp
+++ b/Tests/Relay/LoadSimulation.cpp
@@ -125,6 +125,8 @@
     entry.node->configure(configuration(), commands);
     for (const Backend &backend : this->backends)
         entry.node->roster().update(this->now, backend.record());
+    for (const auto &[trait, row] : this->storedCrashes)
+        entry.node->requestQuarantine().recordStored(this->now, row.first, row.second);
     for (std::size_t other = 0; other < this->entries.size(); ++other) {
         if (other != number)
             entry.node->entries().addAddress(this->now, "entry-" + std::to_string(other));
@@ -158,11 +160,11 @@
         report.sequence = ++entry.sequence;
         report.isServing = true;
         report.knownRevision = 1;
-        entry.node->fillReport(report);
+        entry.node->fillReport(this->now, report);
         this->schedule(NetworkDelay, [this, from, report] {
             for (std::size_t to = 0; to < this->entries.size(); ++to) {
                 if (to != from && this->entries[to].node != nullptr)
-                    this->entries[to].node->entries().update(this->now, report);
+                    this->entries[to].node->reportArrived(this->now, report);
             }
         });
     }
@@ -180,6 +182,10 @@
             this->startWork(entry, *start);
         } else if (const auto *cancelled = std::get_if<RelayCommand::CancelAttempt>(&command)) {
             this->cancel(entry, cancelled->attempt);
+        } else if (const auto *check = std::get_if<RelayCommand::CheckBackend>(&command)) {
+            this->check(entry, *check);
+        } else if (const auto *crashes = std::get_if<RelayCommand::StoreCrashes>(&command)) {
+            this->storeCrashes(*crashes);
         } else if (const auto *refusal = std::get_if<RelayCommand::Refuse>(&command)) {
             if (const auto number = callerOf(refusal->caller)) {
                 Caller &caller = this->callers[*number];
--- a/Tests/Relay/LoadSimulation.h
+++ b/Tests/Relay/LoadSimulation.h
@@ -136,6 +136,8 @@
     void serve(Backend &backend);
     void stepGroup();
     void abortGroup();
+    void check(std::size_t entry, const RelayCommand::CheckBackend &check);
+    void storeCrashes(const RelayCommand::StoreCrashes &crashes);
     void crashRank(Backend &backend);
     void returnRank(Backend &backend);
     Backend *backendOf(const std::string &id);
@@ -150,6 +152,9 @@
     std::vector<Caller> callers;
     std::vector<Entry> entries;
     std::vector<Backend> backends;
+    /// Crash records in the store, by trait, with their revisions.
+    std::map<std::uint64_t, std::pair<CrashReport, std::uint64_t>> storedCrashes;
+    std::uint64_t storeRevision = 0;
     bool isGroupRejecting = false;
     bool isGroupStalled = false;
     std::map<std::pair<std::size_t, RelayCommand::CallerId>, std::size_t> byCallerId;
--- a/Tests/Relay/LoadSimulationBackends.cpp
+++ b/Tests/Relay/LoadSimulationBackends.cpp
@@ -233,6 +233,38 @@
     }
 }
 
+void LoadSimulation::check(std::size_t entry, const RelayCommand::CheckBackend &check)
+{
+    const std::uint32_t start = this->entries[entry].start;
+    this->schedule(2 * NetworkDelay, [this, entry, start, check] {
+        Entry *row = this->findRunning(entry, start);
+        if (row == nullptr)
+            return;
+        const Backend *backend =
+                this->backendOf(check.incarnation.substr(0, check.incarnation.rfind('/')));
+        RelayNode::Commands commands;
+        row->node->backendChecked(this->now, check.incarnation,
+                                  backend == nullptr || backend->isCrashed
+                                          ? BackendCheck::Refused
+                                          : BackendCheck::Listening,
+                                  commands);
+        this->execute(entry, commands);
+    });
+}
+
+void LoadSimulation::storeCrashes(const RelayCommand::StoreCrashes &crashes)
+{
+    const auto found = this->storedCrashes.find(crashes.report.fingerprint);
+    if ((found == this->storedCrashes.end() ? 0 : found->second.second) != crashes.revision)
+        return;
+    const std::uint64_t revision = ++this->storeRevision;
+    this->storedCrashes[crashes.report.fingerprint] = {crashes.report, revision};
+    for (Entry &entry : this->entries) {
+        if (entry.node != nullptr)
+            entry.node->requestQuarantine().recordStored(this->now, crashes.report, revision);
+    }
+}
+
 void LoadSimulation::crashRank(Backend &backend)
 {
     this->result.crashes.push_back(this->now);
--- a/Tests/Relay/RelayNodeTest.cpp
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -219,7 +219,7 @@
         scene.node.callerDisconnected(scene.now, caller, scene.commands);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), scene.count<RelayCommand::CancelAttempt>());
         EntryReport report;
-        scene.node.fillReport(report);
+        scene.node.fillReport(scene.now, report);
         CPPUNIT_ASSERT(report.running.empty());
     }
 
@@ -254,7 +254,7 @@
             EntryReport report;
             report.sequence = 1;
             report.peerAddress = "10.0.1." + std::to_string(other) + ":7000";
-            scene.node.entries().update(scene.now, report);
+            scene.node.reportArrived(scene.now, report);
         }
         std::size_t sent = 0;
         for (int number = 0; number < 50; ++number)
@@ -278,7 +278,7 @@
                 if (before > sends)
                     sends = before;
                 EntryReport report;
-                scene.node.fillReport(report);
+                scene.node.fillReport(scene.now, report);
                 if (scene.attemptOf(caller) != nullptr && !report.running.empty()
                     && report.running.count(scene.attemptOf(caller)->backend) != 0)
                     scene.reject(caller);
--- /dev/null
+++ b/Tests/Relay/RequestQuarantineTest.cpp
@@ -0,0 +1,208 @@
+#include "Relay/RequestQuarantine.h"
+#include "Relay/RelayRequest.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Instant at(double second)
+{
+    return Instant(seconds(100)) + milliseconds(static_cast<std::int64_t>(1000 * second));
+}
+
+RequestQuarantine::Traits traits(const std::vector<std::string> &parts, std::uint64_t content = 0)
+{
+    RelayRequest request;
+    request.sharedParts = parts;
+    request.contentHash = content;
+    return RequestQuarantine::traitsOf("model", request);
+}
+
+void crash(RequestQuarantine &quarantine, Instant now, const std::string &incarnation,
+           const std::vector<RequestQuarantine::Traits> &running)
+{
+    for (const auto &each : running)
+        quarantine.recordBreak(now, incarnation, each);
+    quarantine.recordEnd(now, incarnation);
+    quarantine.tick(now);
+}
+
+bool blocks(RequestQuarantine &quarantine, Instant now, const RequestQuarantine::Traits &request,
+            bool isTester = false)
+{
+    quarantine.tick(now);
+    return quarantine.blocks(now, request, [isTester](std::uint64_t) { return isTester; });
+}
+
+/// Exchanges the reports of two entries once, in both directions.
+void exchangeReports(Instant now, RequestQuarantine &left, RequestQuarantine &right)
+{
+    for (auto [from, to] : {std::pair(&left, &right), std::pair(&right, &left)}) {
+        std::vector<CrashReport> reports;
+        from->fillReports(now, reports);
+        for (const CrashReport &report : reports)
+            to->merge(now, report);
+    }
+}
+
+} // namespace
+
+class RequestQuarantineTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RequestQuarantineTest);
+    CPPUNIT_TEST(repeatedRequestReachesServersAfterTwoCrashes);
+    CPPUNIT_TEST(brokenConnectionsToLiveServersAreNoCrashes);
+    CPPUNIT_TEST(lostRackQuarantinesSoundRequests);
+    CPPUNIT_TEST(soundPartOfCrashingRequestsIsRefused);
+    CPPUNIT_TEST(undecidedPartIsTestedByManyEntries);
+    CPPUNIT_TEST(successElsewhereDoesNotEndAQuarantine);
+    CPPUNIT_TEST(quarantineIsLostWithAllEntries);
+    CPPUNIT_TEST(recordsGrowWithoutBound);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a request that comes again with the same content and crashes server after
+    // server.
+    void repeatedRequestReachesServersAfterTwoCrashes()
+    {
+        RequestQuarantine quarantine;
+        crash(quarantine, at(0), "a/1", {traits({}, 7), traits({}, 8)});
+        CPPUNIT_ASSERT(!blocks(quarantine, at(1), traits({}, 7)));
+        crash(quarantine, at(2), "b/1", {traits({}, 7), traits({}, 9)});
+        CPPUNIT_ASSERT(blocks(quarantine, at(2), traits({}, 7)));
+        CPPUNIT_ASSERT(!blocks(quarantine, at(2), traits({}, 8)));
+        CPPUNIT_ASSERT(!blocks(quarantine, at(2), traits({}, 9)));
+    }
+
+    void brokenConnectionsToLiveServersAreNoCrashes()
+    {
+        RequestQuarantine quarantine;
+        for (const std::string server : {"a/1", "b/1", "c/1", "d/1"}) {
+            CPPUNIT_ASSERT(quarantine.recordBreak(at(0), server, traits({"part"})));
+            quarantine.recordAlive(server);
+            quarantine.recordEnd(at(1), server);
+        }
+        CPPUNIT_ASSERT(!blocks(quarantine, at(1), traits({"part"})));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), quarantine.size());
+    }
+
+    // Servers that fail together have one cause, which need not be a request.
+    void lostRackQuarantinesSoundRequests()
+    {
+        RequestQuarantine quarantine;
+        for (const std::string server : {"a/1", "b/1", "c/1", "d/1", "e/1"})
+            crash(quarantine, at(0), server, {traits({"part"})});
+        CPPUNIT_ASSERT(!blocks(quarantine, at(1), traits({"part"})));
+        // A part that ran well is not quarantined by a second such fault either.
+        quarantine.recordSuccess(at(2), traits({"part"}));
+        for (const double second : {3.0, 6.0, 9.0})
+            crash(quarantine, at(second), "f/" + std::to_string(second), {traits({"part"})});
+        CPPUNIT_ASSERT(!blocks(quarantine, at(10), traits({"part"})));
+        crash(quarantine, at(12), "f/12", {traits({"part"})});
+        CPPUNIT_ASSERT(blocks(quarantine, at(12), traits({"part"})));
+    }
+
+    // Requests with the crashing part share their first part with sound requests.
+    void soundPartOfCrashingRequestsIsRefused()
+    {
+        RequestQuarantine quarantine;
+        crash(quarantine, at(0), "a/1", {traits({"sound", "bad"})});
+        crash(quarantine, at(4), "b/1", {traits({"sound", "bad"})});
+        crash(quarantine, at(8), "c/1", {traits({"other", "bad"})});
+        CPPUNIT_ASSERT(!blocks(quarantine, at(9), traits({"sound"})));
+        CPPUNIT_ASSERT(!blocks(quarantine, at(9), traits({"other"})));
+        CPPUNIT_ASSERT(blocks(quarantine, at(9), traits({"sound", "bad"})));
+        CPPUNIT_ASSERT(blocks(quarantine, at(9), traits({"bad"})));
+        CPPUNIT_ASSERT(blocks(quarantine, at(9), traits({"bad"}), true));
+    }
+
+    // Two parts that were always sent together: one entry tests them, one request at a time.
+    void undecidedPartIsTestedByManyEntries()
+    {
+        RequestQuarantine quarantine;
+        crash(quarantine, at(0), "a/1", {traits({"one", "two"})});
+        crash(quarantine, at(4), "b/1", {traits({"one", "two"})});
+        CPPUNIT_ASSERT(blocks(quarantine, at(5), traits({"one"})));
+        CPPUNIT_ASSERT(blocks(quarantine, at(5), traits({"one", "two"}), true));
+        CPPUNIT_ASSERT(!blocks(quarantine, at(5), traits({"one"}), true));
+        CPPUNIT_ASSERT(quarantine.recordSent(at(5), traits({"one"})));
+        CPPUNIT_ASSERT(blocks(quarantine, at(5), traits({"one"}), true));
+        quarantine.recordSuccess(at(6), traits({"one"}));
+        CPPUNIT_ASSERT(!blocks(quarantine, at(6), traits({"one"})));
+        CPPUNIT_ASSERT(blocks(quarantine, at(6), traits({"two"}), true));
+    }
+
+    // An entry that served a part clears it at the entries that did not.
+    void successElsewhereDoesNotEndAQuarantine()
+    {
+        RequestQuarantine here;
+        RequestQuarantine there;
+        crash(here, at(0), "a/1", {traits({"part"})});
+        exchangeReports(at(1), here, there);
+        crash(there, at(4), "b/1", {traits({"part"})});
+        exchangeReports(at(4.1), here, there);
+        CPPUNIT_ASSERT(blocks(here, at(5), traits({"part"}))
+                       && blocks(there, at(5), traits({"part"})));
+        there.recordSuccess(at(6), traits({"part"}));
+        exchangeReports(at(6.1), here, there);
+        CPPUNIT_ASSERT(!blocks(here, at(7), traits({"part"})));
+        // A delayed report of the earlier crashes changes nothing.
+        here.merge(
+                at(8),
+                {traits({"part"})[0], {{"a/1", seconds(8)}, {"b/1", seconds(4)}}, {}, seconds(60)});
+        CPPUNIT_ASSERT(!blocks(here, at(8), traits({"part"})));
+    }
+
+    // Guards against forgetting everything when all entries restart at once.
+    void quarantineIsLostWithAllEntries()
+    {
+        RequestQuarantine quarantine;
+        crash(quarantine, at(0), "a/1", {traits({"part"})});
+        const auto first = [](std::uint64_t, std::uint32_t writers) { return writers >= 1; };
+        const auto second = [](std::uint64_t, std::uint32_t writers) { return writers >= 2; };
+        CPPUNIT_ASSERT(quarantine.takeStoreWrites(at(0), first).empty());
+        crash(quarantine, at(4), "b/1", {traits({"part"})});
+        // Another entry writes when the chosen one does not.
+        CPPUNIT_ASSERT(quarantine.takeStoreWrites(at(4), second).empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), quarantine.takeStoreWrites(at(6), second).size());
+        const auto writes = quarantine.takeStoreWrites(at(8), first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), writes.size());
+        RequestQuarantine successor;
+        successor.recordStored(at(10), writes[0].report, 5);
+        CPPUNIT_ASSERT(blocks(successor, at(10), traits({"part"})));
+        CPPUNIT_ASSERT(successor.takeStoreWrites(at(10), first).empty());
+        // The end of the quarantine is written as well.
+        successor.recordSuccess(at(11), traits({"part"}));
+        const auto ended = successor.takeStoreWrites(at(11), first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), ended.size());
+        CPPUNIT_ASSERT(ended[0].revision == 5 && ended[0].report.crashes.empty());
+    }
+
+    void recordsGrowWithoutBound()
+    {
+        RequestQuarantine quarantine;
+        for (int number = 0; number < 10000; ++number) {
+            const std::string part = "part-" + std::to_string(number);
+            crash(quarantine, at(number), "a/" + part, {traits({part})});
+            quarantine.recordSuccess(at(number), traits({"sound-" + part}));
+        }
+        CPPUNIT_ASSERT(quarantine.size() <= 4096);
+        std::vector<CrashReport> reports;
+        quarantine.fillReports(at(10000), reports);
+        CPPUNIT_ASSERT(reports.size() <= 9);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RequestQuarantineTest);
+
+} // namespace Nutmegrill
