Take streams that end before or inside an event as broken off

A stream without a length and without chunks ends with its connection. A backend server that crashed before its first event so left an empty answer that callers got as a complete one, and the entry did not see a crash. Such an answer, and one that ends inside an event, now counts as a broken connection: it goes on elsewhere, and the server is checked for a crash.

RelayEntryTest::streamThatEndsInsideAnEventPassesForComplete failed before for the empty stream. The tests for whole, reset and partial answers without a length, and for crashes of real sockets, passed before.

--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -29,6 +29,7 @@
     EventStreamReader events;
     /// Bytes of events without an id; a stream numbers its events.
     std::size_t unnumberedBytes = 0;
+    bool hasEvents = false;
     bool isOver = false;
 };
 
@@ -117,6 +118,7 @@
             this->fail(attempt, AttemptFailure::Malformed);
             return;
         }
+        openAttempt.hasEvents = true;
         this->observer.onEvent(attempt, std::move(*event));
         if (this->openAttempts.count(attempt) == 0)
             return;
@@ -129,10 +131,18 @@
     if (found == this->openAttempts.end() || found->second->isOver)
         return;
     OpenAttempt &openAttempt = *found->second;
-    if (!openAttempt.head.isUsable || openAttempt.events.hasPartialEvent()) {
+    if (!openAttempt.head.isUsable) {
         this->fail(attempt, AttemptFailure::Malformed);
         return;
     }
+    // The end of the connection is the only end of an unframed answer, also when the backend server
+    // crashed before the first event.
+    const bool isEmpty = openAttempt.head.isStream && !openAttempt.hasEvents
+                         && !openAttempt.answer.head->isFramed;
+    if (openAttempt.events.hasPartialEvent() || isEmpty) {
+        this->fail(attempt, AttemptFailure::Broken);
+        return;
+    }
     openAttempt.isOver = true;
     const bool keep = !openAttempt.head.isStream;
     this->observer.onEnd(attempt);
--- a/Tests/Platform/FakeStateStore.h
+++ b/Tests/Platform/FakeStateStore.h
@@ -20,6 +20,12 @@
         this->notifyWatcher(this->items[key]);
     }
 
+    void remove(const std::string &key)
+    {
+        this->items.erase(key);
+        this->notifyWatcher({key, std::nullopt, ++this->revision});
+    }
+
     void readAll(Callback callback) override
     {
         Result result;
--- a/Tests/Platform/RelayEntryTest.cpp
+++ b/Tests/Platform/RelayEntryTest.cpp
@@ -3,6 +3,7 @@
 #include "FreeAddress.h"
 #include "Http/ClientConnection.h"
 #include "Net/EventLoop.h"
+#include "RawWorker.h"
 #include "platform/PlatformDecoder.h"
 #include "platform/PlatformProtocol.h"
 
@@ -34,6 +35,12 @@
         "services":[{"name":"m","maxConnections":50},{"name":"p","maxConnections":50}],
         "tenants":[{"name":"x","apiKeys":["%K"]}]})";
 
+const std::string AnswerHeadText =
+        "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: seal-raw\r\n";
+const std::string StreamHeadText = AnswerHeadText + "Content-Type: text/event-stream\r\n";
+const std::string TwoEvents = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
+const std::string FourEvents = TwoEvents + "id: 3\ndata: x\n\nid: 4\ndata: x\n\n";
+
 std::string configuration(int version, const std::string &key)
 {
     std::string text = ConfigurationText;
@@ -42,6 +49,11 @@
     return text;
 }
 
+std::string draining(std::string record)
+{
+    return record.replace(record.find("ready"), 5, "draining");
+}
+
 /// Emulated worker of the platform. With breaksOff, its streams stop within the third event.
 struct Worker
 {
@@ -167,6 +179,10 @@
     CPPUNIT_TEST(nonStreamAnswerIsRelayedUnchanged);
     CPPUNIT_TEST(brokenStreamIsResumedWithinOneAnswer);
     CPPUNIT_TEST(answersWithoutEndAreGivenUp);
+    CPPUNIT_TEST(answerThatEndsWithItsConnectionIsLost);
+    CPPUNIT_TEST(resetAnswerWithoutLengthPassesForComplete);
+    CPPUNIT_TEST(streamThatEndsInsideAnEventPassesForComplete);
+    CPPUNIT_TEST(crashesOfRealServersAreNotCounted);
     CPPUNIT_TEST(revokedKeyIsRefused);
     CPPUNIT_TEST(requestsDuringPlannedStopAreServed);
     CPPUNIT_TEST(changedGraceTimeAppliesToNextStop);
@@ -263,6 +279,88 @@
         CPPUNIT_ASSERT(plain.open.empty() && plain.sentBytes < MaxEndlessBytes);
     }
 
+    // An answer, also a stream, without a length and without chunks.
+    void answerThatEndsWithItsConnectionIsLost()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        RawWorker plain(*this->loop, AnswerHeadText + "\r\nwhole", RawWorker::End::Close);
+        this->store->put("servers/i-1", plain.record("p"));
+        const Answer answer = this->send("/r/1", "k");
+        CPPUNIT_ASSERT(answer.isWhole && answer.status == 200);
+        CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer.body);
+        RawWorker model(*this->loop, StreamHeadText + "\r\n" + TwoEvents, RawWorker::End::Close);
+        this->store->put("servers/i-2", model.record("m"));
+        const Answer stream = this->send("/s/1", "k");
+        CPPUNIT_ASSERT(stream.isWhole && stream.status == 200);
+        CPPUNIT_ASSERT_EQUAL(TwoEvents, stream.body);
+    }
+
+    void resetAnswerWithoutLengthPassesForComplete()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        RawWorker plain(*this->loop, AnswerHeadText + "\r\nwho", RawWorker::End::Reset);
+        this->store->put("servers/i-1", plain.record("p"));
+        CPPUNIT_ASSERT_EQUAL(502, this->send("/r/1", "k").status);
+        RawWorker model(*this->loop, StreamHeadText + "\r\n" + TwoEvents, RawWorker::End::Reset);
+        this->store->put("servers/i-2", model.record("m"));
+        const Answer stream = this->send("/s/1", "k");
+        CPPUNIT_ASSERT(!stream.isWhole);
+    }
+
+    // Whether the stream ends with its connection or with its last chunk, and also before its first
+    // event, it has been broken off and goes on elsewhere.
+    void streamThatEndsInsideAnEventPassesForComplete()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        const std::string half = TwoEvents + "id: 3\nda";
+        for (const std::string &text :
+             {StreamHeadText + "\r\n" + half,
+              StreamHeadText + "Transfer-Encoding: chunked\r\n\r\n26\r\n" + half + "\r\n0\r\n\r\n",
+              StreamHeadText + "\r\n"}) {
+            RawWorker broken(*this->loop, text, RawWorker::End::Close);
+            this->store->put("servers/i-1", broken.record("m"));
+            Answer answer;
+            this->start("/s/1", "k", {}, answer);
+            this->loop->runUntil([&] { return broken.requests > 0; }, TestTimeout);
+            Worker healthy(*this->loop, "i-2", false);
+            this->store->put("servers/i-2", healthy.record("m"));
+            this->loop->runUntil([&] { return answer.isOver; }, TestTimeout);
+            CPPUNIT_ASSERT(answer.isWhole);
+            CPPUNIT_ASSERT_EQUAL(FourEvents, answer.body);
+            this->store->put("servers/i-1", draining(broken.record("m")));
+            this->store->put("servers/i-2", draining(healthy.record("m")));
+        }
+    }
+
+    // A server that ends refuses connections at once, a live one that resets them does not.
+    void crashesOfRealServersAreNotCounted()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        RawWorker alive(*this->loop, StreamHeadText, RawWorker::End::Reset);
+        this->store->put("servers/i-0", alive.record("m"));
+        for (int number = 0; number < 3; ++number)
+            CPPUNIT_ASSERT_EQUAL(502, this->send("/s/1", "k").status);
+        CPPUNIT_ASSERT_EQUAL(3, alive.requests);
+        this->store->remove("servers/i-0");
+        for (const std::string id : {"servers/i-1", "servers/i-2"}) {
+            auto crashing = std::make_unique<RawWorker>(*this->loop, "", RawWorker::End::KeepOpen);
+            this->store->put(id, crashing->record("m"));
+            Answer answer;
+            this->start("/s/1", "k", {}, answer);
+            this->loop->runUntil([&] { return crashing->requests > 0; }, TestTimeout);
+            crashing.reset();
+            this->loop->runUntil([&] { return answer.isOver; }, TestTimeout);
+            CPPUNIT_ASSERT_EQUAL(502, answer.status);
+            this->loop->runUntil([] { return false; }, milliseconds(150));
+            this->store->remove(id);
+        }
+        Worker healthy(*this->loop, "i-3", false);
+        this->store->put("servers/i-3", healthy.record("m"));
+        CPPUNIT_ASSERT_EQUAL(503, this->send("/s/1", "k").status);
+        CPPUNIT_ASSERT_EQUAL(0, healthy.requests);
+        CPPUNIT_ASSERT_EQUAL(200, this->send("/s/1", "k", "other").status);
+    }
+
     void revokedKeyIsRefused()
     {
         Worker worker(*this->loop, "i-1", false);
