Read and log the limit that backend servers name

The logs could not say which limit a backend server named, nor from when. AnswerHead carries it, and event 5026 reports each change. Nothing acts on it yet.

--- a/Source/Relay/AnswerHead.h
+++ b/Source/Relay/AnswerHead.h
@@ -26,6 +26,8 @@
     /// The body is a stream of events.
     bool isStream = false;
     std::optional<Load> load;
+    /// Requests per second that the backend server takes from all entries together for now.
+    std::optional<double> requestsPerSecond;
 };
 
 } // namespace Nutmegrill
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -206,6 +206,13 @@
         row->lastReceivedAt = now;
         if (head.load)
             row->reportedLoad = head.load->running + head.load->waiting;
+        if (head.requestsPerSecond != row->requestsPerSecond)
+            commands.push_back(RelayCommand::Log{makeRecord(
+                    RelayLog::BackendLimited, LogRecord::Level::Info,
+                    "backend=" + running.backend + " per_second="
+                            + (head.requestsPerSecond ? std::to_string(*head.requestsPerSecond)
+                                                      : "none"))});
+        row->requestsPerSecond = head.requestsPerSecond;
     }
     if (head.notRun || head.isMisdirected) {
         // Handled at the end of the answer, so that the connection can be reused.
--- a/Tests/Platform/AdapterTest.cpp
+++ b/Tests/Platform/AdapterTest.cpp
@@ -167,6 +167,15 @@
         // A success without the signature was not sent by a worker.
         CPPUNIT_ASSERT(!protocol.readAnswer(head, "a")->isUsable);
         head.headers.emplace_back("Response-Seal", "s");
+        CPPUNIT_ASSERT(!protocol.readAnswer(head, "a")->requestsPerSecond);
+        for (const auto &[text, limit] :
+             {std::pair("2.5", std::optional(2.5)), std::pair("0", std::optional(0.0)),
+              std::pair("none", std::optional<double>()), std::pair("-1", std::optional<double>()),
+              std::pair("inf", std::optional<double>())}) {
+            HttpHead limited = head;
+            limited.headers.emplace_back("Server-Limit", text);
+            CPPUNIT_ASSERT(protocol.readAnswer(limited, "a")->requestsPerSecond == limit);
+        }
         const auto answer = protocol.readAnswer(head, "a");
         CPPUNIT_ASSERT(answer->isUsable && answer->load->waiting == 1);
         head.headers.emplace_back("Content-Encoding", "gzip");
