Reproduce requests beyond the limits that servers name

LoadSimulation plays a rank and two plain servers that name a limit, and checks the platform's bound over the entries that were told.

--- a/Tests/Relay/LoadPatternTest.cpp
+++ b/Tests/Relay/LoadPatternTest.cpp
@@ -130,6 +130,7 @@
     CPPUNIT_TEST(earlyDisconnectsFreeTheirSlots);
     CPPUNIT_TEST(lostPlainServersAreAvoided);
     CPPUNIT_TEST(crashingPromptPartReachesServersAgainAndAgain);
+    CPPUNIT_TEST(serversGetMoreThanTheLimitThatTheyName);
     CPPUNIT_TEST(sameSeedGivesTheSameResult);
     CPPUNIT_TEST_SUITE_END();
 
@@ -238,6 +239,34 @@
         }
     }
 
+    // Guards against entries that ignore the limit of a server, or that each use all of it: limits
+    // below and above one request in four seconds and entry, at the sizes of a small and of a large
+    // deployment, also while entries restart.
+    void serversGetMoreThanTheLimitThatTheyName()
+    {
+        struct Scene
+        {
+            std::uint32_t entries;
+            std::size_t ranks;
+            double load;
+            double limit;
+            double restarted;
+        };
+        for (const Scene &scene : {Scene{6, 12, 1, 0.5, 0.0}, Scene{6, 12, 1.3, 1.2, 0.3},
+                                   Scene{34, 63, 5, 1.2, 0.0}, Scene{34, 63, 5, 4, 0.1}}) {
+            LoadSimulation::Options options;
+            options.entries = scene.entries;
+            options.ranks = scene.ranks;
+            options.load = scene.load;
+            options.disruptions = {
+                    {Fault::LimitNamed, seconds(2), seconds(18), scene.limit},
+                    {Fault::EntriesRestarted, seconds(8), milliseconds(700), scene.restarted}};
+            const LoadSimulation::Result result = LoadSimulation(options).run();
+            CPPUNIT_ASSERT_EQUAL(std::string(), result.brokenLimit);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(result.all.served()), result.all.served() > 0.95);
+        }
+    }
+
     void sameSeedGivesTheSameResult()
     {
         const Disruptions pattern = {{Fault::SlowSteps, DisruptionStart, seconds(1), 1.8}};
--- a/Tests/Relay/LoadSimulation.cpp
+++ b/Tests/Relay/LoadSimulation.cpp
@@ -77,6 +77,7 @@
         backend.isRank = number < options.ranks;
         backend.id = (backend.isRank ? "rank-" : "plain-") + std::to_string(number);
         backend.slots = backend.isRank ? RankSlots : PlainSlots;
+        backend.namesLimit = number == 0 || (number >= options.ranks && number < options.ranks + 2);
         this->backends.push_back(std::move(backend));
     }
     this->entries.resize(options.entries);
--- a/Tests/Relay/LoadSimulation.h
+++ b/Tests/Relay/LoadSimulation.h
@@ -34,6 +34,7 @@
         PlainServersUnreachable, ///< this share of the plain backend servers is unreachable
         PlainServersFlaky, ///< this share of the plain backend servers fails half of its requests
         EntriesRestarted,  ///< this share of the entries stops and is started again after the span
+        LimitNamed,        ///< a rank and two plain servers name the factor as their limit a second
         CrashingPart ///< this share of the streams has a prompt part that crashes the ranks that
                      ///< run it
     };
@@ -94,6 +95,8 @@
         /// When a rank crashed, and when a request that crashes ranks was sent to one.
         std::vector<Instant> crashes;
         std::vector<Instant> crashingSends;
+        /// The first named limit that was broken.
+        std::string brokenLimit;
         /// Longest time from the sending of a request to its refusal.
         std::chrono::milliseconds longestHold{0};
     };
@@ -138,6 +141,8 @@
     void abortGroup();
     void check(std::size_t entry, const RelayCommand::CheckBackend &check);
     void storeCrashes(const RelayCommand::StoreCrashes &crashes);
+    AnswerHead headOf(Backend &backend, const Work &work, int status);
+    void checkLimit(Backend &backend, const Work &work);
     void crashRank(Backend &backend);
     void returnRank(Backend &backend);
     Backend *backendOf(const std::string &id);
--- a/Tests/Relay/LoadSimulationBackends.cpp
+++ b/Tests/Relay/LoadSimulationBackends.cpp
@@ -27,6 +27,12 @@
 /// A rank that crashed is back after this time, and its group then forms again.
 constexpr milliseconds RankRestartTime{2500};
 constexpr milliseconds GroupFormTime{600};
+/// The platform's tolerance for a named limit: factor, requests, and time to settle.
+constexpr seconds LimitWindow{4};
+constexpr double LimitFactor = 1.5;
+constexpr double LimitSlack = 5;
+constexpr milliseconds LimitSettleTime{3000};
+constexpr milliseconds LimitNoticeTime{500};
 
 } // namespace
 
@@ -66,6 +72,7 @@
         return;
     }
     Backend &backend = *found;
+    this->checkLimit(backend, work);
     if (backend.isUnreachable) {
         this->breakWork(work, AttemptFailure::NotSent);
         return;
@@ -91,7 +98,8 @@
         if (entry == nullptr)
             return;
         RelayNode::Commands commands;
-        AnswerHead head;
+        Backend *backend = this->backendOf(work.backend);
+        AnswerHead head = backend == nullptr ? AnswerHead() : this->headOf(*backend, work, 503);
         head.status = 503;
         head.notRun = true;
         entry->node->headArrived(this->now, work.attempt, head, commands);
@@ -147,11 +155,7 @@
                 this->breakWork(work, AttemptFailure::Broken);
             } else if (Entry *entry = this->findRunning(work.entry, work.start)) {
                 RelayNode::Commands commands;
-                AnswerHead head;
-                head.status = 200;
-                head.load =
-                        AnswerHead::Load{static_cast<std::uint32_t>(row.running.size()),
-                                         static_cast<std::uint32_t>(row.queue.size()), row.slots};
+                const AnswerHead head = this->headOf(row, work, 200);
                 entry->node->headArrived(this->now, work.attempt, head, commands);
                 entry->node->answerEnded(this->now, work.attempt, commands);
                 this->execute(work.entry, commands);
@@ -192,15 +196,11 @@
             Entry *entry = this->findRunning(work.entry, work.start);
             if (entry == nullptr)
                 continue;
-            const Backend &backend = *this->backendOf(work.backend);
+            Backend &backend = *this->backendOf(work.backend);
             RelayNode::Commands commands;
             if (!work.hasHead) {
-                AnswerHead head;
-                head.status = 200;
+                AnswerHead head = this->headOf(backend, work, 200);
                 head.isStream = true;
-                head.load = AnswerHead::Load{static_cast<std::uint32_t>(backend.running.size()),
-                                             static_cast<std::uint32_t>(backend.queue.size()),
-                                             backend.slots};
                 entry->node->headArrived(this->now, work.attempt, head, commands);
             }
             entry->node->eventArrived(this->now, work.attempt,
@@ -233,6 +233,40 @@
     }
 }
 
+AnswerHead LoadSimulation::headOf(Backend &backend, const Work &work, int status)
+{
+    AnswerHead head;
+    head.status = status;
+    head.load = AnswerHead::Load{static_cast<std::uint32_t>(backend.running.size()),
+                                 static_cast<std::uint32_t>(backend.queue.size()), backend.slots};
+    const double limit = this->factorOf(Fault::LimitNamed);
+    if (!backend.namesLimit || limit <= 0)
+        return head;
+    head.requestsPerSecond = limit;
+    backend.firstNamedAt = std::min(backend.firstNamedAt, this->now);
+    backend.toldAt.try_emplace(work.entry, this->now);
+    return head;
+}
+
+void LoadSimulation::checkLimit(Backend &backend, const Work &work)
+{
+    const auto told = backend.toldAt.find(work.entry);
+    const double limit = this->factorOf(Fault::LimitNamed);
+    if (told == backend.toldAt.end() || this->now < told->second + LimitNoticeTime || limit <= 0)
+        return;
+    std::deque<Instant> &arrivals = backend.toldArrivals;
+    arrivals.push_back(this->now);
+    while (arrivals.front() + LimitWindow <= this->now)
+        arrivals.pop_front();
+    const double allowed =
+            LimitFactor * limit * std::chrono::duration<double>(LimitWindow).count() + LimitSlack;
+    if (arrivals.front() < backend.firstNamedAt + LimitSettleTime
+        || static_cast<double>(arrivals.size()) <= allowed || !this->result.brokenLimit.empty())
+        return;
+    this->result.brokenLimit = backend.id + " got " + std::to_string(arrivals.size())
+                               + " in 4 s, allowed " + std::to_string(allowed);
+}
+
 void LoadSimulation::check(std::size_t entry, const RelayCommand::CheckBackend &check)
 {
     const std::uint32_t start = this->entries[entry].start;
--- a/Tests/Relay/LoadSimulationParts.h
+++ b/Tests/Relay/LoadSimulationParts.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -96,6 +97,12 @@
     bool isUnreachable = false;
     bool isFlaky = false;
     bool isCrashed = false;
+    bool namesLimit = false;
+    Instant firstNamedAt = NoDeadline;
+    /// When each entry first got an answer with the limit.
+    std::map<std::size_t, Instant> toldAt;
+    /// Arrivals from entries that knew the limit.
+    std::deque<Instant> toldArrivals;
     std::uint64_t incarnation = 1;
     std::uint32_t slots = 1;
     std::deque<Work> running;
