Share the limits that backend servers name between entries

Cause: nothing read the limit, and an entry knew of it only what its own answers said.

NamedLimit keeps the latest statement of a backend server and counts this entry's requests over four seconds. Each entry takes a whole part of what the limit allows in that window; the entries that get one of the requests left over are chosen by rendezvous hash, so the sum stays within limits far below one request a second and entry. Statements travel with the reports between entries, and the latest one counts: entries that get no answer of the server learn that its limit began, changed or ended. An answer without a limit ends it only if its request was sent after the limit was stated, and a new start of the server has none. Admission counts a limited server with the slots that its limit fills.

--- a/Source/Relay/BackendRoster.h
+++ b/Source/Relay/BackendRoster.h
@@ -28,8 +28,6 @@
         Instant usableUntil = NoDeadline;
         /// Running and queued requests that the backend server reported in its last answer.
         std::uint32_t reportedLoad = 0;
-        /// Limit that the backend server named in its last answer.
-        std::optional<double> requestsPerSecond;
         /// When any request of this entry last received data from the backend server.
         Instant lastReceivedAt;
     };
--- a/Source/Relay/EntryReport.h
+++ b/Source/Relay/EntryReport.h
@@ -38,6 +38,15 @@
     std::map<std::string, std::uint32_t> running;
     /// Requests that wait for a slot at this entry, by service.
     std::map<std::string, std::uint32_t> waiting;
+    /// What a backend server said about its limit.
+    struct Limit
+    {
+        /// Names one start of the backend server.
+        std::string incarnation;
+        std::optional<double> requestsPerSecond;
+        std::chrono::milliseconds age{0};
+    };
+    std::vector<Limit> limits;
     /// News about requests that crash backend servers.
     std::vector<CrashReport> crashes;
 };
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -206,14 +206,9 @@
         row->lastReceivedAt = now;
         if (head.load)
             row->reportedLoad = head.load->running + head.load->waiting;
-        if (head.requestsPerSecond != row->requestsPerSecond)
-            commands.push_back(RelayCommand::Log{makeRecord(
-                    RelayLog::BackendLimited, LogRecord::Level::Info,
-                    "backend=" + running.backend + " per_second="
-                            + (head.requestsPerSecond ? std::to_string(*head.requestsPerSecond)
-                                                      : "none"))});
-        row->requestsPerSecond = head.requestsPerSecond;
     }
+    if (!head.isMisdirected)
+        this->recordNamedLimit(now, running, head, commands);
     if (head.notRun || head.isMisdirected) {
         // Handled at the end of the answer, so that the connection can be reused.
         running.refusal = head;
@@ -549,6 +544,7 @@
 void RelayNode::fillReport(Instant now, EntryReport &report)
 {
     this->quarantine.fillReports(now, report.crashes);
+    this->fillLimits(now, report.limits);
     for (const auto &[backend, use] : this->backendUses) {
         if (use.running > 0)
             report.running[backend] = use.running;
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -7,6 +7,7 @@
 #include "Relay/ConcurrencyLimit.h"
 #include "Relay/EntryTable.h"
 #include "Relay/Exchange.h"
+#include "Relay/NamedLimit.h"
 #include "Relay/RelayCommand.h"
 #include "Relay/RelayPolicy.h"
 #include "Relay/RequestQuarantine.h"
@@ -101,7 +102,7 @@
                         Commands &commands);
 
     /// Another entry's report arrived. Returns whether it is newer than its last one.
-    bool reportArrived(Instant now, const EntryReport &report);
+    bool reportArrived(Instant now, const EntryReport &report, Commands &commands);
     RequestQuarantine &requestQuarantine() { return this->quarantine; }
 
     void tick(Instant now, Commands &commands);
@@ -123,6 +124,15 @@
         /// holds.
         bool isChosen = true;
         Instant chosenUntil;
+        /// Start of the backend server for which the limit holds.
+        std::uint64_t incarnation = 0;
+        NamedLimit limit;
+        /// This entry's part of the limit, and until when it holds.
+        std::uint32_t limitShare = 0;
+        Instant limitShareUntil;
+        /// When the other entries are next told of the limit; NoDeadline unless this entry heard of
+        /// it itself.
+        Instant limitReportAt = NoDeadline;
     };
 
     Exchange *findByAttempt(AttemptId attempt);
@@ -162,6 +172,17 @@
     std::uint32_t usableSlots(const std::string &service, Instant now) const;
     bool hasColdCapacity(Instant now, const std::string &backend, BackendUse &use, bool isCold,
                          double rate, std::uint32_t entries) const;
+    /// The use of a backend server; a new start of it has no named limit.
+    BackendUse &useOf(const BackendRoster::Row &row);
+    /// Returns whether the limit changed.
+    bool observeLimit(Instant at, const std::string &backend,
+                      std::optional<double> requestsPerSecond, Commands &commands);
+    /// Limit of a backend server that this entry was told by an answer.
+    void recordNamedLimit(Instant now, const Attempt &attempt, const AnswerHead &head,
+                          Commands &commands);
+    void fillLimits(Instant now, std::vector<EntryReport::Limit> &limits);
+    bool hasLimitCapacity(Instant now, const std::string &backend, BackendUse &use,
+                          std::uint32_t entries) const;
     double coldRateOf(const ServiceDeclaration *service, bool isCold, Instant now) const;
     double shareOfFreedSlots(const std::string &service, Instant now) const;
     std::uint32_t waitingCount(const std::string &service) const;
--- a/Source/Relay/RelayNodeCrashes.cpp
+++ b/Source/Relay/RelayNodeCrashes.cpp
@@ -108,10 +108,15 @@
     }
 }
 
-bool RelayNode::reportArrived(Instant now, const EntryReport &report)
+bool RelayNode::reportArrived(Instant now, const EntryReport &report, Commands &commands)
 {
     if (!this->peers.update(now, report))
         return false;
+    for (const auto &[incarnation, requestsPerSecond, age] : report.limits) {
+        const std::string backend = incarnation.substr(0, incarnation.rfind('/'));
+        if (this->incarnationOf(backend) == incarnation)
+            this->observeLimit(now - age, backend, requestsPerSecond, commands);
+    }
     for (const CrashReport &crashes : report.crashes)
         this->quarantine.merge(now, crashes);
     return true;
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -86,11 +86,13 @@
         if (row.record.service != exchange.service || !this->backends.isEligible(row, now)
             || row.health.isSuspended(now) || exchange.failedOn.count(id) != 0)
             continue;
-        BackendUse &use = this->backendUses[id];
+        BackendUse &use = this->useOf(row);
         const bool isCold = now < row.coldUntil;
         const double coldRate = this->coldRateOf(service, isCold, now);
         if (coldRate > 0 && !this->hasColdCapacity(now, id, use, isCold, coldRate, entries))
             continue;
+        if (!this->hasLimitCapacity(now, id, use, entries))
+            continue;
         candidates.push_back({id, concurrency.limit(row.record.slots),
                               use.running + this->peers.runningElsewhere(id, now),
                               row.health.failureShare(now), isCold, use.sends, row.reportedLoad});
@@ -106,6 +108,7 @@
     // The cold rate always applies, because a backend server can become cold without notice.
     if (const double coldRate = this->coldRateOf(service, now < row.coldUntil, now); coldRate > 0)
         use.cold.tryAcquire(now, coldRate, entries);
+    use.limit.recordSent(now);
     ++use.running;
     ++use.sends;
     const AttemptId attempt = this->nextAttempt++;
@@ -214,13 +217,25 @@
 std::uint32_t RelayNode::usableSlots(const std::string &service, Instant now) const
 {
     const auto concurrency = this->concurrencyLimits.find(service);
+    const auto estimator = this->waitEstimators.find(service);
     std::uint32_t slots = 0;
     for (const auto &[id, row] : this->backends.rows()) {
-        if (row.record.service == service && this->backends.isEligible(row, now)
-            && !row.health.isSuspended(now))
-            slots += concurrency == this->concurrencyLimits.end()
-                             ? row.record.slots
-                             : concurrency->second.limit(row.record.slots);
+        if (row.record.service != service || !this->backends.isEligible(row, now)
+            || row.health.isSuspended(now))
+            continue;
+        std::uint32_t usable = concurrency == this->concurrencyLimits.end()
+                                       ? row.record.slots
+                                       : concurrency->second.limit(row.record.slots);
+        const auto use = this->backendUses.find(id);
+        if (use != this->backendUses.end() && estimator != this->waitEstimators.end()
+            && use->second.limit.requestsPerSecond()) {
+            // A limited backend server runs as many requests as arrive while one holds its slot.
+            const double running =
+                    *use->second.limit.requestsPerSecond()
+                    * std::chrono::duration<double>(estimator->second.meanHoldTime()).count();
+            usable = std::min(usable, static_cast<std::uint32_t>(std::max(1.0, running)));
+        }
+        slots += usable;
     }
     return slots;
 }
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -79,6 +79,9 @@
                  {"waiting", report.waiting}};
     if (report.sinceStoreReturned)
         json["returned"] = report.sinceStoreReturned->count();
+    for (const auto &[incarnation, requestsPerSecond, age] : report.limits)
+        json["limits"].push_back(
+                {incarnation, requestsPerSecond ? Json(*requestsPerSecond) : Json(), age.count()});
     for (const CrashReport &crashes : report.crashes)
         json["crashes"].push_back(crashesToJson(crashes));
     return toBytes(json);
@@ -106,6 +109,12 @@
                     std::chrono::milliseconds(json.at("returned").get<std::uint32_t>());
         report.running = json.value("running", decltype(report.running)());
         report.waiting = json.value("waiting", decltype(report.waiting)());
+        for (const Json &limit : json.value("limits", Json::array()))
+            report.limits.push_back({limit.at(0).get<std::string>(),
+                                     limit.at(1).is_null()
+                                             ? std::nullopt
+                                             : std::optional(limit.at(1).get<double>()),
+                                     std::chrono::milliseconds(limit.at(2).get<std::uint32_t>())});
         for (const Json &crashes : json.value("crashes", Json::array()))
             report.crashes.push_back(crashesFromJson(crashes));
         if (report.peerAddress.empty())
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -303,7 +303,10 @@
         return;
     }
     const Instant now = this->loop.now();
-    if (!this->node.reportArrived(now, *report))
+    RelayNode::Commands commands;
+    const bool isNew = this->node.reportArrived(now, *report, commands);
+    this->execute(commands);
+    if (!isNew)
         return;
     if (report->sinceStoreReturned)
         this->node.roster().storeReturned(now - *report->sinceStoreReturned);
--- a/Tests/Platform/EntryReportTest.cpp
+++ b/Tests/Platform/EntryReportTest.cpp
@@ -29,18 +29,25 @@
 class EntryReportTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(EntryReportTest);
-    CPPUNIT_TEST(crashReportsAreLostInTheCodec);
+    CPPUNIT_TEST(crashesAndLimitsAreLostInTheCodec);
     CPPUNIT_TEST(newsOfCrashesOutgrowAReport);
+    CPPUNIT_TEST(limitsOutgrowAReport);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    void crashReportsAreLostInTheCodec()
+    void crashesAndLimitsAreLostInTheCodec()
     {
         EntryReport report;
         report.peerAddress = "10.0.0.1:7340";
         report.crashes = {crashReport(~std::uint64_t(0), 2)};
+        report.limits = {{"i-1/5", 2.5, milliseconds(300)},
+                         {"i-2/5", std::nullopt, milliseconds(0)}};
         const auto decoded = decodeReport(encodeReport(report));
         CPPUNIT_ASSERT(decoded && decoded->crashes.size() == 1);
+        CPPUNIT_ASSERT(decoded->limits.size() == 2 && decoded->limits[0].requestsPerSecond == 2.5
+                       && decoded->limits[0].age == milliseconds(300)
+                       && decoded->limits[0].incarnation == "i-1/5"
+                       && !decoded->limits[1].requestsPerSecond);
         CPPUNIT_ASSERT_EQUAL(~std::uint64_t(0), decoded->crashes[0].fingerprint);
         CPPUNIT_ASSERT_EQUAL(std::string("i-20944b2661/1791239591083"),
                              decoded->crashes[0].crashes[1].id);
@@ -63,6 +70,18 @@
         const std::size_t records = encodeReport(report).size() - empty;
         CPPUNIT_ASSERT_MESSAGE(std::to_string(records), records <= 1'000);
     }
+
+    // A report has room for 16 limits.
+    void limitsOutgrowAReport()
+    {
+        EntryReport report;
+        report.peerAddress = "10.0.0.1:7340";
+        const std::size_t empty = encodeReport(report).size();
+        for (std::uint64_t number = 0; number < 16; ++number)
+            report.limits.push_back({"i-20944b2661/1791239591083", 1.2345, milliseconds(300)});
+        const std::size_t limits = encodeReport(report).size() - empty;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(limits), limits <= 700);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryReportTest);
--- a/Tests/Relay/EntryCluster.cpp
+++ b/Tests/Relay/EntryCluster.cpp
@@ -275,9 +275,10 @@
 void EntryCluster::step(std::uint32_t requests, bool isLossy)
 {
     this->now += Step;
+    RelayNode::Commands commands;
     for (const Datagram &datagram : this->inFlight) {
         if (datagram.arrival <= this->now && this->isUp(datagram.to))
-            this->entries[datagram.to].node->reportArrived(this->now, datagram.report);
+            this->entries[datagram.to].node->reportArrived(this->now, datagram.report, commands);
     }
     std::erase_if(this->inFlight,
                   [this](const Datagram &datagram) { return datagram.arrival <= this->now; });
--- a/Tests/Relay/LoadSimulation.cpp
+++ b/Tests/Relay/LoadSimulation.cpp
@@ -119,6 +119,7 @@
     settings.seed = this->options.seed * 100 + number * 10 + entry.start;
     settings.retryLimit = {0.2, 88};
     settings.policy = this->options.policy;
+    settings.peerAddress = "entry-" + std::to_string(number);
     ++entry.start;
     entry.sequence = 0;
     entry.node = std::make_unique<RelayNode>(settings);
@@ -163,9 +164,10 @@
         report.knownRevision = 1;
         entry.node->fillReport(this->now, report);
         this->schedule(NetworkDelay, [this, from, report] {
+            RelayNode::Commands commands;
             for (std::size_t to = 0; to < this->entries.size(); ++to) {
                 if (to != from && this->entries[to].node != nullptr)
-                    this->entries[to].node->reportArrived(this->now, report);
+                    this->entries[to].node->reportArrived(this->now, report, commands);
             }
         });
     }
--- a/Tests/Relay/RelayNodeHarness.cpp
+++ b/Tests/Relay/RelayNodeHarness.cpp
@@ -117,6 +117,14 @@
     this->node.headArrived(this->now, this->attemptOf(caller)->attempt, answer, this->commands);
 }
 
+void RelayNodeHarness::limitedHead(RelayCommand::CallerId caller, double requestsPerSecond)
+{
+    AnswerHead answer;
+    answer.status = 200;
+    answer.requestsPerSecond = requestsPerSecond;
+    this->node.headArrived(this->now, this->attemptOf(caller)->attempt, answer, this->commands);
+}
+
 void RelayNodeHarness::streamHead(RelayCommand::CallerId caller)
 {
     AnswerHead answer;
--- a/Tests/Relay/RelayNodeHarness.h
+++ b/Tests/Relay/RelayNodeHarness.h
@@ -36,6 +36,8 @@
 
     /// Head of the answer to the caller's latest attempt.
     void head(RelayCommand::CallerId caller, int status, bool notRun = false);
+    /// The same with a named limit.
+    void limitedHead(RelayCommand::CallerId caller, double requestsPerSecond);
     void streamHead(RelayCommand::CallerId caller);
     void event(RelayCommand::CallerId caller, std::uint64_t id);
     void end(RelayCommand::CallerId caller);
--- a/Tests/Relay/RelayNodeTest.cpp
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -12,6 +12,29 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+/// Report of another entry with a limit of the first plain server.
+EntryReport reportWithLimit(std::uint64_t sequence, std::optional<double> limit)
+{
+    EntryReport report;
+    report.peerAddress = "10.0.1.1:7000";
+    report.sequence = sequence;
+    report.limits = {{"p0/0", limit, milliseconds(0)}};
+    return report;
+}
+
+/// Lets requests arrive and returns how many of them were sent.
+std::size_t sentOf(RelayNodeHarness &scene, int requests)
+{
+    std::size_t sent = 0;
+    for (int number = 0; number < requests; ++number)
+        sent += scene.attemptOf(scene.arrive("/lookup/")) == nullptr ? 0 : 1;
+    return sent;
+}
+
+} // namespace
+
 class RelayNodeTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(RelayNodeTest);
@@ -33,6 +56,10 @@
     CPPUNIT_TEST(drainingServerGetsNoRequests);
     CPPUNIT_TEST(takenOutDomainGetsNoRequests);
     CPPUNIT_TEST(coldRateIsSharedBetweenEntries);
+    CPPUNIT_TEST(limitNamedToAnotherEntryIsIgnored);
+    CPPUNIT_TEST(limitOutlivesItsServerOrItsEnd);
+    CPPUNIT_TEST(limitsOfManyServersHideEachOther);
+    CPPUNIT_TEST(requestsWaitForServersBeyondTheirLimits);
     CPPUNIT_TEST(openCircuitLimitsRepeats);
     CPPUNIT_TEST(streamIsRefusedShortlyBeforeAPlannedStop);
     CPPUNIT_TEST(excessRequestsAreRefusedAtOnce);
@@ -254,7 +281,7 @@
             EntryReport report;
             report.sequence = 1;
             report.peerAddress = "10.0.1." + std::to_string(other) + ":7000";
-            scene.node.reportArrived(scene.now, report);
+            scene.node.reportArrived(scene.now, report, scene.commands);
         }
         std::size_t sent = 0;
         for (int number = 0; number < 50; ++number)
@@ -265,6 +292,88 @@
 
     // A group that has lost a rank rejects everything until it has formed again. Guards against
     // repeats that use up the retry budget and against requests that wait without limit.
+    // The limit holds over all entries, also those that have no answer with it yet.
+    void limitNamedToAnotherEntryIsIgnored()
+    {
+        RelayNodeHarness scene(0, 1);
+        EntryReport report = reportWithLimit(1, 0.5);
+        scene.node.reportArrived(scene.now, report, scene.commands);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), sentOf(scene, 4));
+        // Two entries share two requests in four seconds.
+        scene.advance(milliseconds(4100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), sentOf(scene, 4));
+        scene.advance(seconds(1));
+        // An answer that the other entry got later states that the limit has ended.
+        report = reportWithLimit(2, std::nullopt);
+        scene.node.reportArrived(scene.now, report, scene.commands);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), sentOf(scene, 4));
+        EntryReport own;
+        scene.node.fillReport(scene.now, own);
+        CPPUNIT_ASSERT(own.limits.empty());
+    }
+
+    void limitOutlivesItsServerOrItsEnd()
+    {
+        RelayNodeHarness scene(0, 1);
+        const auto early = scene.arrive("/lookup/");
+        const auto limited = scene.arrive("/lookup/");
+        scene.advance(milliseconds(20));
+        scene.limitedHead(limited, 0.5);
+        EntryReport report;
+        scene.node.fillReport(scene.now, report);
+        CPPUNIT_ASSERT(report.limits.size() == 1 && report.limits[0].requestsPerSecond == 0.5);
+        // An answer to an earlier request may have been written before the limit.
+        scene.head(early, 200);
+        scene.advance(milliseconds(4100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), sentOf(scene, 4));
+        scene.advance(milliseconds(4100));
+        const auto later = scene.arrive("/lookup/");
+        scene.head(later, 200);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), sentOf(scene, 3));
+        // The next start of the server has no limit.
+        scene.advance(milliseconds(4100));
+        const auto again = scene.arrive("/lookup/");
+        scene.limitedHead(again, 0.5);
+        BackendRecord restarted = RelayNodeHarness::record("p0", "plain");
+        restarted.incarnation = 9;
+        scene.node.roster().update(scene.now, restarted);
+        scene.node.reportArrived(scene.now, reportWithLimit(1, 0.5), scene.commands);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), sentOf(scene, 3));
+    }
+
+    // Servers of the size to design for, far more than a report has room for.
+    void limitsOfManyServersHideEachOther()
+    {
+        constexpr std::uint32_t Servers = 600;
+        RelayNodeHarness scene(0, Servers);
+        for (std::uint32_t number = 0; number < Servers; ++number) {
+            const auto caller = scene.arrive("/lookup/");
+            scene.limitedHead(caller, 0.5);
+        }
+        std::set<std::string> reported;
+        for (int round = 0; round < 40; ++round) {
+            EntryReport report;
+            scene.node.fillReport(scene.now, report);
+            CPPUNIT_ASSERT(report.limits.size() <= 16);
+            for (const EntryReport::Limit &limit : report.limits)
+                reported.insert(limit.incarnation);
+            scene.now += milliseconds(100);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(Servers), reported.size());
+    }
+
+    // What the limits leave no room for is refused at once.
+    void requestsWaitForServersBeyondTheirLimits()
+    {
+        RelayNodeHarness scene(0, 1);
+        const auto first = scene.arrive("/lookup/");
+        scene.limitedHead(first, 0.5);
+        scene.end(first);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), sentOf(scene, 30));
+        scene.advance(milliseconds(100));
+        CPPUNIT_ASSERT(scene.count<RelayCommand::Refuse>() >= 20);
+    }
+
     void openCircuitLimitsRepeats()
     {
         RelayNodeHarness scene(12, 0);
