--- a/Tests/Platform/RelayEntryTest.cpp
+++ b/Tests/Platform/RelayEntryTest.cpp
@@ -35,11 +35,11 @@
         "services":[{"name":"m","maxConnections":50},{"name":"p","maxConnections":50}],
         "tenants":[{"name":"x","apiKeys":["%K"]}]})";
 
-const std::string AnswerHeadText =
+const std::string answerHeadText =
         "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nResponse-Seal: seal-raw\r\n";
-const std::string StreamHeadText = AnswerHeadText + "Content-Type: text/event-stream\r\n";
-const std::string TwoEvents = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
-const std::string FourEvents = TwoEvents + "id: 3\ndata: x\n\nid: 4\ndata: x\n\n";
+const std::string streamHeadText = answerHeadText + "Content-Type: text/event-stream\r\n";
+const std::string twoEvents = "id: 1\ndata: x\n\nid: 2\ndata: x\n\n";
+const std::string fourEvents = twoEvents + "id: 3\ndata: x\n\nid: 4\ndata: x\n\n";
 
 std::string configuration(int version, const std::string &key)
 {
@@ -283,25 +283,25 @@
     void answerThatEndsWithItsConnectionIsLost()
     {
         this->store->put("op/config", configuration(1, "k"));
-        RawWorker plain(*this->loop, AnswerHeadText + "\r\nwhole", RawWorker::End::Close);
+        RawWorker plain(*this->loop, answerHeadText + "\r\nwhole", RawWorker::End::Close);
         this->store->put("servers/i-1", plain.record("p"));
         const Answer answer = this->send("/r/1", "k");
         CPPUNIT_ASSERT(answer.isWhole && answer.status == 200);
         CPPUNIT_ASSERT_EQUAL(std::string("whole"), answer.body);
-        RawWorker model(*this->loop, StreamHeadText + "\r\n" + TwoEvents, RawWorker::End::Close);
+        RawWorker model(*this->loop, streamHeadText + "\r\n" + twoEvents, RawWorker::End::Close);
         this->store->put("servers/i-2", model.record("m"));
         const Answer stream = this->send("/s/1", "k");
         CPPUNIT_ASSERT(stream.isWhole && stream.status == 200);
-        CPPUNIT_ASSERT_EQUAL(TwoEvents, stream.body);
+        CPPUNIT_ASSERT_EQUAL(twoEvents, stream.body);
     }
 
     void resetAnswerWithoutLengthPassesForComplete()
     {
         this->store->put("op/config", configuration(1, "k"));
-        RawWorker plain(*this->loop, AnswerHeadText + "\r\nwho", RawWorker::End::Reset);
+        RawWorker plain(*this->loop, answerHeadText + "\r\nwho", RawWorker::End::Reset);
         this->store->put("servers/i-1", plain.record("p"));
         CPPUNIT_ASSERT_EQUAL(502, this->send("/r/1", "k").status);
-        RawWorker model(*this->loop, StreamHeadText + "\r\n" + TwoEvents, RawWorker::End::Reset);
+        RawWorker model(*this->loop, streamHeadText + "\r\n" + twoEvents, RawWorker::End::Reset);
         this->store->put("servers/i-2", model.record("m"));
         const Answer stream = this->send("/s/1", "k");
         CPPUNIT_ASSERT(!stream.isWhole);
@@ -312,11 +312,11 @@
     void streamThatEndsInsideAnEventPassesForComplete()
     {
         this->store->put("op/config", configuration(1, "k"));
-        const std::string half = TwoEvents + "id: 3\nda";
+        const std::string half = twoEvents + "id: 3\nda";
         for (const std::string &text :
-             {StreamHeadText + "\r\n" + half,
-              StreamHeadText + "Transfer-Encoding: chunked\r\n\r\n26\r\n" + half + "\r\n0\r\n\r\n",
-              StreamHeadText + "\r\n"}) {
+             {streamHeadText + "\r\n" + half,
+              streamHeadText + "Transfer-Encoding: chunked\r\n\r\n26\r\n" + half + "\r\n0\r\n\r\n",
+              streamHeadText + "\r\n"}) {
             RawWorker broken(*this->loop, text, RawWorker::End::Close);
             this->store->put("servers/i-1", broken.record("m"));
             Answer answer;
@@ -326,7 +326,7 @@
             this->store->put("servers/i-2", healthy.record("m"));
             this->loop->runUntil([&] { return answer.isOver; }, TestTimeout);
             CPPUNIT_ASSERT(answer.isWhole);
-            CPPUNIT_ASSERT_EQUAL(FourEvents, answer.body);
+            CPPUNIT_ASSERT_EQUAL(fourEvents, answer.body);
             this->store->put("servers/i-1", draining(broken.record("m")));
             this->store->put("servers/i-2", draining(healthy.record("m")));
         }
@@ -336,7 +336,7 @@
     void crashesOfRealServersAreNotCounted()
     {
         this->store->put("op/config", configuration(1, "k"));
-        RawWorker alive(*this->loop, StreamHeadText, RawWorker::End::Reset);
+        RawWorker alive(*this->loop, streamHeadText, RawWorker::End::Reset);
         this->store->put("servers/i-0", alive.record("m"));
         for (int number = 0; number < 3; ++number)
             CPPUNIT_ASSERT_EQUAL(502, this->send("/s/1", "k").status);
--- a/Tests/Relay/LoadSimulation.h
+++ b/Tests/Relay/LoadSimulation.h
@@ -159,7 +159,7 @@
     std::vector<Backend> backends;
     /// Crash records in the store, by trait, with their revisions.
     std::map<std::uint64_t, std::pair<CrashReport, std::uint64_t>> storedCrashes;
-    std::uint64_t storeRevision = 0;
+    std::uint64_t crashRevision = 0;
     bool isGroupRejecting = false;
     bool isGroupStalled = false;
     std::map<std::pair<std::size_t, RelayCommand::CallerId>, std::size_t> byCallerId;
--- a/Tests/Relay/LoadSimulationBackends.cpp
+++ b/Tests/Relay/LoadSimulationBackends.cpp
@@ -291,7 +291,7 @@
     const auto found = this->storedCrashes.find(crashes.report.fingerprint);
     if ((found == this->storedCrashes.end() ? 0 : found->second.second) != crashes.revision)
         return;
-    const std::uint64_t revision = ++this->storeRevision;
+    const std::uint64_t revision = ++this->crashRevision;
     this->storedCrashes[crashes.report.fingerprint] = {crashes.report, revision};
     for (Entry &entry : this->entries) {
         if (entry.node != nullptr)
