Test quarantined traits again after a minute

A trait that was in flight at two crashes by chance stayed refused for ten minutes, and then every entry let it through at once. Now one entry sends a single request a minute after the last crash, and after twice the time with each further crash, five minutes at most; a crash in a test renews the record, a success ends it. RequestQuarantineTest::soundPartStaysQuarantinedByMistake failed before, by reading: nothing let such a request through.

--- a/Source/Relay/RequestQuarantine.cpp
+++ b/Source/Relay/RequestQuarantine.cpp
@@ -20,6 +20,10 @@
 /// Successes older than this do not vouch for a trait; the lifetime of a crash record.
 constexpr std::chrono::minutes SuccessLifetime{10};
 constexpr std::size_t MaxSuccesses = 4096;
+/// Time from the last crash to the first test of a trait; each further crash doubles it. The
+/// longest is below the lifetime of a record, so that a crash in a test renews the record.
+constexpr std::chrono::seconds FirstTestInterval{60};
+constexpr std::chrono::seconds MaxTestInterval{300};
 /// Time for which a test keeps further ones away: a group stalls before its requests break.
 constexpr milliseconds TestTime{4000};
 /// Reports are datagrams that may be lost.
@@ -36,6 +40,16 @@
     return std::find(traits.begin(), traits.end(), trait) != traits.end();
 }
 
+Instant nextTest(const CrashRecords::Crashes &crashes)
+{
+    Instant last;
+    for (const auto &[id, at] : crashes)
+        last = std::max(last, at);
+    const auto doublings = crashes.size() - std::min(crashes.size(), Rules.crashes);
+    return last
+           + std::min<std::chrono::seconds>(MaxTestInterval, FirstTestInterval * (1U << doublings));
+}
+
 /// Whether each crash of \a part happened together with one of \a whole.
 bool isSubset(const CrashRecords::Crashes &part, const CrashRecords::Crashes &whole)
 {
@@ -162,7 +176,7 @@
         if (isExplained)
             continue;
         const auto tested = this->testedUntil.find(trait);
-        const bool mayTest = isUndecided
+        const bool mayTest = (isUndecided || now >= nextTest(crashes))
                              && (tested == this->testedUntil.end() || now >= tested->second)
                              && isTester(trait);
         if (!mayTest)
--- a/Source/Relay/RequestQuarantine.h
+++ b/Source/Relay/RequestQuarantine.h
@@ -48,8 +48,8 @@
     void recordSuccess(Instant now, const Traits &traits);
 
     /// Whether a request may not be sent. Traits whose crashes all happened under another
-    /// quarantined trait do not block; when it is not decided which of the two is the cause, single
-    /// requests of one entry are let through as a test.
+    /// quarantined trait do not block. Single requests of one entry are let through as a test when
+    /// it is not decided which of two traits is the cause, and at growing intervals after a crash.
     bool blocks(Instant now, const Traits &traits, const IsTester &isTester) const;
     /// A request was sent. Returns whether it tests a quarantined trait.
     bool recordSent(Instant now, const Traits &traits);
--- a/Tests/Relay/RequestQuarantineTest.cpp
+++ b/Tests/Relay/RequestQuarantineTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(lostRackQuarantinesSoundRequests);
     CPPUNIT_TEST(soundPartOfCrashingRequestsIsRefused);
     CPPUNIT_TEST(undecidedPartIsTestedByManyEntries);
+    CPPUNIT_TEST(soundPartStaysQuarantinedByMistake);
     CPPUNIT_TEST(successElsewhereDoesNotEndAQuarantine);
     CPPUNIT_TEST(quarantineIsLostWithAllEntries);
     CPPUNIT_TEST(recordsGrowWithoutBound);
@@ -142,6 +143,25 @@
         CPPUNIT_ASSERT(blocks(quarantine, at(6), traits({"two"}), true));
     }
 
+    // A part that was in flight at two crashes by chance gets another try after a minute, and a
+    // part that crashes servers costs fewer and fewer of them.
+    void soundPartStaysQuarantinedByMistake()
+    {
+        RequestQuarantine quarantine;
+        crash(quarantine, at(0), "a/1", {traits({"part"})});
+        crash(quarantine, at(4), "b/1", {traits({"part"})});
+        CPPUNIT_ASSERT(blocks(quarantine, at(63), traits({"part"}), true));
+        CPPUNIT_ASSERT(blocks(quarantine, at(65), traits({"part"})));
+        CPPUNIT_ASSERT(!blocks(quarantine, at(65), traits({"part"}), true));
+        CPPUNIT_ASSERT(quarantine.recordSent(at(65), traits({"part"})));
+        CPPUNIT_ASSERT(blocks(quarantine, at(66), traits({"part"}), true));
+        crash(quarantine, at(66), "c/1", {traits({"part"})});
+        CPPUNIT_ASSERT(blocks(quarantine, at(180), traits({"part"}), true));
+        CPPUNIT_ASSERT(!blocks(quarantine, at(190), traits({"part"}), true));
+        quarantine.recordSuccess(at(191), traits({"part"}));
+        CPPUNIT_ASSERT(!blocks(quarantine, at(191), traits({"part"})));
+    }
+
     // An entry that served a part clears it at the entries that did not.
     void successElsewhereDoesNotEndAQuarantine()
     {
