Read an oversized body to its end before the connection closes

Cause: evhttp answers at the head and closes while the caller still sends. The bytes that nobody reads reset the connection, and the caller's next send fails before it reads the answer. HttpTest::rejectionOfAnOversizedBodyIsLost shows it each time: "connection closed with 4934517 bytes to send".

evhttp now discards the body first (EVHTTP_SERVER_LINGERING_CLOSE).

--- a/Source/Net/HttpServer.cpp
+++ b/Source/Net/HttpServer.cpp
@@ -163,6 +163,8 @@
 {
     evhttp_set_max_headers_size(this->server, static_cast<ev_ssize_t>(limits.headerBytes));
     evhttp_set_max_body_size(this->server, static_cast<ev_ssize_t>(limits.bodyBytes));
+    // Closing while the caller still sends would reset the connection and lose the answer.
+    evhttp_set_flags(this->server, EVHTTP_SERVER_LINGERING_CLOSE);
     evhttp_set_timeout(this->server,
                        limits.idleSeconds > 0 ? limits.idleSeconds : DefaultIdleSeconds);
     unsigned methods = 0;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -2,8 +2,13 @@
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
 
+#include <algorithm>
+#include <cerrno>
 #include <memory>
+#include <netinet/in.h>
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 #include <vector>
 
 #include <cppunit/TestFixture.h>
@@ -29,6 +34,7 @@
     CPPUNIT_TEST(callerDisconnectIsReported);
     CPPUNIT_TEST(pausedCallAppliesBackpressure);
     CPPUNIT_TEST(oversizedBodyIsRejected);
+    CPPUNIT_TEST(rejectionOfAnOversizedBodyIsLost);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -164,6 +170,40 @@
         CPPUNIT_ASSERT(status == 413 || status == 0);
     }
 
+    // A caller that is still sending when the connection closes gets a reset, which overtakes the
+    // answer.
+    void rejectionOfAnOversizedBodyIsLost()
+    {
+        const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(21160);
+        CPPUNIT_ASSERT_EQUAL(
+                0, ::connect(caller, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
+        std::string text = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5000000\r\n\r\n"
+                           + std::string(5'000'000, 'a');
+        while (!text.empty()) {
+            const auto sent = ::send(caller, text.data(), std::min<std::size_t>(text.size(), 65536),
+                                     MSG_DONTWAIT | MSG_NOSIGNAL);
+            CPPUNIT_ASSERT_MESSAGE("connection closed with " + std::to_string(text.size())
+                                           + " bytes to send",
+                                   sent >= 0 || errno == EAGAIN);
+            text.erase(0, static_cast<std::size_t>(std::max<ssize_t>(sent, 0)));
+            this->loop->runUntil([] { return false; }, 1ms);
+        }
+        std::string answer;
+        this->waitFor([&] {
+            std::string block(1024, '\0');
+            const auto length = ::recv(caller, block.data(), block.size(), MSG_DONTWAIT);
+            answer.append(block, 0, static_cast<std::size_t>(std::max<ssize_t>(length, 0)));
+            return !answer.empty();
+        });
+        ::close(caller);
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 413"), answer.substr(0, 12));
+        CPPUNIT_ASSERT(this->requests.empty());
+    }
+
 private:
     /// Starts a call; the server sends "one ", the first chunk of a streamed response.
     HttpClient::CallId beginStream(std::string &body, bool &ended)
