Count only proofs that a crash left intact

Three gaps in what clears a crash record, found by reading: an answer with a failure status cleared the traits of its request; an unframed answer that a crash had ended did the same; and the head of an answer that was already on its way when the server crashed took the broken connections for a reset, so that the crash did not count. Only answers with a success status and a marked end, or half a second of progress, clear now, and only requests sent after the break show that the server lives.

RelayNodeTest::failedAnswerClearsACrashRecord is new. The crash and limit scenes of LoadPatternTest also run with lost reports, half of the entries cut off, and the store away; all pass.

--- a/Source/Relay/AnswerHead.h
+++ b/Source/Relay/AnswerHead.h
@@ -23,6 +23,8 @@
     bool isMisdirected = false;
     /// The answer can be passed on. Otherwise it is treated as broken.
     bool isUsable = true;
+    /// The body has a length or chunks, so that its end is certain.
+    bool isFramed = true;
     /// The body is a stream of events.
     bool isStream = false;
     std::optional<Load> load;
--- a/Source/Relay/Attempt.h
+++ b/Source/Relay/Attempt.h
@@ -22,6 +22,10 @@
     Instant firstEventAt;
     bool hasHead = false;
     bool hasEvent = false;
+    /// The answer has a status of success.
+    bool isSuccess = false;
+    /// The end of the answer is marked, not only that of the connection.
+    bool isFramed = true;
     /// The backend server has written for long enough to show that the request does not crash it.
     bool hasRunWell = false;
     /// The request tests a quarantined trait.
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -201,7 +201,9 @@
     running.hasHead = true;
     running.lastActivityAt = now;
     this->lastServiceActivityAt[exchange->service] = now;
-    this->quarantine.recordAlive(this->incarnationOf(running.backend));
+    running.isSuccess = head.status / 100 == 2;
+    running.isFramed = head.isFramed;
+    this->quarantine.recordAlive(this->incarnationOf(running.backend), running.sentAt);
     if (BackendRoster::Row *row = this->backends.find(running.backend)) {
         row->lastReceivedAt = now;
         if (head.load)
@@ -298,7 +300,9 @@
         row->lastReceivedAt = now;
         failed ? row->health.recordFailure(now) : row->health.recordSuccess(now);
     }
-    this->recordProgress(now, *exchange);
+    // A backend server that crashed may have ended an unframed answer.
+    if (running.isFramed)
+        this->recordProgress(now, *exchange);
     this->circuitBreakers[exchange->service].recordServed();
     this->waitEstimatorOf(*exchange).recordHoldTime(now - running.sentAt);
     if (!running.hasEvent) {
--- a/Source/Relay/RelayNodeCrashes.cpp
+++ b/Source/Relay/RelayNodeCrashes.cpp
@@ -50,9 +50,8 @@
 
 void RelayNode::recordProgress(Instant now, Exchange &exchange)
 {
-    if (std::exchange(exchange.attempt->hasRunWell, true))
+    if (!exchange.attempt->isSuccess || std::exchange(exchange.attempt->hasRunWell, true))
         return;
-    this->quarantine.recordAlive(this->incarnationOf(exchange.attempt->backend));
     this->quarantine.recordSuccess(now, exchange.traits);
 }
 
@@ -60,7 +59,7 @@
                                Commands &commands)
 {
     if (result == BackendCheck::Listening)
-        this->quarantine.recordAlive(incarnation);
+        this->quarantine.recordAlive(incarnation, now);
     else if (result == BackendCheck::Refused)
         this->recordEnd(now, incarnation, commands);
 }
--- a/Source/Relay/RequestQuarantine.cpp
+++ b/Source/Relay/RequestQuarantine.cpp
@@ -91,6 +91,13 @@
     return false;
 }
 
+void RequestQuarantine::recordAlive(const std::string &incarnation, Instant since)
+{
+    if (const auto found = this->broken.find(incarnation);
+        found != this->broken.end() && !found->second.isEnd && found->second.at < since)
+        this->broken.erase(found);
+}
+
 std::size_t RequestQuarantine::recordEnd(Instant now, const std::string &incarnation)
 {
     const auto found = this->broken.find(incarnation);
--- a/Source/Relay/RequestQuarantine.h
+++ b/Source/Relay/RequestQuarantine.h
@@ -36,8 +36,9 @@
     /// The connection of an attempt broke before it made progress. \a incarnation names one start
     /// of a backend server. Returns whether it has to be checked that this start has ended.
     bool recordBreak(Instant now, const std::string &incarnation, const Traits &traits);
-    /// The backend server answers, so connections to it broke for another reason.
-    void recordAlive(const std::string &incarnation) { this->broken.erase(incarnation); }
+    /// The backend server accepted a connection or answered a request that began at \a since.
+    /// Breaks before that had another reason.
+    void recordAlive(const std::string &incarnation, Instant since);
     /// The start of the backend server has ended: the breaks were a crash. Returns the number of
     /// traits that it counts against.
     std::size_t recordEnd(Instant now, const std::string &incarnation);
--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -137,8 +137,8 @@
     }
     // The end of the connection is the only end of an unframed answer, also when the backend server
     // crashed before the first event.
-    const bool isEmpty = openAttempt.head.isStream && !openAttempt.hasEvents
-                         && !openAttempt.answer.head->isFramed;
+    const bool isEmpty =
+            openAttempt.head.isStream && !openAttempt.hasEvents && !openAttempt.head.isFramed;
     if (openAttempt.events.hasPartialEvent() || isEmpty) {
         this->fail(attempt, AttemptFailure::Broken);
         return;
--- a/Tests/Relay/LoadPatternTest.cpp
+++ b/Tests/Relay/LoadPatternTest.cpp
@@ -231,9 +231,16 @@
         const Disruptions halfRestartAndSpike = {
                 {Fault::EntriesRestarted, seconds(8), milliseconds(700), 0.5},
                 {Fault::LoadSpike, seconds(12), seconds(4), 3}};
+        const Disruptions halfCut = {{Fault::EntriesCut, seconds(6), seconds(6), 0.5},
+                                     {Fault::ReportsLost, seconds(0), seconds(40), 0.2}};
+        const Disruptions storeAway = {
+                {Fault::StoreAway, seconds(0), seconds(40), 1},
+                {Fault::EntriesRestarted, seconds(20), milliseconds(700), 0.7},
+                {Fault::ReportsLost, seconds(0), seconds(40), 0.2}};
         for (const CrashScene &scene :
              {CrashScene{6, 12, 1, 0.05}, CrashScene{6, 12, 1, 0.05, allRestart},
-              CrashScene{6, 12, 1, 0.05, halfRestartAndSpike}, CrashScene{34, 63, 5, 0.01}}) {
+              CrashScene{6, 12, 1, 0.05, halfRestartAndSpike}, CrashScene{6, 12, 1, 0.05, halfCut},
+              CrashScene{6, 12, 1, 0.05, storeAway}, CrashScene{34, 63, 5, 0.01}}) {
             for (std::uint64_t seed = 1; seed <= 3; ++seed)
                 CPPUNIT_ASSERT_EQUAL(std::string(), crashFailure(scene, seed));
         }
@@ -260,7 +267,9 @@
             options.load = scene.load;
             options.disruptions = {
                     {Fault::LimitNamed, seconds(2), seconds(18), scene.limit},
-                    {Fault::EntriesRestarted, seconds(8), milliseconds(700), scene.restarted}};
+                    {Fault::EntriesRestarted, seconds(8), milliseconds(700), scene.restarted},
+                    {Fault::EntriesCut, seconds(12), seconds(5), scene.restarted},
+                    {Fault::ReportsLost, seconds(0), seconds(20), 0.2}};
             const LoadSimulation::Result result = LoadSimulation(options).run();
             CPPUNIT_ASSERT_EQUAL(std::string(), result.brokenLimit);
             CPPUNIT_ASSERT_MESSAGE(std::to_string(result.all.served()), result.all.served() > 0.95);
--- a/Tests/Relay/LoadSimulation.cpp
+++ b/Tests/Relay/LoadSimulation.cpp
@@ -148,6 +148,12 @@
                   [number](const auto &row) { return row.first.first == number; });
 }
 
+bool LoadSimulation::isCut(std::size_t entry) const
+{
+    return static_cast<double>(entry)
+           < this->factorOf(Fault::EntriesCut) * static_cast<double>(this->entries.size());
+}
+
 void LoadSimulation::sendReports()
 {
     for (std::size_t from = 0; from < this->entries.size(); ++from) {
@@ -166,7 +172,9 @@
         this->schedule(NetworkDelay, [this, from, report] {
             RelayNode::Commands commands;
             for (std::size_t to = 0; to < this->entries.size(); ++to) {
-                if (to != from && this->entries[to].node != nullptr)
+                if (to != from && this->entries[to].node != nullptr
+                    && this->isCut(from) == this->isCut(to)
+                    && this->partRandom.unit() >= this->factorOf(Fault::ReportsLost))
                     this->entries[to].node->reportArrived(this->now, report, commands);
             }
         });
--- a/Tests/Relay/LoadSimulation.h
+++ b/Tests/Relay/LoadSimulation.h
@@ -34,6 +34,9 @@
         PlainServersUnreachable, ///< this share of the plain backend servers is unreachable
         PlainServersFlaky, ///< this share of the plain backend servers fails half of its requests
         EntriesRestarted,  ///< this share of the entries stops and is started again after the span
+        EntriesCut,        ///< this share of the entries exchanges no reports with the others
+        ReportsLost,       ///< this share of the reports is lost
+        StoreAway,         ///< nothing is written to the store
         LimitNamed,        ///< a rank and two plain servers name the factor as their limit a second
         CrashingPart ///< this share of the streams has a prompt part that crashes the ranks that
                      ///< run it
@@ -129,6 +132,7 @@
     void close(Caller &caller, std::uint32_t Tally::*outcome);
     void startEntry(std::size_t entry);
     void stopEntry(std::size_t entry);
+    bool isCut(std::size_t entry) const;
     void sendReports();
     void execute(std::size_t entry, RelayNode::Commands &commands);
     void startWork(std::size_t entry, const RelayCommand::StartAttempt &start);
--- a/Tests/Relay/LoadSimulationBackends.cpp
+++ b/Tests/Relay/LoadSimulationBackends.cpp
@@ -288,6 +288,8 @@
 
 void LoadSimulation::storeCrashes(const RelayCommand::StoreCrashes &crashes)
 {
+    if (this->factorOf(Fault::StoreAway) > 0)
+        return;
     const auto found = this->storedCrashes.find(crashes.report.fingerprint);
     if ((found == this->storedCrashes.end() ? 0 : found->second.second) != crashes.revision)
         return;
--- a/Tests/Relay/RelayNodeHarness.cpp
+++ b/Tests/Relay/RelayNodeHarness.cpp
@@ -74,6 +74,7 @@
     request.key = key;
     request.timeLeft = path.find("/stream/") == 0 ? milliseconds(8000) : milliseconds(1500);
     request.lastEvent = lastEvent;
+    request.contentHash = path.find("/record/") == 0 ? hash64(path + key) : 0;
     this->node.requestArrived(this->now, this->lastCaller, request, this->commands);
     return this->lastCaller;
 }
--- a/Tests/Relay/RelayNodeTest.cpp
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(drainingServerGetsNoRequests);
     CPPUNIT_TEST(takenOutDomainGetsNoRequests);
     CPPUNIT_TEST(coldRateIsSharedBetweenEntries);
+    CPPUNIT_TEST(failedAnswerClearsACrashRecord);
     CPPUNIT_TEST(limitNamedToAnotherEntryIsIgnored);
     CPPUNIT_TEST(limitOutlivesItsServerOrItsEnd);
     CPPUNIT_TEST(limitsOfManyServersHideEachOther);
@@ -292,6 +293,29 @@
 
     // A group that has lost a rank rejects everything until it has formed again. Guards against
     // repeats that use up the retry budget and against requests that wait without limit.
+    // Only a successful answer shows that a request does not crash its server.
+    void failedAnswerClearsACrashRecord()
+    {
+        RelayNodeHarness scene(0, 3);
+        for (const char server : {'a', 'b'}) {
+            const auto caller = scene.arrive("/record/");
+            const auto &start = *scene.attemptOf(caller);
+            const std::string incarnation = start.backend + "/0";
+            scene.fail(caller, AttemptFailure::Broken);
+            scene.node.backendChecked(scene.now, incarnation, BackendCheck::Refused,
+                                      scene.commands);
+            scene.advance(seconds(1));
+            if (server == 'b')
+                break;
+            const auto failed = scene.arrive("/record/");
+            scene.head(failed, 500);
+            scene.end(failed);
+        }
+        CPPUNIT_ASSERT(scene.attemptOf(scene.arrive("/record/")) == nullptr);
+        const auto other = scene.arrive("/record/", "key-2");
+        CPPUNIT_ASSERT(scene.attemptOf(other) != nullptr);
+    }
+
     // The limit holds over all entries, also those that have no answer with it yet.
     void limitNamedToAnotherEntryIsIgnored()
     {
--- a/Tests/Relay/RequestQuarantineTest.cpp
+++ b/Tests/Relay/RequestQuarantineTest.cpp
@@ -90,11 +90,15 @@
         RequestQuarantine quarantine;
         for (const std::string server : {"a/1", "b/1", "c/1", "d/1"}) {
             CPPUNIT_ASSERT(quarantine.recordBreak(at(0), server, traits({"part"})));
-            quarantine.recordAlive(server);
+            quarantine.recordAlive(server, at(0.01));
             quarantine.recordEnd(at(1), server);
         }
         CPPUNIT_ASSERT(!blocks(quarantine, at(1), traits({"part"})));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), quarantine.size());
+        // An answer to a request that was sent before the break proves nothing.
+        CPPUNIT_ASSERT(quarantine.recordBreak(at(2), "e/1", traits({"part"})));
+        quarantine.recordAlive("e/1", at(1.9));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), quarantine.recordEnd(at(2.1), "e/1"));
     }
 
     // Servers that fail together have one cause, which need not be a request.
