Fit the parts of plain answers into libevent's buffers

Cause: parts of plain answers had 16 KB. libevent copies each into a buffer whose size, with its header, is a power of two, so a part took 32 KB.

Parts now leave room for the header.

--- a/Source/Programs/BackendCaller.cpp
+++ b/Source/Programs/BackendCaller.cpp
@@ -13,8 +13,9 @@
 constexpr std::chrono::seconds CallIdleTimeout(120);
 constexpr std::chrono::seconds ProbeIdleTimeout(2);
 // Flow control and the answer tail count whole parts, so a part is small compared with these
-// budgets.
-constexpr std::size_t MaxPartBytes = 16U << 10U;
+// budgets. The entry copies it into a buffer of libevent, whose sizes are powers of two with a
+// header of their own.
+constexpr std::size_t MaxPartBytes = (16U << 10U) - 128;
 constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view EventStreamType = "text/event-stream";
 
