--- a/Tests/Relay/LoadPatternTest.cpp
+++ b/Tests/Relay/LoadPatternTest.cpp
@@ -66,16 +66,18 @@
     std::uint32_t entries;
     std::size_t ranks;
     double load;
-    /// Share of the streams with the crashing part.
-    double share;
+    /// Share of the streams with the crashing part, or arrivals of the crashing request a second.
+    double rate;
     Disruptions further = {};
+    Fault kind = Fault::CrashingPart;
+    /// The crash from which on hardly any request that crashes servers may be sent.
+    std::size_t namedCrashes = 5;
 };
 
-/// Plays streams of which some have a part that crashes servers. Returns which rule was broken.
+/// Plays requests of which some crash servers. Returns which rule was broken.
 std::string crashFailure(const CrashScene &scene, std::uint64_t seed)
 {
     constexpr milliseconds StableWindow{3000};
-    constexpr std::size_t NamedCrashes = 5;
     constexpr std::size_t MaxLaterSends = 3;
     constexpr double MinServed = 0.9;
     LoadSimulation::Options options;
@@ -85,16 +87,20 @@
     options.load = scene.load;
     options.length = seconds(40);
     options.disruptions = scene.further;
-    options.disruptions.push_back({Fault::CrashingPart, DisruptionStart, seconds(34), scene.share});
+    options.disruptions.push_back({scene.kind, DisruptionStart, seconds(34), scene.rate});
     const LoadSimulation::Result result = LoadSimulation(options).run();
     const std::string crashes = std::to_string(result.crashes.size()) + " crashes";
     if (result.crashes.empty())
         return "no crash";
-    const Instant last = result.crashes[std::min(result.crashes.size(), NamedCrashes) - 1];
-    const auto later = std::count_if(result.crashingSends.begin(), result.crashingSends.end(),
+    const Instant last = result.crashes[std::min(result.crashes.size(), scene.namedCrashes) - 1];
+    // A connection to a plain server that has ended is refused, so the request does not reach it.
+    const std::vector<Instant> &sends =
+            scene.kind == Fault::CrashingRequest ? result.crashingArrivals : result.crashingSends;
+    const auto later = std::count_if(sends.begin(), sends.end(),
                                      [&](Instant at) { return at > last + StableWindow; });
     if (static_cast<std::size_t>(later) > MaxLaterSends)
-        return std::to_string(later) + " sends after the fifth crash, " + crashes;
+        return std::to_string(later) + " sends after crash " + std::to_string(scene.namedCrashes)
+               + ", " + crashes;
     const auto begin =
             std::chrono::duration_cast<seconds>(last - Instant(seconds(100))).count() + 7;
     LoadSimulation::Tally sound;
@@ -130,6 +136,7 @@
     CPPUNIT_TEST(earlyDisconnectsFreeTheirSlots);
     CPPUNIT_TEST(lostPlainServersAreAvoided);
     CPPUNIT_TEST(crashingPromptPartReachesServersAgainAndAgain);
+    CPPUNIT_TEST(repeatedPlainRequestCrashesEveryServer);
     CPPUNIT_TEST(serversGetMoreThanTheLimitThatTheyName);
     CPPUNIT_TEST(sameSeedGivesTheSameResult);
     CPPUNIT_TEST_SUITE_END();
@@ -246,6 +253,32 @@
         }
     }
 
+    // Guards against one request that comes again under new ids and crashes all servers of a plain
+    // service, at the sizes of a small and of a large deployment.
+    void repeatedPlainRequestCrashesEveryServer()
+    {
+        const Disruptions mostRestart = {
+                {Fault::EntriesRestarted, seconds(8), milliseconds(700), 0.8},
+                {Fault::EntriesRestarted, seconds(20), milliseconds(700), 1},
+                {Fault::ReportsLost, seconds(0), seconds(40), 0.2}};
+        std::string failures;
+        for (const Disruptions &further : {Disruptions(), mostRestart}) {
+            for (const CrashScene &scene :
+                 {CrashScene{6, 12, 1, 1, further, Fault::CrashingRequest, 3},
+                  CrashScene{6, 12, 1, 10, further, Fault::CrashingRequest, 3},
+                  CrashScene{34, 12, 1, 10, further, Fault::CrashingRequest, 3}}) {
+                for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+                    if (const std::string failure = crashFailure(scene, seed); !failure.empty())
+                        failures += "\n" + std::to_string(scene.entries) + " entries, "
+                                    + std::to_string(scene.rate) + " a second, "
+                                    + std::to_string(further.size()) + " faults, seed "
+                                    + std::to_string(seed) + ": " + failure;
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string(), failures);
+    }
+
     // Guards against entries that ignore the limit of a server, or that each use all of it: limits
     // below and above one request in four seconds and entry, at the sizes of a small and of a large
     // deployment, also while entries restart.
--- a/Tests/Relay/LoadSimulation.cpp
+++ b/Tests/Relay/LoadSimulation.cpp
@@ -261,6 +261,11 @@
                 this->schedule(row.at, [this, entry] { this->stopEntry(entry); });
                 this->schedule(row.at + row.span, [this, entry] { this->startEntry(entry); });
             }
+        } else if (row.kind == Fault::CrashingRequest) {
+            const std::chrono::duration<double> period(1 / row.factor);
+            for (Time after = row.at; after < row.at + row.span;
+                 after += std::chrono::duration_cast<Time>(period))
+                this->schedule(after, [this] { this->arriveCrashing(); });
         } else if (row.kind == Fault::PlainServersUnreachable
                    || row.kind == Fault::PlainServersFlaky) {
             const bool isGone = row.kind == Fault::PlainServersUnreachable;
--- a/Tests/Relay/LoadSimulation.h
+++ b/Tests/Relay/LoadSimulation.h
@@ -38,8 +38,10 @@
         ReportsLost,       ///< this share of the reports is lost
         StoreAway,         ///< nothing is written to the store
         LimitNamed,        ///< a rank and two plain servers name the factor as their limit a second
-        CrashingPart ///< this share of the streams has a prompt part that crashes the ranks that
-                     ///< run it
+        CrashingPart,   ///< this share of the streams has a prompt part that crashes the ranks that
+                        ///< run it
+        CrashingRequest ///< one request that crashes the plain servers that run it arrives that
+                        ///< often a second, from one caller and at any entry
     };
 
     struct Disruption
@@ -95,9 +97,11 @@
         double worstAccount = 1;
         /// Attempts for requests that their caller has repeated.
         std::uint32_t repeats = 0;
-        /// When a rank crashed, and when a request that crashes ranks was sent to one.
+        /// When a server crashed, and when a request that crashes servers was sent to one.
         std::vector<Instant> crashes;
         std::vector<Instant> crashingSends;
+        /// When such a request reached a server.
+        std::vector<Instant> crashingArrivals;
         /// The first named limit that was broken.
         std::string brokenLimit;
         /// Longest time from the sending of a request to its refusal.
@@ -124,6 +128,8 @@
     double factorOf(Fault kind) const;
     void scheduleArrivals();
     void arrive(std::size_t kind);
+    void arriveCrashing();
+    void begin(Caller caller);
     void send(std::size_t caller);
     void checkIdleTimeout(std::size_t caller, std::uint32_t attempt);
     void disconnect(Caller &caller);
@@ -147,8 +153,9 @@
     void storeCrashes(const RelayCommand::StoreCrashes &crashes);
     AnswerHead headOf(Backend &backend, const Work &work, int status);
     void checkLimit(Backend &backend, const Work &work);
-    void crashRank(Backend &backend);
-    void returnRank(Backend &backend);
+    void crashServer(Backend &backend);
+    void returnServer(Backend &backend);
+    void crashPlain(const Work &work);
     Backend *backendOf(const std::string &id);
     Entry *findRunning(std::size_t entry, std::uint32_t start);
 
--- a/Tests/Relay/LoadSimulationBackends.cpp
+++ b/Tests/Relay/LoadSimulationBackends.cpp
@@ -27,6 +27,9 @@
 /// A rank that crashed is back after this time, and its group then forms again.
 constexpr milliseconds RankRestartTime{2500};
 constexpr milliseconds GroupFormTime{600};
+/// A plain server crashes within this time after it begins to run a crashing request.
+constexpr milliseconds MaxPlainCrashTime{80};
+constexpr milliseconds PlainRestartTime{3200};
 /// The platform's tolerance for a named limit: factor, requests, and time to settle.
 constexpr seconds LimitWindow{4};
 constexpr double LimitFactor = 1.5;
@@ -57,8 +60,8 @@
     if (number != this->byCallerId.end()) {
         Caller &caller = this->callers[number->second];
         this->result.repeats += caller.attempts == 1 && caller.attempt != 0 ? 0 : 1;
-        work.crashesRank = caller.crashesRanks;
-        if (work.crashesRank)
+        work.crashesServer = caller.crashesServers;
+        if (work.crashesServer)
             this->result.crashingSends.push_back(this->now);
     }
     this->schedule(NetworkDelay, [this, work] { this->accept(work); });
@@ -72,6 +75,8 @@
         return;
     }
     Backend &backend = *found;
+    if (work.crashesServer)
+        this->result.crashingArrivals.push_back(this->now);
     this->checkLimit(backend, work);
     if (backend.isUnreachable) {
         this->breakWork(work, AttemptFailure::NotSent);
@@ -137,16 +142,22 @@
         const Work work = backend.queue.front();
         backend.queue.pop_front();
         backend.running.push_back(work);
+        if (work.crashesServer) {
+            this->schedule(
+                    microseconds(this->partRandom.below(microseconds(MaxPlainCrashTime).count())),
+                    [this, work] { this->crashPlain(work); });
+            continue;
+        }
         const auto span = microseconds(static_cast<std::int64_t>(
                 -std::log(1 - this->random.unit()) * 1000.0 * MeanPlainServiceTime.count()));
         const std::string id = backend.id;
         this->schedule(span, [this, work, id] {
-            Backend &row = *this->backendOf(id);
-            const auto found =
-                    std::find_if(row.running.begin(), row.running.end(), [&](const Work &other) {
-                        return other.entry == work.entry && other.attempt == work.attempt
-                               && other.start == work.start;
-                    });
+            Backend *const backend = this->backendOf(id);
+            if (backend == nullptr)
+                return;
+            Backend &row = *backend;
+            const auto found = std::find_if(row.running.begin(), row.running.end(),
+                                            [&](const Work &other) { return other.isSame(work); });
             if (found == row.running.end())
                 return;
             row.running.erase(found);
@@ -175,8 +186,8 @@
             if (!backend.isRank)
                 continue;
             if (std::any_of(backend.running.begin(), backend.running.end(),
-                            [](const Work &work) { return work.crashesRank; })) {
-                this->crashRank(backend);
+                            [](const Work &work) { return work.crashesServer; })) {
+                this->crashServer(backend);
                 continue;
             }
             for (Work &work : backend.running) {
@@ -233,6 +244,15 @@
     }
 }
 
+void LoadSimulation::crashPlain(const Work &work)
+{
+    Backend *const backend = this->backendOf(work.backend);
+    if (backend != nullptr
+        && std::any_of(backend->running.begin(), backend->running.end(),
+                       [&](const Work &other) { return other.isSame(work); }))
+        this->crashServer(*backend);
+}
+
 AnswerHead LoadSimulation::headOf(Backend &backend, const Work &work, int status)
 {
     AnswerHead head;
@@ -301,7 +321,7 @@
     }
 }
 
-void LoadSimulation::crashRank(Backend &backend)
+void LoadSimulation::crashServer(Backend &backend)
 {
     this->result.crashes.push_back(this->now);
     for (const auto *list : {&backend.running, &backend.queue}) {
@@ -311,13 +331,16 @@
     backend.running.clear();
     backend.queue.clear();
     backend.isCrashed = true;
+    this->schedule(backend.isRank ? RankRestartTime : PlainRestartTime,
+                   [this, &backend] { this->returnServer(backend); });
+    if (!backend.isRank)
+        return;
     if (!this->isGroupStalled)
         this->schedule(StallTime, [this] { this->abortGroup(); });
     this->isGroupStalled = true;
-    this->schedule(RankRestartTime, [this, &backend] { this->returnRank(backend); });
 }
 
-void LoadSimulation::returnRank(Backend &backend)
+void LoadSimulation::returnServer(Backend &backend)
 {
     const std::string before = backend.id;
     backend.isCrashed = false;
@@ -329,6 +352,8 @@
         entry.node->roster().remove(this->now, before);
         entry.node->roster().update(this->now, backend.record());
     }
+    if (!backend.isRank)
+        return;
     this->schedule(GroupFormTime, [this] {
         const bool isWhole =
                 std::none_of(this->backends.begin(), this->backends.end(),
--- a/Tests/Relay/LoadSimulationCallers.cpp
+++ b/Tests/Relay/LoadSimulationCallers.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint32_t ImpatientRepeats = 3;
 /// Different first parts of prompts.
 constexpr std::size_t FirstParts = 60;
+constexpr std::uint64_t CrashingContent = 1;
 
 } // namespace
 
@@ -64,12 +65,36 @@
         caller.sharedParts = {"first-" + std::to_string(this->partRandom.below(FirstParts))};
     if (LoadKinds[kind].isStream && this->partRandom.unit() < this->factorOf(Fault::CrashingPart)) {
         caller.sharedParts.push_back("crashing");
-        caller.crashesRanks = true;
+        caller.crashesServers = true;
         caller.isCounted = false;
     }
+    this->begin(std::move(caller));
+}
+
+void LoadSimulation::arriveCrashing()
+{
+    const auto lookup = std::find_if(LoadKinds.begin(), LoadKinds.end(), [](const LoadKind &kind) {
+        return !kind.isStream && kind.mayRunAgain;
+    });
+    Caller caller;
+    caller.kind = static_cast<std::size_t>(lookup - LoadKinds.begin());
+    caller.account = 1;
+    caller.firstAt = this->now;
+    caller.deadline = this->now + lookup->deadline;
+    caller.content = CrashingContent;
+    caller.crashesServers = true;
+    caller.isCounted = false;
+    this->begin(std::move(caller));
+}
+
+void LoadSimulation::begin(Caller caller)
+{
     const std::size_t number = this->callers.size();
+    // The content of a plain request belongs to its caller.
+    if (caller.content == 0 && !LoadKinds[caller.kind].isStream)
+        caller.content = CrashingContent + 1 + number;
     this->callers.push_back(caller);
-    if (!caller.isCounted && !caller.crashesRanks)
+    if (!caller.isCounted && !caller.crashesServers)
         this->schedule(EarlyDisconnectDelay, [this, number] {
             Caller &row = this->callers[number];
             this->disconnect(row);
@@ -118,6 +143,7 @@
     request.timeLeft = std::chrono::duration_cast<milliseconds>(caller.deadline - this->now);
     request.lastEvent = caller.lastEvent;
     request.sharedParts = caller.sharedParts;
+    request.contentHash = caller.content;
     const std::size_t entry = caller.entry;
     const std::uint32_t start = this->entries[entry].start;
     const RelayCommand::CallerId id = caller.id;
--- a/Tests/Relay/LoadSimulationParts.h
+++ b/Tests/Relay/LoadSimulationParts.h
@@ -63,7 +63,8 @@
     Instant lastEventAt;
     std::optional<std::uint64_t> lastEvent;
     std::vector<std::string> sharedParts;
-    bool crashesRanks = false;
+    std::uint64_t content = 0;
+    bool crashesServers = false;
     bool isLate = false;
     bool isClosed = false;
     bool isCounted = true;
@@ -86,8 +87,14 @@
     RelayCommand::AttemptId attempt = 0;
     std::string backend;
     std::uint64_t nextEvent = 1;
-    bool crashesRank = false;
+    bool crashesServer = false;
     bool hasHead = false;
+
+    bool isSame(const Work &other) const
+    {
+        return this->entry == other.entry && this->attempt == other.attempt
+               && this->start == other.start;
+    }
 };
 
 struct LoadSimulation::Backend
