Reproduce a domain that keeps the old configuration after a watcher is lost (CONFIG)

A watcher of the store loses power right after it has reported a new revision. At 34 entries, others of its failure domain ask it again and again and do not know the configuration 2 s after its acknowledgement.

--- a/Tests/Relay/EntryCluster.cpp
+++ b/Tests/Relay/EntryCluster.cpp
@@ -23,6 +23,10 @@
 constexpr seconds RetryWindow{10};
 /// Time after the last fault within which every entry has to know the others and the store.
 constexpr seconds ConvergenceTime{4};
+/// Time from the acknowledgement of a configuration until it is in force at every entry.
+constexpr seconds ApplyTime{2};
+/// A connection to an instance without power is given up after this time.
+constexpr milliseconds PeerConnectTimeout{300};
 
 ConfigurationPtr configuration(std::uint64_t version)
 {
@@ -206,12 +210,14 @@
     Entry &entry = this->entries[number];
     const auto peer = entry.node->entries().findPeerAhead(entry.mirror.revision(), domainOf(number),
                                                           this->now);
-    if (!peer || !this->switches.pullsFromPeers)
+    if (!peer || !this->switches.pullsFromPeers || this->now < entry.pullingUntil)
         return;
+    entry.pullingUntil = this->now + PeerConnectTimeout;
     for (std::size_t from = 0; from < this->count; ++from) {
         if (addressOf(from) != *peer || !this->isUp(from) || this->isPartitioned(from, number)
             || this->isPartitioned(number, from))
             continue;
+        entry.pullingUntil = this->now;
         const StoreMirror::Update update =
                 this->entries[from].mirror.since(entry.mirror.revision());
         const auto changes = update.isWhole ? entry.mirror.reset(update.items, update.revision)
@@ -326,6 +332,25 @@
     return {};
 }
 
+std::string EntryCluster::runLossAfterReport(std::size_t lost)
+{
+    constexpr int SettlingSteps = 20;
+    for (int count = 0; count < SettlingSteps; ++count)
+        this->step(0, false);
+    this->writeConfiguration();
+    const Instant end = this->now + ApplyTime;
+    this->step(0, false);
+    this->entries[lost].upAt = NoDeadline;
+    while (this->now + Step <= end)
+        this->step(0, false);
+    for (std::size_t entry = 0; entry < this->count; ++entry) {
+        if (entry != lost && this->entries[entry].mirror.revision() != this->revision)
+            return "without entry " + std::to_string(lost) + ", entry " + std::to_string(entry)
+                   + " does not know the last configuration";
+    }
+    return {};
+}
+
 std::string EntryCluster::run(ChoiceScript &script)
 {
     this->random = RandomSource(script.below(1000));
--- a/Tests/Relay/EntryCluster.h
+++ b/Tests/Relay/EntryCluster.h
@@ -41,6 +41,10 @@
     /// violated property, or an empty string.
     std::string run(ChoiceScript &script);
 
+    /// An entry loses power right after its report of a new configuration. Returns which other
+    /// entry does not have that configuration in time.
+    std::string runLossAfterReport(std::size_t entry);
+
     static constexpr std::size_t DefaultEntries = 5;
 
 private:
@@ -54,6 +58,8 @@
         /// What the entry learned by its last read.
         bool noticedStore = true;
         Instant upAt;
+        /// A call to a peer that does not answer has not ended before.
+        Instant pullingUntil;
     };
     struct Datagram
     {
--- a/Tests/Relay/MembershipPropertyTest.cpp
+++ b/Tests/Relay/MembershipPropertyTest.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(withoutTheReducedColdRateAfterAStartTheLimitBreaks);
     CPPUNIT_TEST(coldRateHoldsWithMoreEntriesThanItsRequests);
     CPPUNIT_TEST(withoutReplacingCutWatchersTheConfigurationIsMissing);
+    CPPUNIT_TEST(lostWatcherKeepsItsDomainAtTheOldConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,6 +108,16 @@
         CPPUNIT_ASSERT(!runScripts(switches).empty());
     }
 
+    // An entry that has reported a configuration and then does not answer is asked again and again.
+    void lostWatcherKeepsItsDomainAtTheOldConfiguration()
+    {
+        for (const std::size_t entries : {std::size_t(6), std::size_t(34)}) {
+            for (std::size_t lost = 0; lost < entries; ++lost)
+                CPPUNIT_ASSERT_EQUAL(std::string(),
+                                     EntryCluster({}, entries).runLossAfterReport(lost));
+        }
+    }
+
     // A restarted entry would send its full share again within the second in which its previous
     // start used it.
     void withoutTheReducedColdRateAfterAStartTheLimitBreaks()
