--- a/Source/Membership/CrashRecords.cpp
+++ b/Source/Membership/CrashRecords.cpp
@@ -88,8 +88,19 @@
 
 bool CrashRecords::isQuarantined(const Record &record) const
 {
-    return record.crashes.size()
-           >= (record.ranWellAt ? this->rules.crashesAfterSuccess : this->rules.crashes);
+    return record.crashes.size() >= this->quarantineThreshold(record);
+}
+
+std::size_t CrashRecords::quarantineThreshold(const Record &record) const
+{
+    return record.ranWellAt ? this->rules.crashesAfterSuccess : this->rules.crashes;
+}
+
+std::size_t CrashRecords::quarantineThreshold(std::uint64_t fingerprint) const
+{
+    const auto found = this->records.find(fingerprint);
+    return found == this->records.end() ? this->rules.crashes
+                                        : this->quarantineThreshold(found->second);
 }
 
 void CrashRecords::clearSuspect(std::uint64_t fingerprint)
--- a/Source/Membership/CrashRecords.h
+++ b/Source/Membership/CrashRecords.h
@@ -69,6 +69,9 @@
     bool recordSuccess(Instant at, std::uint64_t fingerprint);
     bool hasRunWell(Instant now, std::uint64_t fingerprint) const;
 
+    /// Number of crashes that quarantine the fingerprint.
+    std::size_t quarantineThreshold(std::uint64_t fingerprint) const;
+
     /// The crashes that count, with their times.
     Crashes crashes(Instant now, std::uint64_t fingerprint) const;
     std::vector<std::uint64_t> quarantined(Instant now) const;
@@ -98,6 +101,7 @@
     bool addCrash(Record &record, const std::string &crashId, Instant at) const;
     static bool recordSuccess(Record &record, Instant at);
     bool isQuarantined(const Record &record) const;
+    std::size_t quarantineThreshold(const Record &record) const;
     void evictRecord();
     const Record *find(Instant now, std::uint64_t fingerprint) const;
 
--- a/Source/Relay/RelayNodeCrashes.cpp
+++ b/Source/Relay/RelayNodeCrashes.cpp
@@ -62,6 +62,9 @@
         this->quarantine.recordAlive(incarnation, now);
     else if (result == BackendCheck::Refused)
         this->recordEnd(now, incarnation, commands);
+    else
+        this->quarantine.recordUnknown(incarnation);
+    this->placeWaiting(now, commands);
 }
 
 void RelayNode::checkRestarts(Instant now, Commands &commands)
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -76,7 +76,8 @@
 bool RelayNode::tryPlace(Instant now, Exchange &exchange, Commands &commands)
 {
     ServiceCircuitBreaker &circuit = this->circuitBreakers[exchange.service];
-    if (!circuit.allowsRequest(now) || this->isBlocked(now, exchange))
+    if (!circuit.allowsRequest(now) || this->isBlocked(now, exchange)
+        || this->quarantine.awaitsCheck(now, exchange.traits))
         return false;
     const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
     const std::uint32_t entries = this->peers.entryCount(now);
--- a/Source/Relay/RequestQuarantine.cpp
+++ b/Source/Relay/RequestQuarantine.cpp
@@ -111,6 +111,26 @@
     return found->second.traits.size();
 }
 
+void RequestQuarantine::recordUnknown(const std::string &incarnation)
+{
+    if (const auto found = this->broken.find(incarnation); found != this->broken.end())
+        found->second.isChecked = true;
+}
+
+bool RequestQuarantine::awaitsCheck(Instant now, const Traits &traits) const
+{
+    return std::any_of(traits.begin(), traits.end(), [&](std::uint64_t trait) {
+        const auto unchecked =
+                std::count_if(this->broken.begin(), this->broken.end(), [trait](const auto &entry) {
+                    const Break &row = entry.second;
+                    return !row.isEnd && !row.isChecked && row.traits.count(trait) != 0;
+                });
+        return unchecked > 0
+               && this->records.crashes(now, trait).size() + static_cast<std::size_t>(unchecked)
+                          >= this->records.quarantineThreshold(trait);
+    });
+}
+
 std::vector<std::string> RequestQuarantine::unexplained() const
 {
     std::vector<std::string> incarnations;
--- a/Source/Relay/RequestQuarantine.h
+++ b/Source/Relay/RequestQuarantine.h
@@ -42,6 +42,10 @@
     /// The start of the backend server has ended: the breaks were a crash. Returns the number of
     /// traits that it counts against.
     std::size_t recordEnd(Instant now, const std::string &incarnation);
+    /// The check found out nothing.
+    void recordUnknown(const std::string &incarnation);
+    /// Whether a check is under way that decides whether a trait of the request is quarantined.
+    bool awaitsCheck(Instant now, const Traits &traits) const;
     /// Starts of backend servers with breaks that are not explained yet.
     std::vector<std::string> unexplained() const;
 
@@ -88,6 +92,7 @@
         Instant at;
         std::set<std::uint64_t> traits;
         bool isEnd = false;
+        bool isChecked = false;
     };
 
     struct StoredRow
