--- a/Source/Membership/CrashRecords.cpp
+++ b/Source/Membership/CrashRecords.cpp
@@ -17,25 +17,42 @@
 } // namespace
 
 bool CrashRecords::add(Instant now, std::uint64_t fingerprint, const std::string &crashId)
+{
+    return this->addObserved(now, fingerprint, {crashId, {}, false});
+}
+
+bool CrashRecords::addRepeat(Instant now, std::uint64_t fingerprint, const std::string &crashId)
+{
+    return this->addObserved(now, fingerprint, {crashId, {}, true});
+}
+
+bool CrashRecords::addObserved(Instant now, std::uint64_t fingerprint,
+                               const CrashReport::Crash &crash)
 {
     Record &record = this->findOrCreate(now, fingerprint);
-    if (record.crashes.count(crashId) != 0 || record.endedIds.count(crashId) != 0)
+    if (record.crashes.count(crash.id) != 0 || record.endedIds.count(crash.id) != 0)
         return false;
     record.deadline = std::max(record.deadline, now + RecordLifetime);
-    return this->addCrash(record, crashId, now);
+    return this->addCrash(record, crash, now);
 }
 
-bool CrashRecords::addCrash(Record &record, const std::string &crashId, Instant at) const
+bool CrashRecords::addCrash(Record &record, const CrashReport::Crash &crash, Instant at) const
 {
     const bool isOld =
-            record.endedIds.count(crashId) != 0 || (record.ranWellAt && at <= *record.ranWellAt);
+            record.endedIds.count(crash.id) != 0 || (record.ranWellAt && at <= *record.ranWellAt);
     const bool isCounted =
-            std::any_of(record.crashes.begin(), record.crashes.end(), [&](const auto &crash) {
-                return at < crash.second + this->rules.spacing
-                       && crash.second < at + this->rules.spacing;
-            });
-    return !isOld && !isCounted && record.crashes.size() < MaxCrashIds
-           && record.crashes.emplace(crashId, at).second;
+            !crash.isRepeat
+            && std::any_of(record.crashes.begin(), record.crashes.end(), [&](const auto &other) {
+                   return record.repeats.count(other.first) == 0
+                          && at < other.second + this->rules.spacing
+                          && other.second < at + this->rules.spacing;
+               });
+    if (isOld || isCounted || record.crashes.size() >= MaxCrashIds
+        || !record.crashes.emplace(crash.id, at).second)
+        return false;
+    if (crash.isRepeat)
+        record.repeats.insert(crash.id);
+    return true;
 }
 
 bool CrashRecords::merge(Instant now, const PeerMessage::CrashNotice &notice)
@@ -66,8 +83,8 @@
         return false;
     Record &record = this->findOrCreate(now, report.fingerprint);
     bool isNew = report.sinceSuccess && recordSuccess(record, now - *report.sinceSuccess);
-    for (const auto &[id, age] : report.crashes)
-        isNew = this->addCrash(record, id, now - age) || isNew;
+    for (const CrashReport::Crash &crash : report.crashes)
+        isNew = this->addCrash(record, crash, now - crash.age) || isNew;
     if (isNew)
         record.deadline = std::max(
                 record.deadline,
@@ -120,10 +137,13 @@
 {
     const bool isFirst = !record.ranWellAt;
     record.ranWellAt = std::max(record.ranWellAt.value_or(at), at);
-    return std::erase_if(record.crashes,
-                         [&](const auto &crash) { return crash.second <= *record.ranWellAt; })
-                   > 0
-           || isFirst;
+    const bool isShorter =
+            std::erase_if(record.crashes,
+                          [&](const auto &crash) { return crash.second <= *record.ranWellAt; })
+            > 0;
+    std::erase_if(record.repeats,
+                  [&](const std::string &id) { return record.crashes.count(id) == 0; });
+    return isShorter || isFirst;
 }
 
 bool CrashRecords::hasRunWell(Instant now, std::uint64_t fingerprint) const
@@ -158,7 +178,8 @@
         return report;
     const Record &record = found->second;
     for (const auto &[id, at] : record.crashes)
-        report.crashes.push_back({id, std::chrono::duration_cast<milliseconds>(now - at)});
+        report.crashes.push_back({id, std::chrono::duration_cast<milliseconds>(now - at),
+                                  record.repeats.count(id) != 0});
     if (record.ranWellAt)
         report.sinceSuccess = std::chrono::duration_cast<milliseconds>(now - *record.ranWellAt);
     report.remaining = std::chrono::duration_cast<milliseconds>(record.deadline - now);
@@ -203,6 +224,7 @@
             record.endedIds.insert(id);
     }
     record.crashes.clear();
+    record.repeats.clear();
     while (record.endedIds.size() > MaxCrashIds)
         record.endedIds.erase(record.endedIds.begin());
 }
--- a/Source/Membership/CrashRecords.h
+++ b/Source/Membership/CrashRecords.h
@@ -37,6 +37,7 @@
         /// The same for a fingerprint under which a request has run well before.
         std::size_t crashesAfterSuccess = 2;
         /// Crashes closer together than this have one cause, such as a lost rack, and count once.
+        /// This does not hold for a repeat, which was sent because of the crash before.
         std::chrono::milliseconds spacing{0};
     };
 
@@ -49,6 +50,8 @@
     /// Adds one crash of a backend server. \a crashId identifies the crash, so that duplicate
     /// notices count once. Returns whether the crash is new.
     bool add(Instant now, std::uint64_t fingerprint, const std::string &crashId);
+    /// The same for a request that had broken at another backend server before.
+    bool addRepeat(Instant now, std::uint64_t fingerprint, const std::string &crashId);
 
     /// Merges a peer's notice. Only a crash that is new here moves the deadline. Returns whether
     /// the notice contained a new crash and must be forwarded.
@@ -89,6 +92,8 @@
     struct Record
     {
         Crashes crashes;
+        /// Ids of the crashes by repeats.
+        std::set<std::string> repeats;
         /// Crashes that no longer count. They are kept so that a delayed copy of a notice, whose
         /// deadline moves a little with each peer that forwards it, does not revive the record.
         std::set<std::string> endedIds;
@@ -98,7 +103,8 @@
 
     Record &findOrCreate(Instant now, std::uint64_t fingerprint);
     void expire(Record &record) const;
-    bool addCrash(Record &record, const std::string &crashId, Instant at) const;
+    bool addObserved(Instant now, std::uint64_t fingerprint, const CrashReport::Crash &crash);
+    bool addCrash(Record &record, const CrashReport::Crash &crash, Instant at) const;
     static bool recordSuccess(Record &record, Instant at);
     bool isQuarantined(const Record &record) const;
     std::size_t quarantineThreshold(const Record &record) const;
--- a/Source/Membership/CrashReport.h
+++ b/Source/Membership/CrashReport.h
@@ -16,6 +16,8 @@
     {
         std::string id;
         std::chrono::milliseconds age{0};
+        /// The request had broken at another backend server before it was sent to this one.
+        bool isRepeat = false;
     };
 
     std::uint64_t fingerprint = 0;
--- a/Source/Relay/Exchange.h
+++ b/Source/Relay/Exchange.h
@@ -41,6 +41,8 @@
     std::string lastBackend;
     /// What it has in common with other requests that crash backend servers.
     RequestQuarantine::Traits traits;
+    /// An attempt broke without progress.
+    bool hasBroken = false;
     /// Attempts that a backend server has run or may have run.
     std::uint32_t runs = 0;
     /// Attempts sent, whether run or not.
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -164,7 +164,7 @@
     void storeQuarantine(Instant now, Commands &commands);
     /// Ends attempts that have become blocked, before their backend servers begin to run them.
     void cancelBlocked(Instant now, Commands &commands);
-    void recordBreak(Instant now, const Exchange &exchange, Commands &commands);
+    void recordBreak(Instant now, Exchange &exchange, Commands &commands);
     void recordEnd(Instant now, const std::string &incarnation, Commands &commands);
     void recordProgress(Instant now, Exchange &exchange);
     std::string incarnationOf(const std::string &backend) const;
--- a/Source/Relay/RelayNodeCrashes.cpp
+++ b/Source/Relay/RelayNodeCrashes.cpp
@@ -25,7 +25,7 @@
     });
 }
 
-void RelayNode::recordBreak(Instant now, const Exchange &exchange, Commands &commands)
+void RelayNode::recordBreak(Instant now, Exchange &exchange, Commands &commands)
 {
     const Attempt &attempt = *exchange.attempt;
     const auto found = this->backends.rows().find(attempt.backend);
@@ -34,18 +34,22 @@
         || found->second.removedAt)
         return;
     const std::string incarnation = this->incarnationOf(attempt.backend);
-    if (this->quarantine.recordBreak(now, incarnation, exchange.traits))
+    const auto repeated = exchange.hasBroken ? RequestQuarantine::contentTraitOf(exchange.service,
+                                                                                 exchange.request)
+                                             : std::nullopt;
+    if (this->quarantine.recordBreak(now, incarnation, exchange.traits, repeated))
         commands.push_back(RelayCommand::CheckBackend{incarnation, found->second.record.address});
+    exchange.hasBroken = true;
 }
 
 void RelayNode::recordEnd(Instant now, const std::string &incarnation, Commands &commands)
 {
-    const std::size_t traits = this->quarantine.recordEnd(now, incarnation);
-    if (traits == 0)
+    const auto traits = this->quarantine.recordEnd(now, incarnation);
+    if (!traits)
         return;
     commands.push_back(RelayCommand::Log{
             LogRecord{RelayLog::BackendCrashed, LogRecord::Level::Warning,
-                      "backend=" + incarnation + " traits=" + std::to_string(traits)}});
+                      "backend=" + incarnation + " traits=" + std::to_string(*traits)}});
 }
 
 void RelayNode::recordProgress(Instant now, Exchange &exchange)
--- a/Source/Relay/RequestQuarantine.cpp
+++ b/Source/Relay/RequestQuarantine.cpp
@@ -71,25 +71,34 @@
                                                       const RelayRequest &request)
 {
     Traits traits;
-    if (request.contentHash != 0)
-        traits.push_back(hash64(service, request.contentHash));
+    if (const auto content = contentTraitOf(service, request))
+        traits.push_back(*content);
     for (const std::string &part : request.sharedParts)
         traits.push_back(hash64(service + '\n' + part));
     return traits;
 }
 
+std::optional<std::uint64_t> RequestQuarantine::contentTraitOf(const std::string &service,
+                                                               const RelayRequest &request)
+{
+    return request.contentHash == 0 ? std::nullopt
+                                    : std::optional(hash64(service, request.contentHash));
+}
+
 bool RequestQuarantine::recordBreak(Instant now, const std::string &incarnation,
-                                    const Traits &traits)
+                                    const Traits &traits, std::optional<std::uint64_t> repeated)
 {
     const auto [found, isFirst] = this->broken.try_emplace(incarnation);
     Break &row = found->second;
     if (isFirst)
         row.at = now;
     row.traits.insert(traits.begin(), traits.end());
+    if (repeated)
+        row.repeated.insert(*repeated);
     if (!row.isEnd)
         return isFirst;
     for (const std::uint64_t trait : traits)
-        this->countCrash(now, trait, incarnation);
+        this->countCrash(now, trait, incarnation, repeated == trait);
     return false;
 }
 
@@ -100,15 +109,17 @@
         this->broken.erase(found);
 }
 
-std::size_t RequestQuarantine::recordEnd(Instant now, const std::string &incarnation)
+std::optional<std::size_t> RequestQuarantine::recordEnd(Instant now, const std::string &incarnation)
 {
     const auto found = this->broken.find(incarnation);
     if (found == this->broken.end() || found->second.isEnd)
-        return 0;
-    found->second.isEnd = true;
-    for (const std::uint64_t trait : found->second.traits)
-        this->countCrash(now, trait, incarnation);
-    return found->second.traits.size();
+        return std::nullopt;
+    Break &row = found->second;
+    row.isEnd = true;
+    return static_cast<std::size_t>(
+            std::count_if(row.traits.begin(), row.traits.end(), [&](std::uint64_t trait) {
+                return this->countCrash(now, trait, incarnation, row.repeated.count(trait) != 0);
+            }));
 }
 
 void RequestQuarantine::recordUnknown(const std::string &incarnation)
@@ -141,12 +152,15 @@
     return incarnations;
 }
 
-void RequestQuarantine::countCrash(Instant now, std::uint64_t trait, const std::string &incarnation)
+bool RequestQuarantine::countCrash(Instant now, std::uint64_t trait, const std::string &incarnation,
+                                   bool isRepeat)
 {
-    if (!this->records.add(now, trait, incarnation))
-        return;
+    if (isRepeat ? !this->records.addRepeat(now, trait, incarnation)
+                 : !this->records.add(now, trait, incarnation))
+        return false;
     this->recordLocalSuccess(now, trait);
     this->announce(trait, NewsRepeats);
+    return true;
 }
 
 bool RequestQuarantine::recordLocalSuccess(Instant now, std::uint64_t trait)
--- a/Source/Relay/RequestQuarantine.h
+++ b/Source/Relay/RequestQuarantine.h
@@ -33,15 +33,21 @@
 
     static Traits traitsOf(const std::string &service, const RelayRequest &request);
 
+    /// The content of a request alone; none if it is unknown.
+    static std::optional<std::uint64_t> contentTraitOf(const std::string &service,
+                                                       const RelayRequest &request);
+
     /// The connection of an attempt broke before it made progress. \a incarnation names one start
-    /// of a backend server. Returns whether it has to be checked that this start has ended.
-    bool recordBreak(Instant now, const std::string &incarnation, const Traits &traits);
+    /// of a backend server. \a repeated is the content of a request that had broken at another
+    /// backend server before. Returns whether it has to be checked that this start has ended.
+    bool recordBreak(Instant now, const std::string &incarnation, const Traits &traits,
+                     std::optional<std::uint64_t> repeated = std::nullopt);
     /// The backend server accepted a connection or answered a request that began at \a since.
     /// Breaks before that had another reason.
     void recordAlive(const std::string &incarnation, Instant since);
     /// The start of the backend server has ended: the breaks were a crash. Returns the number of
-    /// traits that it counts against.
-    std::size_t recordEnd(Instant now, const std::string &incarnation);
+    /// traits that it counts against; nothing without breaks.
+    std::optional<std::size_t> recordEnd(Instant now, const std::string &incarnation);
     /// The check found out nothing.
     void recordUnknown(const std::string &incarnation);
     /// Whether a check is under way that decides whether a trait of the request is quarantined.
@@ -91,6 +97,8 @@
     {
         Instant at;
         std::set<std::uint64_t> traits;
+        /// The traits of requests that had broken before.
+        std::set<std::uint64_t> repeated;
         bool isEnd = false;
         bool isChecked = false;
     };
@@ -104,7 +112,8 @@
         Instant notBefore;
     };
 
-    void countCrash(Instant now, std::uint64_t trait, const std::string &incarnation);
+    bool countCrash(Instant now, std::uint64_t trait, const std::string &incarnation,
+                    bool isRepeat);
     /// Applies what this entry itself has seen run well to the record of a trait.
     bool recordLocalSuccess(Instant now, std::uint64_t trait);
     void rememberSuccess(Instant now, std::uint64_t trait);
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -25,8 +25,12 @@
 Json crashesToJson(const CrashReport &report)
 {
     Json crashes = Json::array();
-    for (const auto &[id, age] : report.crashes)
-        crashes.push_back({id, age.count()});
+    for (const auto &[id, age, isRepeat] : report.crashes) {
+        Json crash = {id, age.count()};
+        if (isRepeat)
+            crash.push_back(true);
+        crashes.push_back(std::move(crash));
+    }
     Json json = {
             {"f", report.fingerprint}, {"c", std::move(crashes)}, {"l", report.remaining.count()}};
     if (report.sinceSuccess)
@@ -40,7 +44,8 @@
     json.at("f").get_to(report.fingerprint);
     for (const Json &crash : json.at("c"))
         report.crashes.push_back({crash.at(0).get<std::string>(),
-                                  std::chrono::milliseconds(crash.at(1).get<std::uint32_t>())});
+                                  std::chrono::milliseconds(crash.at(1).get<std::uint32_t>()),
+                                  crash.size() > 2 && crash.at(2).get<bool>()});
     if (json.contains("s"))
         report.sinceSuccess = std::chrono::milliseconds(json.at("s").get<std::uint32_t>());
     report.remaining = std::chrono::milliseconds(json.at("l").get<std::uint32_t>());
--- a/Tests/Relay/RequestQuarantineTest.cpp
+++ b/Tests/Relay/RequestQuarantineTest.cpp
@@ -64,6 +64,7 @@
     CPPUNIT_TEST(repeatedRequestReachesServersAfterTwoCrashes);
     CPPUNIT_TEST(brokenConnectionsToLiveServersAreNoCrashes);
     CPPUNIT_TEST(lostRackQuarantinesSoundRequests);
+    CPPUNIT_TEST(quickRepeatsCountAsOneCrash);
     CPPUNIT_TEST(soundPartOfCrashingRequestsIsRefused);
     CPPUNIT_TEST(undecidedPartIsTestedByManyEntries);
     CPPUNIT_TEST(soundPartStaysQuarantinedByMistake);
@@ -99,7 +100,7 @@
         // An answer to a request that was sent before the break proves nothing.
         CPPUNIT_ASSERT(quarantine.recordBreak(at(2), "e/1", traits({"part"})));
         quarantine.recordAlive("e/1", at(1.9));
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), quarantine.recordEnd(at(2.1), "e/1"));
+        CPPUNIT_ASSERT(quarantine.recordEnd(at(2.1), "e/1") == std::size_t(1));
     }
 
     // Servers that fail together have one cause, which need not be a request.
@@ -118,6 +119,30 @@
         CPPUNIT_ASSERT(blocks(quarantine, at(12), traits({"part"})));
     }
 
+    // Guards against repeats that crash one server after the other within the time in which the
+    // loss of a rack counts once; the other entries and the store have to agree.
+    void quickRepeatsCountAsOneCrash()
+    {
+        RequestQuarantine here;
+        RequestQuarantine there;
+        const auto request = traits({"part"}, 7);
+        here.recordBreak(at(0), "a/1", request);
+        here.recordEnd(at(0), "a/1");
+        here.recordBreak(at(0.02), "b/1", request, request.front());
+        here.recordEnd(at(0.02), "b/1");
+        CPPUNIT_ASSERT(blocks(here, at(1), traits({}, 7)));
+        // Other requests with the part were not sent because of the first crash.
+        CPPUNIT_ASSERT(!blocks(here, at(1), traits({"part"}, 8)));
+        exchangeReports(at(1), here, there);
+        CPPUNIT_ASSERT(blocks(there, at(1), traits({}, 7)));
+        const auto writes =
+                here.takeStoreWrites(at(1), [](std::uint64_t, std::uint32_t) { return true; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), writes.size());
+        RequestQuarantine successor;
+        successor.recordStored(at(2), writes[0].report, 5);
+        CPPUNIT_ASSERT(blocks(successor, at(2), traits({}, 7)));
+    }
+
     // Requests with the crashing part share their first part with sound requests.
     void soundPartOfCrashingRequestsIsRefused()
     {
