--- a/Source/Membership/CrashRecords.cpp
+++ b/Source/Membership/CrashRecords.cpp
@@ -47,12 +47,20 @@
                           && at < other.second + this->rules.spacing
                           && other.second < at + this->rules.spacing;
                });
-    if (isOld || isCounted || record.crashes.size() >= MaxCrashIds
-        || !record.crashes.emplace(crash.id, at).second)
+    if (isOld || isCounted || !record.crashes.emplace(crash.id, at).second)
         return false;
     if (crash.isRepeat)
         record.repeats.insert(crash.id);
-    return true;
+    if (record.crashes.size() <= MaxCrashIds)
+        return true;
+    // The latest crashes decide when the fingerprint is tested again.
+    const auto earliest = std::min_element(
+            record.crashes.begin(), record.crashes.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; });
+    const bool isKept = earliest->first != crash.id;
+    record.repeats.erase(earliest->first);
+    record.crashes.erase(earliest);
+    return isKept;
 }
 
 bool CrashRecords::merge(Instant now, const PeerMessage::CrashNotice &notice)
--- a/Tests/Relay/RequestQuarantineTest.cpp
+++ b/Tests/Relay/RequestQuarantineTest.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(soundPartOfCrashingRequestsIsRefused);
     CPPUNIT_TEST(undecidedPartIsTestedByManyEntries);
     CPPUNIT_TEST(soundPartStaysQuarantinedByMistake);
+    CPPUNIT_TEST(ninthCrashIsTestedEveryFewSeconds);
     CPPUNIT_TEST(successElsewhereDoesNotEndAQuarantine);
     CPPUNIT_TEST(quarantineIsLostWithAllEntries);
     CPPUNIT_TEST(recordsGrowWithoutBound);
@@ -192,6 +193,22 @@
         CPPUNIT_ASSERT(!blocks(quarantine, at(191), traits({"part"})));
     }
 
+    // Guards against a full list of crashes: a further one has to put off the next test as well.
+    void ninthCrashIsTestedEveryFewSeconds()
+    {
+        RequestQuarantine quarantine;
+        for (int number = 0; number < 9; ++number)
+            crash(quarantine, at(10 * number), std::to_string(number) + "/1", {traits({"part"})});
+        CPPUNIT_ASSERT(blocks(quarantine, at(80 + 299), traits({"part"}), true));
+        CPPUNIT_ASSERT(!blocks(quarantine, at(80 + 301), traits({"part"}), true));
+        crash(quarantine, at(80 + 302), "9/1", {traits({"part"})});
+        CPPUNIT_ASSERT(blocks(quarantine, at(80 + 310), traits({"part"}), true));
+        // A late report of a crash that was dropped changes nothing.
+        const std::uint64_t before = quarantine.generation();
+        quarantine.merge(at(390), {traits({"part"})[0], {{"0/1", seconds(390)}}, {}, seconds(60)});
+        CPPUNIT_ASSERT_EQUAL(before, quarantine.generation());
+    }
+
     // An entry that served a part clears it at the entries that did not.
     void successElsewhereDoesNotEndAQuarantine()
     {
