Ask another entry when the first has no answer for a pull (CONFIG)

Callers on large sites got answers by an older configuration more than 2 s after a newer one was acknowledged. Only two entries of a failure domain watch the store; the others fetch changes from an entry that reports a higher revision. The choice depended on the last reports alone, and a report counts for 2.5 s: a watcher that lost power, froze or was killed right after its report was asked again and again, while another one had the change.

--- a/Source/Relay/EntryTable.cpp
+++ b/Source/Relay/EntryTable.cpp
@@ -134,7 +134,8 @@
 }
 
 std::optional<std::string> EntryTable::findPeerAhead(std::uint64_t revision,
-                                                     const std::string &domain, Instant now) const
+                                                     const std::string &domain, Instant now,
+                                                     const std::set<std::string> &avoided) const
 {
     const auto preference = [&domain](const Row &row) {
         return std::make_pair(row.report->failureDomain == domain, row.report->knownRevision);
@@ -142,6 +143,7 @@
     const Row *best = nullptr;
     for (const auto &[address, row] : this->rows) {
         if (this->isLive(row, now) && row.report->knownRevision > revision
+            && avoided.count(address) == 0
             && (best == nullptr || preference(row) > preference(*best)))
             best = &row;
     }
--- a/Source/Relay/EntryTable.h
+++ b/Source/Relay/EntryTable.h
@@ -71,9 +71,10 @@
     std::uint32_t waitingElsewhere(const std::string &service, Instant now) const;
 
     /// Peer address of the live entry with the highest store revision above \a revision, in the
-    /// given failure domain if there is one.
+    /// given failure domain if there is one. Addresses in \a avoided are left out.
     std::optional<std::string> findPeerAhead(std::uint64_t revision, const std::string &domain,
-                                             Instant now) const;
+                                             Instant now,
+                                             const std::set<std::string> &avoided) const;
 
     /// Whether the entry \a name watches the store: one of two in its failure domain that reach it.
     /// The others learn changes from them, so the load of the store does not grow with the entries.
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -27,7 +27,7 @@
 constexpr milliseconds RenewPeriod{3000};
 /// Other entries accept connections within a few milliseconds.
 constexpr milliseconds PeerConnectTimeout{300};
-/// A peer that takes longer is paused or cut off, and another one is asked.
+/// A peer that takes longer is paused or cut off.
 constexpr milliseconds PeerAnswerTimeout{1000};
 /// The whole content of the store with 1,000 instances takes less.
 constexpr std::size_t MaxPeerAnswerBytes = 8U << 20U;
@@ -344,28 +344,33 @@
 
 void RelayEntry::pullFromPeer()
 {
-    if (this->peerCall != nullptr && this->peerCall->isBusy())
-        return;
     const std::uint64_t revision = this->storeFeed.mirror().revision();
-    const auto peer = this->node.entries().findPeerAhead(revision, this->options.failureDomain,
-                                                         this->loop.now());
+    const auto peer = this->peerPull.begin(this->loop.now(), revision, this->options.failureDomain,
+                                           this->node.entries());
     if (!peer)
         return;
-    this->peerCall = std::make_shared<ClientConnection>(this->loop, *peer, PeerConnectTimeout);
     const std::string request = "GET " + std::string(PeerUpdatePrefix) + std::to_string(revision)
                                 + " HTTP/1.1\r\nHost: " + *peer + "\r\nConnection: close\r\n\r\n";
     const auto merge = [this, peer = *peer](int status, const std::string &body) {
         const auto update = decodeUpdate(body);
-        if (status != 200 || !update)
+        const bool isAnswered = status == 200 && update;
+        this->peerPull.end(this->loop.now(), peer, isAnswered);
+        if (!isAnswered) {
+            this->log(RelayLog::PeerSilent, LogRecord::Level::Warning,
+                      "peer=" + peer + " status=" + std::to_string(status)
+                              + " revision=" + std::to_string(this->storeFeed.mirror().revision()));
+            this->pullFromPeer();
             return;
+        }
         this->log(RelayLog::MirroredFromPeer, LogRecord::Level::Info,
                   "peer=" + peer + " before=" + std::to_string(this->storeFeed.mirror().revision())
                           + " revision=" + std::to_string(update->revision)
                           + " items=" + std::to_string(update->items.size()));
         this->storeFeed.merge(*update);
     };
-    HttpCall::send(this->loop, this->peerCall, request, {PeerAnswerTimeout, MaxPeerAnswerBytes},
-                   merge);
+    HttpCall::send(this->loop,
+                   std::make_shared<ClientConnection>(this->loop, *peer, PeerConnectTimeout),
+                   request, {PeerAnswerTimeout, MaxPeerAnswerBytes}, merge);
 }
 
 void RelayEntry::announce()
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -3,6 +3,7 @@
 #include "Http/HttpListener.h"
 #include "Net/EventLoop.h"
 #include "Net/Metrics.h"
+#include "Relay/PeerPull.h"
 #include "Relay/RelayNode.h"
 #include "RelayShell/BackendAttempts.h"
 #include "RelayShell/DatagramSocket.h"
@@ -106,7 +107,7 @@
     HttpListener metricsListener;
     DatagramSocket reportSocket;
     std::map<HttpListener::RequestId, OpenRequest> requests;
-    std::shared_ptr<ClientConnection> peerCall;
+    PeerPull peerPull;
     LoopLag loopLag;
     std::unique_ptr<EventLoop::Timer> tickTimer;
     std::unique_ptr<EventLoop::Timer> reportTimer;
--- a/Tests/Relay/EntryCluster.cpp
+++ b/Tests/Relay/EntryCluster.cpp
@@ -25,8 +25,8 @@
 constexpr seconds ConvergenceTime{4};
 /// Time from the acknowledgement of a configuration until it is in force at every entry.
 constexpr seconds ApplyTime{2};
-/// A connection to an instance without power is given up after this time.
-constexpr milliseconds PeerConnectTimeout{300};
+/// An entry that is frozen accepts connections, but does not answer.
+constexpr milliseconds PeerAnswerTimeout{1000};
 
 ConfigurationPtr configuration(std::uint64_t version)
 {
@@ -104,6 +104,8 @@
     settings.reducesColdRateAfterStart = this->switches.reducesColdRateAfterStart;
     entry.node = std::make_unique<RelayNode>(settings);
     entry.mirror = {};
+    entry.pull = {};
+    entry.silentCalls.clear();
     entry.noticedStore = true;
     this->clock += 10;
     entry.incarnation = this->clock + static_cast<std::uint64_t>(500'000 + clockJump);
@@ -208,16 +210,25 @@
 void EntryCluster::pullFromPeer(std::size_t number)
 {
     Entry &entry = this->entries[number];
-    const auto peer = entry.node->entries().findPeerAhead(entry.mirror.revision(), domainOf(number),
-                                                          this->now);
-    if (!peer || !this->switches.pullsFromPeers || this->now < entry.pullingUntil)
+    if (!this->switches.pullsFromPeers)
         return;
-    entry.pullingUntil = this->now + PeerConnectTimeout;
+    std::erase_if(entry.silentCalls, [&](const auto &call) {
+        const bool isOver = call.first <= this->now;
+        if (isOver)
+            entry.pull.end(this->now, call.second, false);
+        return isOver;
+    });
+    const auto peer = entry.pull.begin(this->now, entry.mirror.revision(), domainOf(number),
+                                       entry.node->entries());
+    if (!peer)
+        return;
+    entry.silentCalls.emplace_back(this->now + PeerAnswerTimeout, *peer);
     for (std::size_t from = 0; from < this->count; ++from) {
         if (addressOf(from) != *peer || !this->isUp(from) || this->isPartitioned(from, number)
             || this->isPartitioned(number, from))
             continue;
-        entry.pullingUntil = this->now;
+        entry.silentCalls.pop_back();
+        entry.pull.end(this->now, *peer, true);
         const StoreMirror::Update update =
                 this->entries[from].mirror.since(entry.mirror.revision());
         const auto changes = update.isWhole ? entry.mirror.reset(update.items, update.revision)
--- a/Tests/Relay/EntryCluster.h
+++ b/Tests/Relay/EntryCluster.h
@@ -2,6 +2,7 @@
 
 #include "Core/RandomSource.h"
 #include "PropertyCheck.h"
+#include "Relay/PeerPull.h"
 #include "Relay/RelayNode.h"
 #include "Relay/StoreMirror.h"
 
@@ -58,8 +59,9 @@
         /// What the entry learned by its last read.
         bool noticedStore = true;
         Instant upAt;
-        /// A call to a peer that does not answer has not ended before.
-        Instant pullingUntil;
+        PeerPull pull;
+        /// Calls to peers that do not answer, and when they end.
+        std::vector<std::pair<Instant, std::string>> silentCalls;
     };
     struct Datagram
     {
