Reproduce a store that comes back from an older copy (CONFIG)

The emulated store can return to a copy: revisions and leases are given out again, waiting watches are cut, earlier ones get 410, and Store-Era rises.

--- a/Tests/Platform/StoreServer.cpp
+++ b/Tests/Platform/StoreServer.cpp
@@ -54,6 +54,26 @@
     return found == this->items.end() ? std::nullopt : found->second.value;
 }
 
+std::shared_ptr<const StoreServer::Copy> StoreServer::copy() const
+{
+    return std::make_shared<Copy>(
+            Copy{this->items, this->revision, this->validLease, this->nextLease});
+}
+
+void StoreServer::restore(const Copy &copy)
+{
+    this->items = copy.items;
+    this->revision = copy.revision;
+    this->oldestRevision = copy.revision;
+    this->validLease = copy.validLease;
+    this->nextLease = copy.nextLease;
+    ++this->era;
+    for (const auto &[id, after] : std::exchange(this->watches, {})) {
+        if (auto *connection = this->listener.find(id))
+            connection->abort();
+    }
+}
+
 void StoreServer::notifyWatches()
 {
     for (const auto &[id, after] : std::exchange(this->watches, {}))
@@ -63,8 +83,10 @@
 void StoreServer::reply(HttpListener::RequestId id, int status, const std::string &body)
 {
     if (auto *connection = this->listener.find(id))
-        connection->reply(status, "", {{"Content-Type", "application/json"}},
-                          this->isMalformed ? body.substr(0, body.size() / 2) : body);
+        connection->reply(
+                status, "",
+                {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(this->era)}},
+                this->isMalformed ? body.substr(0, body.size() / 2) : body);
 }
 
 void StoreServer::serve(const HttpListener::Request &request)
@@ -82,7 +104,7 @@
     } else if (target == "/kv-txn") {
         this->answerTransaction(request);
     } else if (target == "/kv-lease") {
-        this->validLease = ++this->nextLease;
+        this->validLease = this->nextLease++;
         this->reply(request.id, 200, Json{{"lease", this->validLease}, {"ttlMs", 9000}}.dump());
     } else if (startsWith(target, "/kv-keep/")) {
         const bool isValid = target == "/kv-keep/" + std::to_string(this->validLease);
@@ -121,7 +143,7 @@
 
 void StoreServer::answerWatch(HttpListener::RequestId id, std::uint64_t after)
 {
-    if (after < this->oldestRevision) {
+    if (after < this->oldestRevision || after > this->revision) {
         this->reply(id, 410, "{}");
         return;
     }
--- a/Tests/Platform/StoreServer.h
+++ b/Tests/Platform/StoreServer.h
@@ -26,6 +26,14 @@
     /// Drops the history: watches from earlier revisions get status 410.
     void compact() { this->oldestRevision = this->revision; }
     std::optional<std::string> valueOf(const std::string &key) const;
+    std::uint64_t leaseOf(const std::string &key) const { return this->items.at(key).lease; }
+
+    /// Everything that the store holds, with its counters.
+    struct Copy;
+    std::shared_ptr<const Copy> copy() const;
+    /// Returns to the state of a copy: later revisions and leases are given out again, waiting
+    /// watches are cut, and earlier watches get status 410.
+    void restore(const Copy &copy);
 
     /// Maximum number of items in one page.
     std::size_t pageSize = 500;
@@ -39,6 +47,8 @@
     std::vector<std::string> targets;
     /// The only valid lease; 0: none.
     std::uint64_t validLease = 0;
+    /// Number of the next lease.
+    std::uint64_t nextLease = 71;
 
 private:
     struct Item
@@ -60,7 +70,15 @@
     std::map<HttpListener::RequestId, std::uint64_t> watches;
     std::uint64_t revision = 10;
     std::uint64_t oldestRevision = 0;
-    std::uint64_t nextLease = 70;
+    std::uint64_t era = 1;
+};
+
+struct StoreServer::Copy
+{
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 0;
+    std::uint64_t validLease = 0;
+    std::uint64_t nextLease = 0;
 };
 
 } // namespace Nutmegrill
