--- a/Source/Http/HttpCall.cpp
+++ b/Source/Http/HttpCall.cpp
@@ -13,8 +13,7 @@
 {
     std::shared_ptr<ClientConnection> connection;
     HttpCall::Callback callback;
-    int status = 0;
-    std::string body;
+    HttpCall::Response response;
 
     /// Only the first of response, failure and timeout has an effect.
     void finish(bool isComplete)
@@ -24,7 +23,9 @@
         const HttpCall::Callback done = std::exchange(this->callback, nullptr);
         if (!isComplete)
             this->connection->close();
-        done(isComplete ? this->status : 0, this->body);
+        if (!isComplete)
+            this->response.status = 0;
+        done(this->response);
     }
 };
 
@@ -38,12 +39,13 @@
     pending->callback = std::move(callback);
     ClientConnection::Handlers handlers;
     handlers.onHead = [pending](const HttpHead &head) {
-        pending->status = head.status;
+        pending->response.status = head.status;
+        pending->response.head = head;
         return true;
     };
     handlers.onData = [pending, limit = limits.bodyBytes](std::string_view data) {
-        if (pending->body.size() + data.size() <= limit)
-            pending->body.append(data);
+        if (std::string &body = pending->response.body; body.size() + data.size() <= limit)
+            body.append(data);
         else
             pending->finish(false);
     };
--- a/Source/Http/HttpCall.h
+++ b/Source/Http/HttpCall.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Http/HttpHead.h"
+
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -23,8 +25,15 @@
         std::size_t bodyBytes = 0;
     };
 
-    /// \a status is 0 without a complete response within the limits.
-    using Callback = std::function<void(int status, const std::string &body)>;
+    struct Response
+    {
+        /// 0 without a complete response within the limits.
+        int status = 0;
+        HttpHead head;
+        std::string body;
+    };
+
+    using Callback = std::function<void(const Response &response)>;
 
     /// Sends \a request on an idle connection. The callback is called exactly once, and the
     /// connection is closed if the call fails.
--- a/Source/Relay/BackendRoster.cpp
+++ b/Source/Relay/BackendRoster.cpp
@@ -41,6 +41,15 @@
     return changed;
 }
 
+bool BackendRoster::updateDoubtful(Instant now, const BackendRecord &record)
+{
+    const Row *row = this->find(record.id);
+    const bool isKnownStart = row != nullptr && row->record.incarnation == record.incarnation;
+    if (isKnownStart && (row->removedAt || row->record.isLeaving))
+        return false;
+    return this->update(now, record);
+}
+
 void BackendRoster::remove(Instant now, const std::string &id)
 {
     Row *row = this->find(id);
--- a/Source/Relay/BackendRoster.h
+++ b/Source/Relay/BackendRoster.h
@@ -38,6 +38,10 @@
     /// the known one.
     bool update(Instant now, const BackendRecord &record);
 
+    /// The same for a row of a restored store that differs from what was known before: it brings
+    /// back no start of a backend server that has been removed or leaves.
+    bool updateDoubtful(Instant now, const BackendRecord &record);
+
     /// A row of the instance list was removed: the backend server gets no new work. Rows of live
     /// backend servers also expire while the store is unreachable. These are registered again
     /// within about two seconds of its return, so a row removed in this period stays usable until
--- a/Source/Relay/EntryReport.h
+++ b/Source/Relay/EntryReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Membership/CrashReport.h"
+#include "Relay/StorePosition.h"
 
 #include <chrono>
 #include <cstdint>
@@ -28,8 +29,8 @@
     bool isServing = false;
     /// A planned stop has begun.
     bool isLeaving = false;
-    /// Store revision up to which this entry has every change.
-    std::uint64_t knownRevision = 0;
+    /// Position in the store up to which this entry has every change.
+    StorePosition known;
     /// The last call to the store succeeded.
     bool reachesStore = true;
     /// Time since the store answered this entry again after an outage; only shortly afterwards.
--- a/Source/Relay/EntryTable.cpp
+++ b/Source/Relay/EntryTable.cpp
@@ -4,6 +4,7 @@
 #include "Membership/RelaySelector.h"
 
 #include <chrono>
+#include <tuple>
 #include <utility>
 
 namespace Nutmegrill {
@@ -133,17 +134,17 @@
     return count;
 }
 
-std::optional<std::string> EntryTable::findPeerAhead(std::uint64_t revision,
+std::optional<std::string> EntryTable::findPeerAhead(StorePosition position,
                                                      const std::string &domain, Instant now,
                                                      const std::set<std::string> &avoided) const
 {
     const auto preference = [&domain](const Row &row) {
-        return std::make_pair(row.report->failureDomain == domain, row.report->knownRevision);
+        return std::make_tuple(row.report->known.generation, row.report->failureDomain == domain,
+                               row.report->known.revision);
     };
     const Row *best = nullptr;
     for (const auto &[address, row] : this->rows) {
-        if (this->isLive(row, now) && row.report->knownRevision > revision
-            && avoided.count(address) == 0
+        if (this->isLive(row, now) && row.report->known > position && avoided.count(address) == 0
             && (best == nullptr || preference(row) > preference(*best)))
             best = &row;
     }
--- a/Source/Relay/EntryTable.h
+++ b/Source/Relay/EntryTable.h
@@ -70,9 +70,9 @@
 
     std::uint32_t waitingElsewhere(const std::string &service, Instant now) const;
 
-    /// Peer address of the live entry with the highest store revision above \a revision, in the
-    /// given failure domain if there is one. Addresses in \a avoided are left out.
-    std::optional<std::string> findPeerAhead(std::uint64_t revision, const std::string &domain,
+    /// Peer address of the live entry that knows the store up to the highest position after \a
+    /// position, in the given failure domain if there is one. Addresses in \a avoided are left out.
+    std::optional<std::string> findPeerAhead(StorePosition position, const std::string &domain,
                                              Instant now,
                                              const std::set<std::string> &avoided) const;
 
--- a/Source/Relay/PeerPull.cpp
+++ b/Source/Relay/PeerPull.cpp
@@ -16,7 +16,7 @@
 
 } // namespace
 
-std::optional<std::string> PeerPull::begin(Instant now, std::uint64_t revision,
+std::optional<std::string> PeerPull::begin(Instant now, StorePosition position,
                                            const std::string &domain, const EntryTable &entries)
 {
     if (!this->pending.empty() && now < this->patientUntil)
@@ -25,9 +25,9 @@
     std::set<std::string> avoided = this->pending;
     for (const auto &[address, until] : this->avoidedUntil)
         avoided.insert(address);
-    auto peer = entries.findPeerAhead(revision, domain, now, avoided);
+    auto peer = entries.findPeerAhead(position, domain, now, avoided);
     if (!peer && now >= this->patientUntil)
-        peer = entries.findPeerAhead(revision, domain, now, this->pending);
+        peer = entries.findPeerAhead(position, domain, now, this->pending);
     if (!peer)
         return std::nullopt;
     this->pending.insert(*peer);
--- a/Source/Relay/PeerPull.h
+++ b/Source/Relay/PeerPull.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Core/Time.h"
+#include "Relay/StorePosition.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -18,9 +18,9 @@
 class PeerPull
 {
 public:
-    /// Peer address of the entry to ask now for the changes after \a revision. The caller reports
+    /// Peer address of the entry to ask now for the changes after \a position. The caller reports
     /// the result of the call to end().
-    std::optional<std::string> begin(Instant now, std::uint64_t revision, const std::string &domain,
+    std::optional<std::string> begin(Instant now, StorePosition position, const std::string &domain,
                                      const EntryTable &entries);
     void end(Instant now, const std::string &peer, bool isAnswered);
 
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -41,6 +41,7 @@
 inline constexpr std::uint32_t PeerTraffic = 5039;
 inline constexpr std::uint32_t LoopLate = 5041;
 inline constexpr std::uint32_t PeerSilent = 5042;
+inline constexpr std::uint32_t StoreRestored = 5043;
 
 } // namespace RelayLog
 
--- a/Source/Relay/StoreMirror.cpp
+++ b/Source/Relay/StoreMirror.cpp
@@ -1,7 +1,7 @@
 #include "Relay/StoreMirror.h"
 
 #include <algorithm>
-#include <set>
+#include <utility>
 
 namespace Nutmegrill {
 
@@ -20,18 +20,23 @@
     const auto deletion = this->deleted.find(change.key);
     if (deletion != this->deleted.end() && deletion->second >= change.revision)
         return false;
+    const bool wasDoubtful = this->doubtful.erase(change.key) > 0;
     if (change.value) {
         this->table.insert_or_assign(change.key, change);
         this->deleted.erase(change.key);
         return true;
     }
     this->deleted.insert_or_assign(change.key, change.revision);
-    return this->table.erase(change.key) > 0;
+    return this->table.erase(change.key) > 0 || wasDoubtful;
 }
 
 StoreMirror::Changes StoreMirror::reset(const std::vector<StoreChange> &items,
-                                        std::uint64_t revision)
+                                        StorePosition position)
 {
+    if (position.generation < this->known.generation)
+        return {};
+    if (position.generation > this->known.generation)
+        return this->replace(items, position);
     Changes changes;
     std::set<std::string> present;
     for (const StoreChange &item : items) {
@@ -40,32 +45,73 @@
             changes.push_back(item);
     }
     for (auto entry = this->table.begin(); entry != this->table.end();) {
-        if (present.count(entry->first) != 0 || entry->second.revision > revision) {
+        if (present.count(entry->first) != 0 || entry->second.revision > position.revision) {
             ++entry;
             continue;
         }
-        changes.push_back({entry->first, std::nullopt, revision});
-        this->deleted.insert_or_assign(entry->first, revision);
+        changes.push_back({entry->first, std::nullopt, position.revision});
+        this->deleted.insert_or_assign(entry->first, position.revision);
         entry = this->table.erase(entry);
     }
-    this->knownRevision = std::max(this->knownRevision, revision);
+    this->known = std::max(this->known, position);
     // The individual changes between the old state and the snapshot are unknown.
     this->log.clear();
-    this->logStartRevision = this->knownRevision;
+    this->logStartRevision = this->known.revision;
+    return changes;
+}
+
+StoreMirror::Changes StoreMirror::replace(const std::vector<StoreChange> &items,
+                                          StorePosition position)
+{
+    const auto before = std::exchange(this->table, {});
+    const auto deletedBefore = std::exchange(this->deleted, {});
+    Changes changes;
+    for (const StoreChange &item : items) {
+        const auto found = before.find(item.key);
+        const bool isSame = found == before.end() ? deletedBefore.count(item.key) == 0
+                                                  : found->second.value == item.value;
+        // Doubts of an earlier restore that was not settled remain.
+        if (!isSame)
+            this->doubtful.insert(item.key);
+        this->table.insert_or_assign(item.key, item);
+        changes.push_back(item);
+        changes.back().isDoubtful = this->doubtful.count(item.key) != 0;
+    }
+    for (const auto &[key, item] : before) {
+        if (this->table.count(key) == 0)
+            this->doubtful.insert(key);
+    }
+    this->known = position;
+    this->log.clear();
+    this->logStartRevision = position.revision;
+    return changes;
+}
+
+StoreMirror::Changes StoreMirror::settle()
+{
+    Changes changes;
+    for (const std::string &key : std::exchange(this->doubtful, {})) {
+        const auto found = this->table.find(key);
+        changes.push_back(found == this->table.end()
+                                  ? StoreChange{key, std::nullopt, this->known.revision}
+                                  : found->second);
+    }
     return changes;
 }
 
 StoreMirror::Changes StoreMirror::apply(const std::vector<StoreChange> &changes,
-                                        std::uint64_t revision)
+                                        StorePosition position)
 {
     Changes applied;
+    if (position.generation != this->known.generation)
+        return applied;
     for (const StoreChange &change : changes) {
         if (this->applyIfNewer(change))
             applied.push_back(change);
-        if (change.revision > this->knownRevision)
+        if (change.revision > this->known.revision)
             this->log.push_back(change);
     }
-    this->knownRevision = std::max(this->knownRevision, revision);
+    this->known = std::max(this->known, position);
     while (this->log.size() > MaxLogLength) {
         this->logStartRevision = this->log.front().revision;
         this->log.pop_front();
@@ -73,18 +119,18 @@
     return applied;
 }
 
-StoreMirror::Update StoreMirror::since(std::uint64_t revision) const
+StoreMirror::Update StoreMirror::since(StorePosition position) const
 {
     Update update;
-    update.revision = this->knownRevision;
-    update.isWhole = revision < this->logStartRevision;
+    update.position = this->known;
+    update.isWhole = position < StorePosition{this->known.generation, this->logStartRevision};
     if (update.isWhole) {
         for (const auto &[key, item] : this->table)
             update.items.push_back(item);
         return update;
     }
     for (const StoreChange &change : this->log) {
-        if (change.revision > revision)
+        if (StorePosition{this->known.generation, change.revision} > position)
             update.items.push_back(change);
     }
     return update;
--- a/Source/RelayShell/EngineLink.cpp
+++ b/Source/RelayShell/EngineLink.cpp
@@ -39,11 +39,11 @@
     const std::weak_ptr<bool> guard = this->alive;
     HttpCall::send(this->loop, this->connection, text + "\r\n" + request.body,
                    {timeout, MaxAnswerBytes},
-                   [this, guard, onAnswer](int status, const std::string &body) {
+                   [this, guard, onAnswer](const HttpCall::Response &response) {
                        if (guard.expired())
                            return;
                        --this->openCalls;
-                       onAnswer(status, body);
+                       onAnswer(response.status, response.body);
                    });
 }
 
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -78,10 +78,12 @@
                  {"peers", report.peerAddress},
                  {"serving", report.isServing},
                  {"leaving", report.isLeaving},
-                 {"revision", report.knownRevision},
+                 {"revision", report.known.revision},
                  {"store", report.reachesStore},
                  {"running", report.running},
                  {"waiting", report.waiting}};
+    if (report.known.generation > 0)
+        json["generation"] = report.known.generation;
     if (report.sinceStoreReturned)
         json["returned"] = report.sinceStoreReturned->count();
     for (const auto &[incarnation, requestsPerSecond, age] : report.limits)
@@ -107,7 +109,8 @@
         report.peerAddress = json.value("peers", "");
         report.isServing = json.value("serving", false);
         report.isLeaving = json.value("leaving", false);
-        report.knownRevision = json.value("revision", std::uint64_t(0));
+        report.known = {json.value("generation", std::uint64_t(0)),
+                        json.value("revision", std::uint64_t(0))};
         report.reachesStore = json.value("store", true);
         if (json.contains("returned"))
             report.sinceStoreReturned =
@@ -135,7 +138,10 @@
     Json items = Json::array();
     for (const StoreChange &item : update.items)
         items.push_back({item.key, item.revision, item.value ? Json(*item.value) : Json()});
-    return toBytes({{"whole", update.isWhole}, {"revision", update.revision}, {"items", items}});
+    return toBytes({{"whole", update.isWhole},
+                    {"generation", update.position.generation},
+                    {"revision", update.position.revision},
+                    {"items", items}});
 }
 
 std::optional<StoreMirror::Update> decodeUpdate(std::string_view bytes)
@@ -146,7 +152,8 @@
     try {
         StoreMirror::Update update;
         update.isWhole = json.at("whole").get<bool>();
-        update.revision = json.at("revision").get<std::uint64_t>();
+        update.position = {json.value("generation", std::uint64_t(0)),
+                           json.at("revision").get<std::uint64_t>()};
         for (const Json &item : json.at("items")) {
             StoreChange change{item.at(0).get<std::string>(), std::nullopt,
                                item.at(1).get<std::uint64_t>()};
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -7,6 +7,7 @@
 #include "RelayShell/PeerCodec.h"
 #include "RelayShell/RelayProtocol.h"
 
+#include <algorithm>
 #include <charconv>
 #include <csignal>
 #include <utility>
@@ -38,7 +39,31 @@
 constexpr int ExitPercent = 96;
 /// Other entries learn of the return of the store for this long.
 constexpr milliseconds StoreReturnReportTime{1000};
-constexpr const char *PeerUpdatePrefix = "/state?after=";
+constexpr std::string_view PeerUpdatePrefix = "/state?after=";
+constexpr std::string_view PeerUpdateGeneration = "&generation=";
+
+/// Target of a request for the changes after a position in the store.
+std::string peerUpdateTarget(StorePosition position)
+{
+    return std::string(PeerUpdatePrefix) + std::to_string(position.revision)
+           + std::string(PeerUpdateGeneration) + std::to_string(position.generation);
+}
+
+std::optional<StorePosition> readPeerUpdateTarget(std::string_view target)
+{
+    if (target.substr(0, PeerUpdatePrefix.size()) != PeerUpdatePrefix)
+        return std::nullopt;
+    target.remove_prefix(PeerUpdatePrefix.size());
+    const auto separator = std::min(target.find(PeerUpdateGeneration), target.size());
+    std::string_view generation = target.substr(separator);
+    generation.remove_prefix(std::min(generation.size(), PeerUpdateGeneration.size()));
+    StorePosition position;
+    const char *const end = target.data() + separator;
+    if (std::from_chars(target.data(), end, position.revision).ec != std::errc())
+        return std::nullopt;
+    std::from_chars(generation.data(), generation.data() + generation.size(), position.generation);
+    return position;
+}
 
 RelayNode::Settings nodeSettings(const RelayEntry::Options &options)
 {
@@ -80,9 +105,11 @@
                  [this](const std::string &reason) {
                      this->log(RelayLog::StoreLost, LogRecord::Level::Warning,
                                "reason=\"" + reason + "\" revision="
-                                       + std::to_string(this->storeFeed.mirror().revision()));
+                                       + std::to_string(
+                                               this->storeFeed.mirror().position().revision));
                  },
-                 [this](milliseconds outage) { this->storeReturned(outage); }}),
+                 [this](milliseconds outage) { this->storeReturned(outage); },
+                 [this](StorePosition before) { this->storeRestored(before); }}),
       callerListener(
               loop, options.callerAddress, options.maxConnections,
               [this](HttpListener::Request &&request) { this->handleRequest(std::move(request)); }),
@@ -219,17 +246,13 @@
     auto *connection = this->peerListener.find(request.id);
     if (connection == nullptr)
         return;
-    const std::string_view target = request.head.target;
-    const std::string_view prefix = PeerUpdatePrefix;
-    std::uint64_t after = 0;
-    if (target.substr(0, prefix.size()) != prefix
-        || std::from_chars(target.data() + prefix.size(), target.data() + target.size(), after).ec
-                   != std::errc()) {
+    const auto after = readPeerUpdateTarget(request.head.target);
+    if (!after) {
         connection->reply(404, {}, {}, {});
         return;
     }
     connection->reply(200, {}, {{"Content-Type", "application/cbor"}},
-                      encodeUpdate(this->storeFeed.mirror().since(after)));
+                      encodeUpdate(this->storeFeed.mirror().since(*after)));
 }
 
 void RelayEntry::applyChanges(const StoreMirror::Changes &changes)
@@ -245,7 +268,9 @@
             HttpParser::setHeaderLimit(limits.headerBytes);
             this->node.configure(*configuration, commands);
         } else if (const auto *record = std::get_if<BackendRecord>(&decoded)) {
-            if (this->node.roster().update(now, *record))
+            BackendRoster &roster = this->node.roster();
+            if (change.isDoubtful ? roster.updateDoubtful(now, *record)
+                                  : roster.update(now, *record))
                 this->log(RelayLog::BackendChanged, LogRecord::Level::Info,
                           "backend=" + record->id + " service=" + record->service
                                   + " address=" + record->address
@@ -257,6 +282,9 @@
             this->log(RelayLog::BackendRemoved, LogRecord::Level::Info,
                       "backend=" + removed->id + " revision=" + std::to_string(change.revision));
         } else if (const auto *domain = std::get_if<StateDecoder::DomainTakeOut>(&decoded)) {
+            // The take-out has ended since the copy was made.
+            if (change.isDoubtful && domainsOut.count(domain->failureDomain) == 0)
+                continue;
             domain->isOut ? static_cast<void>(domainsOut.insert(domain->failureDomain))
                           : static_cast<void>(domainsOut.erase(domain->failureDomain));
             this->log(RelayLog::DomainsOut, LogRecord::Level::Info,
@@ -295,6 +323,18 @@
               "away_ms=" + std::to_string(outage.count()));
 }
 
+void RelayEntry::storeRestored(StorePosition before)
+{
+    const Instant now = this->loop.now();
+    this->storeReturnedAt = now;
+    this->node.roster().storeReturned(now);
+    const StorePosition position = this->storeFeed.mirror().position();
+    this->log(RelayLog::StoreRestored, LogRecord::Level::Warning,
+              "generation=" + std::to_string(position.generation)
+                      + " revision=" + std::to_string(position.revision)
+                      + " before=" + std::to_string(before.revision));
+}
+
 void RelayEntry::handleReport(std::string_view bytes)
 {
     const std::optional<EntryReport> report = decodeReport(bytes);
@@ -310,7 +350,7 @@
         return;
     if (report->sinceStoreReturned)
         this->node.roster().storeReturned(now - *report->sinceStoreReturned);
-    if (!this->isWatchingStore && report->knownRevision > this->storeFeed.mirror().revision())
+    if (!this->isWatchingStore && report->known > this->storeFeed.mirror().position())
         this->pullFromPeer();
 }
 
@@ -325,7 +365,7 @@
     report.peerAddress = this->options.peerAddress;
     report.isServing = this->isServing();
     report.isLeaving = this->stopAt != NoDeadline;
-    report.knownRevision = this->storeFeed.mirror().revision();
+    report.known = this->storeFeed.mirror().position();
     report.reachesStore = this->storeFeed.isConnected();
     const Instant now = this->loop.now();
     if (this->storeReturnedAt && now < *this->storeReturnedAt + StoreReturnReportTime)
@@ -344,27 +384,29 @@
 
 void RelayEntry::pullFromPeer()
 {
-    const std::uint64_t revision = this->storeFeed.mirror().revision();
-    const auto peer = this->peerPull.begin(this->loop.now(), revision, this->options.failureDomain,
+    const StorePosition position = this->storeFeed.mirror().position();
+    const auto peer = this->peerPull.begin(this->loop.now(), position, this->options.failureDomain,
                                            this->node.entries());
     if (!peer)
         return;
-    const std::string request = "GET " + std::string(PeerUpdatePrefix) + std::to_string(revision)
-                                + " HTTP/1.1\r\nHost: " + *peer + "\r\nConnection: close\r\n\r\n";
-    const auto merge = [this, peer = *peer](int status, const std::string &body) {
-        const auto update = decodeUpdate(body);
-        const bool isAnswered = status == 200 && update;
+    const std::string request = "GET " + peerUpdateTarget(position) + " HTTP/1.1\r\nHost: " + *peer
+                                + "\r\nConnection: close\r\n\r\n";
+    const auto merge = [this, peer = *peer](const HttpCall::Response &response) {
+        const auto update = decodeUpdate(response.body);
+        const bool isAnswered = response.status == 200 && update;
         this->peerPull.end(this->loop.now(), peer, isAnswered);
         if (!isAnswered) {
             this->log(RelayLog::PeerSilent, LogRecord::Level::Warning,
-                      "peer=" + peer + " status=" + std::to_string(status)
-                              + " revision=" + std::to_string(this->storeFeed.mirror().revision()));
+                      "peer=" + peer + " status=" + std::to_string(response.status) + " revision="
+                              + std::to_string(this->storeFeed.mirror().position().revision));
             this->pullFromPeer();
             return;
         }
         this->log(RelayLog::MirroredFromPeer, LogRecord::Level::Info,
-                  "peer=" + peer + " before=" + std::to_string(this->storeFeed.mirror().revision())
-                          + " revision=" + std::to_string(update->revision)
+                  "peer=" + peer + " before="
+                          + std::to_string(this->storeFeed.mirror().position().revision)
+                          + " revision=" + std::to_string(update->position.revision)
+                          + " generation=" + std::to_string(update->position.generation)
                           + " items=" + std::to_string(update->items.size()));
         this->storeFeed.merge(*update);
     };
@@ -423,8 +465,8 @@
     if (this->isServing() && !this->wasServing) {
         this->wasServing = true;
         this->log(RelayLog::Ready, LogRecord::Level::Info,
-                  "config=" + std::to_string(this->node.configurationVersion())
-                          + " revision=" + std::to_string(this->storeFeed.mirror().revision()));
+                  "config=" + std::to_string(this->node.configurationVersion()) + " revision="
+                          + std::to_string(this->storeFeed.mirror().position().revision));
     }
     if (this->stopAt == NoDeadline)
         return;
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -72,6 +72,7 @@
     void sendReports();
     void pullFromPeer();
     void storeReturned(std::chrono::milliseconds outage);
+    void storeRestored(StorePosition before);
     void announce();
     void execute(RelayNode::Commands &commands);
     void executeOne(const RelayCommand::StartAttempt &command);
--- a/Source/RelayShell/StateStore.h
+++ b/Source/RelayShell/StateStore.h
@@ -28,6 +28,9 @@
         std::vector<StoreChange> changes;
         /// Revision of the store; after a write, the revision of the write.
         std::uint64_t revision = 0;
+        /// Rises each time the store comes back from an older copy; revisions and leases of
+        /// earlier generations mean nothing. 0 without an answer.
+        std::uint64_t generation = 0;
         std::uint64_t lease = 0;
         /// Cause of a failed call, for the log.
         std::string reason;
--- a/Source/RelayShell/StoreFeed.cpp
+++ b/Source/RelayShell/StoreFeed.cpp
@@ -19,6 +19,8 @@
 /// load.
 constexpr milliseconds MinRetryBackoff{100};
 constexpr milliseconds MaxRetryBackoff{1000};
+/// What a restored store had lost is written again within about two seconds.
+constexpr milliseconds SettleTime{2200};
 
 } // namespace
 
@@ -31,20 +33,42 @@
 void StoreFeed::readAll()
 {
     this->isActive = true;
-    this->store.readAll([this](const StateStore::Result &result) {
+    this->store.readAll([this, round = ++this->round](const StateStore::Result &result) {
+        if (round != this->round)
+            return;
         if (result.status != StateStore::Status::Ok) {
             this->scheduleRetry(result.reason, &StoreFeed::readAll);
             return;
         }
         this->recordSuccess();
-        const StoreMirror::Changes changes =
-                this->localMirror.reset(result.changes, result.revision);
-        this->complete = true;
-        this->observer.onChanges(changes);
+        this->reset(result.changes, {result.generation, result.revision});
         this->watch();
     });
 }
 
+void StoreFeed::reset(const std::vector<StoreChange> &items, StorePosition position)
+{
+    const StorePosition before = this->localMirror.position();
+    const StoreMirror::Changes changes = this->localMirror.reset(items, position);
+    if (this->complete && position.generation > before.generation) {
+        this->loop.after(SettleTime, [this, generation = position.generation] {
+            // Another restore has put it off.
+            if (generation == this->localMirror.position().generation)
+                this->settle();
+        });
+        this->observer.onRestored(before);
+    }
+    this->complete = true;
+    if (!changes.empty())
+        this->observer.onChanges(changes);
+}
+
+void StoreFeed::settle()
+{
+    if (const StoreMirror::Changes changes = this->localMirror.settle(); !changes.empty())
+        this->observer.onChanges(changes);
+}
+
 void StoreFeed::setWatching(bool isWatching)
 {
     this->watching = isWatching;
@@ -56,34 +80,56 @@
 {
     result.status == StateStore::Status::Failed ? this->recordFailure(result.reason)
                                                 : this->recordSuccess();
+    // A watch that waits on a silent connection does not notice that the store was restored.
+    if (this->complete && this->isActive
+        && result.generation > this->localMirror.position().generation)
+        this->readAll();
 }
 
 void StoreFeed::watch()
 {
     this->isActive = this->watching;
+    const std::uint64_t watchRound = ++this->round;
     if (!this->isActive)
         return;
-    this->store.watch(
-            this->localMirror.revision(), WatchTimeout, [this](const StateStore::Result &result) {
-                switch (result.status) {
-                case StateStore::Status::Ok: {
-                    this->recordSuccess();
-                    const auto changes = this->localMirror.apply(result.changes, result.revision);
-                    if (!changes.empty())
-                        this->observer.onChanges(changes);
-                    this->watch();
-                    return;
-                }
-                case StateStore::Status::HistoryCompacted:
-                    this->readAll();
-                    return;
-                case StateStore::Status::Failed:
-                case StateStore::Status::Conflict:
-                case StateStore::Status::LeaseNotFound:
-                    this->scheduleRetry(result.reason, &StoreFeed::watch);
-                    return;
-                }
-            });
+    this->store.watch(this->localMirror.position().revision, WatchTimeout,
+                      [this, watchRound](const StateStore::Result &result) {
+                          if (watchRound == this->round)
+                              this->handleWatch(result);
+                      });
+}
+
+void StoreFeed::handleWatch(const StateStore::Result &result)
+{
+    switch (result.status) {
+    case StateStore::Status::Ok: {
+        this->recordSuccess();
+        // The revision that was watched from belongs to another generation.
+        if (result.generation > this->localMirror.position().generation) {
+            this->readAll();
+            return;
+        }
+        this->isCompacted = false;
+        const auto changes =
+                this->localMirror.apply(result.changes, {result.generation, result.revision});
+        if (!changes.empty())
+            this->observer.onChanges(changes);
+        this->watch();
+        return;
+    }
+    case StateStore::Status::HistoryCompacted:
+        // The first time at once; a store that keeps no history would be read in a loop.
+        if (std::exchange(this->isCompacted, true))
+            this->scheduleRetry("history compacted", &StoreFeed::readAll);
+        else
+            this->readAll();
+        return;
+    case StateStore::Status::Failed:
+    case StateStore::Status::Conflict:
+    case StateStore::Status::LeaseNotFound:
+        this->scheduleRetry(result.reason, &StoreFeed::watch);
+        return;
+    }
 }
 
 void StoreFeed::recordSuccess()
@@ -108,17 +154,24 @@
 void StoreFeed::scheduleRetry(const std::string &reason, void (StoreFeed::*retry)())
 {
     this->recordFailure(reason);
-    this->loop.after(this->retryBackoff, [this, retry] { (this->*retry)(); });
+    this->loop.after(this->retryBackoff, [this, retry, retryRound = this->round] {
+        if (retryRound == this->round)
+            (this->*retry)();
+    });
     this->retryBackoff = std::min(this->retryBackoff * 2, MaxRetryBackoff);
 }
 
 void StoreFeed::merge(const StoreMirror::Update &update)
 {
-    const auto changes = update.isWhole ? this->localMirror.reset(update.items, update.revision)
-                                        : this->localMirror.apply(update.items, update.revision);
-    this->complete = this->complete || update.revision > 0;
-    if (!changes.empty())
+    const std::uint64_t generation = this->localMirror.position().generation;
+    if (update.isWhole) {
+        this->reset(update.items, update.position);
+    } else if (const auto changes = this->localMirror.apply(update.items, update.position);
+               !changes.empty()) {
         this->observer.onChanges(changes);
+    }
+    if (this->isActive && this->localMirror.position().generation > generation)
+        this->watch();
 }
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/StoreFeed.h
+++ b/Source/RelayShell/StoreFeed.h
@@ -14,7 +14,8 @@
 class EventLoop;
 
 /// Keeps a StoreMirror in sync with the store: reads all keys, then watches for changes. Reads all
-/// keys again if the store no longer has the history since the last known revision.
+/// keys again if the store no longer has the history since the last known revision, or came back
+/// from an older copy.
 class StoreFeed
 {
 public:
@@ -23,6 +24,8 @@
         std::function<void(const StoreMirror::Changes &changes)> onChanges;
         std::function<void(const std::string &reason)> onLost;
         std::function<void(std::chrono::milliseconds outage)> onRegained;
+        /// The store came back from an older copy, whose content is reported next.
+        std::function<void(StorePosition before)> onRestored;
     };
 
     StoreFeed(EventLoop &loop, StateStore &store, Observer observer);
@@ -45,6 +48,9 @@
 private:
     void readAll();
     void watch();
+    void handleWatch(const StateStore::Result &result);
+    void reset(const std::vector<StoreChange> &items, StorePosition position);
+    void settle();
     void recordSuccess();
     void recordFailure(const std::string &reason);
     void scheduleRetry(const std::string &reason, void (StoreFeed::*retry)());
@@ -58,6 +64,10 @@
     bool watching = true;
     /// A read, a watch or a retry is under way.
     bool isActive = false;
+    /// Number of the last one; what belongs to an earlier one is ignored.
+    std::uint64_t round = 0;
+    /// The history was gone since the last watch that succeeded.
+    bool isCompacted = false;
     Instant lostAt;
     std::chrono::milliseconds retryBackoff;
 };
--- a/Tests/Http/ConnectionTest.cpp
+++ b/Tests/Http/ConnectionTest.cpp
@@ -336,7 +336,7 @@
                 std::make_shared<ClientConnection>(this->loop, server.address(), Timeout);
         HttpCall::send(this->loop, connection, "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
                        {std::chrono::seconds(30), 100000},
-                       [&status](int received, const std::string &) { status = received; });
+                       [&status](const HttpCall::Response &response) { status = response.status; });
         this->sendWithoutEnd(server, "HTTP/1.1 200 OK\r\n\r\n", "no end in sight ",
                              [&status] { return status.has_value(); });
         CPPUNIT_ASSERT_EQUAL(0, status.value_or(-1));
--- a/Tests/Platform/FakeStateStore.h
+++ b/Tests/Platform/FakeStateStore.h
@@ -46,15 +46,15 @@
                Callback callback) override
     {
         this->items[key] = {key, value, ++this->revision};
-        callback({Status::Ok, {}, this->revision, 0, {}});
+        callback({Status::Ok, {}, this->revision, 0, 0, {}});
     }
     void grantLease(std::chrono::milliseconds, Callback callback) override
     {
-        callback({Status::Ok, {}, 0, 7, {}});
+        callback({Status::Ok, {}, 0, 0, 7, {}});
     }
     void renewLease(std::uint64_t lease, Callback callback) override
     {
-        callback({Status::Ok, {}, 0, lease, {}});
+        callback({Status::Ok, {}, 0, 0, lease, {}});
     }
     void revokeLease(std::uint64_t lease) override { this->revokedLease = lease; }
 
@@ -68,7 +68,7 @@
             return;
         const Callback callback = std::move(this->watcher);
         this->watcher = nullptr;
-        callback({Status::Ok, {change}, this->revision, 0, {}});
+        callback({Status::Ok, {change}, this->revision, 0, 0, {}});
     }
 
     std::map<std::string, StoreChange> items;
--- a/Tests/Platform/RestoredStoreTest.cpp
+++ b/Tests/Platform/RestoredStoreTest.cpp
@@ -154,6 +154,7 @@
         };
         observer.onLost = [](const std::string &) {};
         observer.onRegained = [](milliseconds) {};
+        observer.onRestored = [](StorePosition) {};
         this->feed = std::make_unique<StoreFeed>(*this->loop, *this->store, observer);
     }
 
--- a/Tests/Relay/EntryCluster.cpp
+++ b/Tests/Relay/EntryCluster.cpp
@@ -89,7 +89,7 @@
 {
     ++this->revision;
     std::erase_if(this->store, [](const StoreChange &change) { return change.key == "config"; });
-    this->store.push_back({"config", std::to_string(this->revision), this->revision});
+    this->store.push_back({"config", std::to_string(++this->version), this->revision});
 }
 
 void EntryCluster::start(std::size_t number, std::int64_t clockJump)
@@ -164,19 +164,26 @@
 void EntryCluster::readStore(std::size_t number)
 {
     Entry &entry = this->entries[number];
-    const bool isComplete = entry.mirror.revision() > 0;
+    const bool isComplete = entry.mirror.position().revision > 0;
     if (isComplete
         && !entry.node->entries().watchesStore(nameOf(number), domainOf(number), this->now))
         return;
     entry.noticedStore = entry.reachesStore;
-    if (!entry.reachesStore || entry.mirror.revision() == this->revision)
+    const StorePosition position{this->generation, this->revision};
+    if (!entry.reachesStore || entry.mirror.position() == position)
         return;
+    this->applyChanges(number, entry.mirror.reset(this->store, position));
+}
+
+void EntryCluster::applyChanges(std::size_t number, const StoreMirror::Changes &changes)
+{
+    RelayNode &node = *this->entries[number].node;
     RelayNode::Commands commands;
-    for (const StoreChange &change : entry.mirror.reset(this->store, this->revision)) {
-        if (change.key == "config")
-            entry.node->configure(configuration(change.revision), commands);
+    for (const StoreChange &change : changes) {
+        if (change.key == "config" && change.value)
+            node.configure(configuration(std::stoull(*change.value)), commands);
         else if (change.value && *change.value != addressOf(number))
-            entry.node->entries().addAddress(this->now, *change.value);
+            node.entries().addAddress(this->now, *change.value);
     }
 }
 
@@ -192,7 +199,7 @@
     report.incarnation = entry.incarnation;
     report.sequence = ++entry.sequence;
     report.isServing = entry.node->isConfigured();
-    report.knownRevision = entry.mirror.revision();
+    report.known = entry.mirror.position();
     entry.node->fillReport(this->now, report);
     for (const std::string &address : entry.node->entries().peerAddresses()) {
         for (std::size_t to = 0; to < this->count; ++to) {
@@ -218,7 +225,7 @@
             entry.pull.end(this->now, call.second, false);
         return isOver;
     });
-    const auto peer = entry.pull.begin(this->now, entry.mirror.revision(), domainOf(number),
+    const auto peer = entry.pull.begin(this->now, entry.mirror.position(), domainOf(number),
                                        entry.node->entries());
     if (!peer)
         return;
@@ -230,16 +237,10 @@
         entry.silentCalls.pop_back();
         entry.pull.end(this->now, *peer, true);
         const StoreMirror::Update update =
-                this->entries[from].mirror.since(entry.mirror.revision());
-        const auto changes = update.isWhole ? entry.mirror.reset(update.items, update.revision)
-                                            : entry.mirror.apply(update.items, update.revision);
-        RelayNode::Commands commands;
-        for (const StoreChange &change : changes) {
-            if (change.key == "config")
-                entry.node->configure(configuration(change.revision), commands);
-            else if (change.value && *change.value != addressOf(number))
-                entry.node->entries().addAddress(this->now, *change.value);
-        }
+                this->entries[from].mirror.since(entry.mirror.position());
+        const auto changes = update.isWhole ? entry.mirror.reset(update.items, update.position)
+                                            : entry.mirror.apply(update.items, update.position);
+        this->applyChanges(number, changes);
     }
 }
 
@@ -335,7 +336,9 @@
         if (known != this->count - 1)
             return "entry " + std::to_string(entry) + " names " + std::to_string(known)
                    + " other entries";
-        if (this->entries[entry].mirror.revision() != this->revision)
+        if (this->entries[entry].mirror.position()
+                    != StorePosition{this->generation, this->revision}
+            || node.configurationVersion() != this->version)
             return "entry " + std::to_string(entry) + " does not know the last configuration";
         if (!node.isConfigured())
             return "entry " + std::to_string(entry) + " has no configuration";
@@ -355,13 +358,62 @@
     while (this->now + Step <= end)
         this->step(0, false);
     for (std::size_t entry = 0; entry < this->count; ++entry) {
-        if (entry != lost && this->entries[entry].mirror.revision() != this->revision)
+        if (entry != lost && this->entries[entry].mirror.position().revision != this->revision)
             return "without entry " + std::to_string(lost) + ", entry " + std::to_string(entry)
                    + " does not know the last configuration";
     }
     return {};
 }
 
+std::string EntryCluster::runRestore()
+{
+    constexpr int SettlingSteps = 20;
+    constexpr int Changes = 6;
+    for (int count = 0; count < SettlingSteps; ++count)
+        this->step(0, false);
+    const auto copy = this->store;
+    const std::uint64_t copiedRevision = this->revision;
+    for (int count = 0; count < Changes; ++count) {
+        this->writeConfiguration();
+        this->step(0, false);
+    }
+    const StoreMirror before = this->entries[0].mirror;
+    const StoreChange newest = this->store.back();
+    for (int restore = 0; restore < 2; ++restore) {
+        this->store = copy;
+        this->revision = copiedRevision;
+        ++this->generation;
+        // One entry learns of it first, and another one starts without a memory.
+        for (std::size_t entry = 0; entry < this->count; ++entry)
+            this->entries[entry].reachesStore = entry == 1;
+        this->start(2, 0);
+        this->step(0, false);
+        ++this->revision;
+        std::erase_if(this->store,
+                      [](const StoreChange &change) { return change.key == "config"; });
+        this->store.push_back({"config", newest.value, this->revision});
+        this->step(0, false);
+        for (std::size_t entry = 0; entry < this->count; ++entry) {
+            this->entries[entry].reachesStore = entry != 0;
+            const auto late = before.since({});
+            if (!this->entries[entry].mirror.reset(late.items, late.position).empty()
+                && this->entries[entry].mirror.position().generation == this->generation)
+                return "a late answer of an earlier generation was applied";
+        }
+        // The store passes the revisions of before.
+        for (int count = 0; count < 2 * Changes; ++count) {
+            this->writeConfiguration();
+            const Instant end = this->now + ApplyTime;
+            while (this->now + Step <= end)
+                this->step(0, false);
+            if (const std::string failure = this->checkConvergence(); !failure.empty())
+                return "restore " + std::to_string(restore + 1) + ", change "
+                       + std::to_string(count + 1) + ": " + failure;
+        }
+    }
+    return {};
+}
+
 std::string EntryCluster::run(ChoiceScript &script)
 {
     this->random = RandomSource(script.below(1000));
--- a/Tests/Relay/EntryCluster.h
+++ b/Tests/Relay/EntryCluster.h
@@ -46,6 +46,11 @@
     /// entry does not have that configuration in time.
     std::string runLossAfterReport(std::size_t entry);
 
+    /// The store comes back from a copy that lacks configurations and entries. The entries learn of
+    /// it at different times: one reads the store, one restarts, late answers of before arrive.
+    /// Returns what an entry does not know in time.
+    std::string runRestore();
+
     static constexpr std::size_t DefaultEntries = 5;
 
 private:
@@ -83,6 +88,7 @@
     bool isPartitioned(std::size_t from, std::size_t to) const;
     std::string checkLimits();
     std::string checkConvergence();
+    void applyChanges(std::size_t entry, const StoreMirror::Changes &changes);
 
     Switches switches;
     std::size_t count;
@@ -91,6 +97,8 @@
     std::vector<Entry> entries;
     std::vector<StoreChange> store;
     std::uint64_t revision = 1;
+    std::uint64_t generation = 1;
+    std::uint64_t version = 0;
     std::set<std::pair<std::size_t, std::size_t>> partitions;
     std::vector<Datagram> inFlight;
     /// Times of the attempts at each backend server in the last second, and of the requests and the
--- a/Tests/Relay/LoadSimulation.cpp
+++ b/Tests/Relay/LoadSimulation.cpp
@@ -167,7 +167,7 @@
         report.incarnation = entry.start;
         report.sequence = ++entry.sequence;
         report.isServing = true;
-        report.knownRevision = 1;
+        report.known = {0, 1};
         entry.node->fillReport(this->now, report);
         this->schedule(NetworkDelay, [this, from, report] {
             RelayNode::Commands commands;
--- a/Tests/Relay/MembershipPropertyTest.cpp
+++ b/Tests/Relay/MembershipPropertyTest.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(coldRateHoldsWithMoreEntriesThanItsRequests);
     CPPUNIT_TEST(withoutReplacingCutWatchersTheConfigurationIsMissing);
     CPPUNIT_TEST(lostWatcherKeepsItsDomainAtTheOldConfiguration);
+    CPPUNIT_TEST(restoredStoreLeavesEntriesAtTheOldConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,6 +119,13 @@
         }
     }
 
+    // Guards against entries that take or pass on changes by revisions of before a restore.
+    void restoredStoreLeavesEntriesAtTheOldConfiguration()
+    {
+        for (const std::size_t entries : {std::size_t(6), std::size_t(34)})
+            CPPUNIT_ASSERT_EQUAL(std::string(), EntryCluster({}, entries).runRestore());
+    }
+
     // A restarted entry would send its full share again within the second in which its previous
     // start used it.
     void withoutTheReducedColdRateAfterAStartTheLimitBreaks()
--- a/Tests/Relay/RosterTest.cpp
+++ b/Tests/Relay/RosterTest.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(sharesStayBelowTheLimitOfAllEntries);
     CPPUNIT_TEST(mirrorNeverReverts);
     CPPUNIT_TEST(mirrorReturnsTheChangesThatAnotherEntryLacks);
+    CPPUNIT_TEST(lateAnswerOfAnEarlierGenerationIsApplied);
+    CPPUNIT_TEST(restoredStoreBringsBackWhatHasEnded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -170,35 +172,82 @@
     void mirrorNeverReverts()
     {
         StoreMirror mirror;
-        mirror.reset({{"k", "old", 3}}, 5);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.apply({{"k", "new", 8}}, 8).size());
+        mirror.reset({{"k", "old", 3}}, {0, 5});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.apply({{"k", "new", 8}}, {0, 8}).size());
         // A lagging peer returns an older state, and a late answer contains an older value.
-        CPPUNIT_ASSERT(mirror.reset({{"k", "old", 3}}, 5).empty());
-        CPPUNIT_ASSERT(mirror.apply({{"k", "old", 3}}, 3).empty());
+        CPPUNIT_ASSERT(mirror.reset({{"k", "old", 3}}, {0, 5}).empty());
+        CPPUNIT_ASSERT(mirror.apply({{"k", "old", 3}}, {0, 3}).empty());
         CPPUNIT_ASSERT_EQUAL(std::string("new"), *mirror.items().at("k").value);
-        mirror.apply({{"k", std::nullopt, 9}}, 9);
-        CPPUNIT_ASSERT(mirror.apply({{"k", "new", 8}}, 9).empty());
+        mirror.apply({{"k", std::nullopt, 9}}, {0, 9});
+        CPPUNIT_ASSERT(mirror.apply({{"k", "new", 8}}, {0, 9}).empty());
         CPPUNIT_ASSERT(mirror.items().empty());
     }
 
     void mirrorReturnsTheChangesThatAnotherEntryLacks()
     {
         StoreMirror ahead;
-        ahead.reset({{"a", "1", 2}, {"b", "1", 3}}, 4);
-        ahead.apply({{"a", "2", 6}, {"b", std::nullopt, 7}}, 7);
+        ahead.reset({{"a", "1", 2}, {"b", "1", 3}}, {0, 4});
+        ahead.apply({{"a", "2", 6}, {"b", std::nullopt, 7}}, {0, 7});
         StoreMirror behind;
-        behind.reset({{"a", "1", 2}, {"b", "1", 3}}, 4);
-        const auto update = ahead.since(behind.revision());
+        behind.reset({{"a", "1", 2}, {"b", "1", 3}}, {0, 4});
+        const auto update = ahead.since(behind.position());
         CPPUNIT_ASSERT(!update.isWhole);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), behind.apply(update.items, update.revision).size());
-        CPPUNIT_ASSERT(behind.items().size() == 1 && behind.revision() == 7);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), behind.apply(update.items, update.position).size());
+        CPPUNIT_ASSERT(behind.items().size() == 1 && behind.position().revision == 7);
         StoreMirror fresh;
-        const auto whole = ahead.since(0);
+        const auto whole = ahead.since({});
         CPPUNIT_ASSERT(whole.isWhole);
-        fresh.reset(whole.items, whole.revision);
+        fresh.reset(whole.items, whole.position);
         CPPUNIT_ASSERT_EQUAL(std::string("2"), *fresh.items().at("a").value);
     }
 
+    void lateAnswerOfAnEarlierGenerationIsApplied()
+    {
+        StoreMirror mirror;
+        mirror.reset({{"k", "old", 3}}, {1, 90});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.reset({{"k", "new", 2}}, {2, 40}).size());
+        CPPUNIT_ASSERT(mirror.reset({{"k", "old", 3}}, {1, 95}).empty());
+        CPPUNIT_ASSERT(mirror.apply({{"k", "old", 91}}, {1, 91}).empty());
+        CPPUNIT_ASSERT(mirror.position() == (StorePosition{2, 40}));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.apply({{"k", "newer", 41}}, {2, 41}).size());
+        // An entry of the earlier generation gets all, also at a higher revision.
+        CPPUNIT_ASSERT(mirror.since({1, 95}).isWhole);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.since({2, 40}).items.size());
+    }
+
+    // Guards against a copy that brings back a server that left and a key that was deleted, and
+    // that takes away a key which is written again only later.
+    void restoredStoreBringsBackWhatHasEnded()
+    {
+        StoreMirror mirror;
+        mirror.reset({{"left", "1", 3}, {"same", "1", 4}, {"late", "1", 5}, {"lost", "1", 6}},
+                     {1, 90});
+        mirror.apply({{"left", std::nullopt, 91}}, {1, 91});
+        const auto restored = mirror.reset({{"left", "1", 3}, {"same", "1", 4}}, {2, 40});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), restored.size());
+        CPPUNIT_ASSERT(restored[0].isDoubtful && !restored[1].isDoubtful);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), mirror.apply({{"late", "1", 42}}, {2, 42}).size());
+        const auto settled = mirror.settle();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), settled.size());
+        CPPUNIT_ASSERT(settled[0].key == "left" && settled[0].value && !settled[0].isDoubtful);
+        CPPUNIT_ASSERT(settled[1].key == "lost" && !settled[1].value);
+        CPPUNIT_ASSERT(mirror.settle().empty());
+
+        BackendRoster roster;
+        BackendRecord record = RelayNodeHarness::record("a", "model");
+        BackendRecord leaving = record;
+        leaving.isLeaving = true;
+        roster.update(this->start, leaving);
+        roster.updateDoubtful(this->start, record);
+        CPPUNIT_ASSERT(!roster.isEligible(*roster.find("a"), this->start));
+        roster.remove(this->start, "a");
+        roster.updateDoubtful(this->start, record);
+        CPPUNIT_ASSERT(!roster.isEligible(*roster.find("a"), this->start));
+        ++record.incarnation;
+        roster.updateDoubtful(this->start, record);
+        CPPUNIT_ASSERT(roster.isEligible(*roster.find("a"), this->start));
+    }
+
 private:
     EntryReport report(const std::string &name, std::uint64_t sequence) const
     {
