Bind an entry's lease to the generation of the store that granted it

An entry whose store came back from an older copy renewed the number of its lease, which the store may have given to another process by then: its address stayed missing in the store, so entries that started later did not find it, and its planned stop ended the lease of the other one. A lease of an earlier generation now counts as ended; the entry announces itself again at its next renewal, also over a key that the copy holds under an earlier lease. RestoredStoreTest::entryKeepsALeaseThatBelongsToAnother failed before.

--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -415,19 +415,28 @@
                    request, {PeerAnswerTimeout, MaxPeerAnswerBytes}, merge);
 }
 
+bool RelayEntry::holdsLease() const
+{
+    // A restored store gives out the numbers of leases again.
+    return this->lease != 0
+           && this->leaseGeneration >= this->storeFeed.mirror().position().generation;
+}
+
 void RelayEntry::announce()
 {
     if (this->isAnnouncing || this->stopAt != NoDeadline)
         return;
     this->isAnnouncing = true;
-    if (this->lease != 0) {
+    if (this->holdsLease()) {
         this->store.renewLease(this->lease, [this](const StateStore::Result &result) {
             this->isAnnouncing = false;
-            this->storeFeed.recordCall(result);
-            if (result.status == StateStore::Status::LeaseNotFound) {
+            const bool isLost = result.status == StateStore::Status::LeaseNotFound
+                                || result.generation > this->leaseGeneration;
+            if (isLost)
                 this->lease = 0;
+            this->storeFeed.recordCall(result);
+            if (isLost)
                 this->announce();
-            }
         });
         return;
     }
@@ -437,9 +446,14 @@
             return;
         }
         this->lease = granted.lease;
+        this->leaseGeneration = granted.generation;
         const std::string key = this->decoder.entryKey(this->options.name + "-"
                                                        + std::to_string(this->options.incarnation));
-        this->store.write(key, this->options.peerAddress, 0, this->lease,
+        // The copy of a restored store may have the key under an earlier lease.
+        const auto &items = this->storeFeed.mirror().items();
+        const auto own = items.find(key);
+        this->store.write(key, this->options.peerAddress,
+                          own == items.end() ? 0 : own->second.revision, this->lease,
                           [this](const StateStore::Result &written) {
                               this->isAnnouncing = false;
                               if (written.status != StateStore::Status::Ok)
@@ -489,7 +503,7 @@
               "open_requests=" + std::to_string(this->node.openRequests()));
     this->node.beginStop(this->stopAt);
     this->callerListener.announceClose();
-    if (this->lease != 0)
+    if (this->holdsLease())
         this->store.revokeLease(this->lease);
     this->sendReports();
 }
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -73,6 +73,7 @@
     void pullFromPeer();
     void storeReturned(std::chrono::milliseconds outage);
     void storeRestored(StorePosition before);
+    bool holdsLease() const;
     void announce();
     void execute(RelayNode::Commands &commands);
     void executeOne(const RelayCommand::StartAttempt &command);
@@ -116,6 +117,7 @@
     std::unique_ptr<EventLoop::Timer> terminateSignal;
     std::uint64_t reportSequence = 0;
     std::uint64_t lease = 0;
+    std::uint64_t leaseGeneration = 0;
     /// When the store last answered again after an outage.
     std::optional<Instant> storeReturnedAt;
     bool isAnnouncing = false;
