Write quarantines again that a restored store has lost

An entry believed that a record was in the store after it had come back from a copy, and kept its revision, which belongs to another row by then: after a restart of all entries the quarantine was lost. What is stored is now learned again from the copy. RequestQuarantineTest::restoredStoreLosesAQuarantine does not build without the change.

--- a/Source/Relay/RequestQuarantine.h
+++ b/Source/Relay/RequestQuarantine.h
@@ -80,6 +80,8 @@
 
     /// The store has a record of a trait.
     void recordStored(Instant now, const CrashReport &report, std::uint64_t revision);
+    /// The store came back from a copy: what is in it has to be learned again.
+    void forgetStored() { this->stored.clear(); }
     /// The record of a trait was removed from the store.
     void recordUnstored(std::uint64_t trait) { this->stored.erase(trait); }
     /// Records that this entry has to write to the store now: those of quarantined traits, which
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -328,6 +328,7 @@
     const Instant now = this->loop.now();
     this->storeReturnedAt = now;
     this->node.roster().storeReturned(now);
+    this->node.requestQuarantine().forgetStored();
     const StorePosition position = this->storeFeed.mirror().position();
     this->log(RelayLog::StoreRestored, LogRecord::Level::Warning,
               "generation=" + std::to_string(position.generation)
--- a/Tests/Relay/RequestQuarantineTest.cpp
+++ b/Tests/Relay/RequestQuarantineTest.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(ninthCrashIsTestedEveryFewSeconds);
     CPPUNIT_TEST(successElsewhereDoesNotEndAQuarantine);
     CPPUNIT_TEST(quarantineIsLostWithAllEntries);
+    CPPUNIT_TEST(restoredStoreLosesAQuarantine);
     CPPUNIT_TEST(recordsGrowWithoutBound);
     CPPUNIT_TEST_SUITE_END();
 
@@ -262,6 +263,22 @@
         CPPUNIT_ASSERT(quarantine.takeStoreWrites(at(700), first).empty());
     }
 
+    // Guards against records that are believed to be in the store, under revisions that belong to
+    // other rows since it came back from a copy.
+    void restoredStoreLosesAQuarantine()
+    {
+        const auto first = [](std::uint64_t, std::uint32_t) { return true; };
+        RequestQuarantine quarantine;
+        crash(quarantine, at(0), "a/1", {traits({"part"})});
+        crash(quarantine, at(4), "b/1", {traits({"part"})});
+        const auto writes = quarantine.takeStoreWrites(at(4), first);
+        quarantine.recordStored(at(4.1), writes.at(0).report, 5);
+        CPPUNIT_ASSERT(quarantine.takeStoreWrites(at(8), first).empty());
+        quarantine.forgetStored();
+        const auto again = quarantine.takeStoreWrites(at(9), first);
+        CPPUNIT_ASSERT(again.size() == 1 && again[0].revision == 0);
+    }
+
     void recordsGrowWithoutBound()
     {
         RequestQuarantine quarantine;
