Keep the text of a refusal out of a caller's stream

Callers found an error's text in the middle of their stream when the stream had broken off and the next backend server refused it with a text of type text/event-stream: the text was parsed as events and passed on before the refusal was handled. A refusal of that type before the stream had begun opened the caller's stream with status 503, and the next server's events went on in it. Only a success is now read event by event.

--- a/Source/Relay/EntryTable.cpp
+++ b/Source/Relay/EntryTable.cpp
@@ -144,7 +144,7 @@
     };
     const Row *best = nullptr;
     for (const auto &[address, row] : this->rows) {
-        if (this->isLive(row, now) && row.report->known > position && avoided.count(address) == 0
+        if (this->isLive(row, now) && position < row.report->known && avoided.count(address) == 0
             && (best == nullptr || preference(row) > preference(*best)))
             best = &row;
     }
--- a/Source/Relay/StoreMirror.cpp
+++ b/Source/Relay/StoreMirror.cpp
@@ -130,7 +130,7 @@
         return update;
     }
     for (const StoreChange &change : this->log) {
-        if (StorePosition{this->known.generation, change.revision} > position)
+        if (position < StorePosition{this->known.generation, change.revision})
             update.items.push_back(change);
     }
     return update;
--- a/Source/Relay/StorePosition.h
+++ b/Source/Relay/StorePosition.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 namespace Nutmegrill {
 
@@ -13,7 +13,12 @@
     std::uint64_t generation = 0;
     std::uint64_t revision = 0;
 
-    auto operator<=>(const StorePosition &) const = default;
+    bool operator==(const StorePosition &other) const = default;
+    bool operator<(const StorePosition &other) const
+    {
+        return std::tie(this->generation, this->revision)
+               < std::tie(other.generation, other.revision);
+    }
 };
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -90,6 +90,8 @@
     if (!read)
         return false;
     openAttempt.head = *read;
+    // The text of a refusal or failure belongs to no stream, whatever its type.
+    openAttempt.head.isStream = read->isStream && read->status == 200 && !read->notRun;
     openAttempt.answer.head = std::make_unique<HttpHead>(head);
     if (openAttempt.head.isUsable)
         this->observer.onHead(attempt, openAttempt.head);
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -351,7 +351,7 @@
         return;
     if (report->sinceStoreReturned)
         this->node.roster().storeReturned(now - *report->sinceStoreReturned);
-    if (!this->isWatchingStore && report->known > this->storeFeed.mirror().position())
+    if (!this->isWatchingStore && this->storeFeed.mirror().position() < report->known)
         this->pullFromPeer();
 }
 
--- a/Tests/Platform/RawWorker.h
+++ b/Tests/Platform/RawWorker.h
@@ -4,8 +4,11 @@
 #include "Http/SocketOptions.h"
 #include "Net/EventLoop.h"
 
+#include <functional>
+#include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -13,15 +16,22 @@
 
 namespace Nutmegrill {
 
-/// Worker of the platform that answers each request without a body with the same bytes and then
+/// Worker of the platform that answers each request without a body with the given bytes and then
 /// ends the connection, with or without a reset.
 class RawWorker
 {
 public:
     enum class End { Close, Reset, KeepOpen };
 
-    RawWorker(EventLoop &loop, std::string answer, End end)
-        : address(freeAddress()), answer(std::move(answer)), end(end)
+    /// The bytes for a request, by its number on its connection, from 1.
+    using AnswerOf = std::function<std::string(int request)>;
+
+    RawWorker(EventLoop &loop, const std::string &answer, End end)
+        : RawWorker(
+                loop, [answer](int) { return answer; }, end)
+    {}
+    RawWorker(EventLoop &loop, AnswerOf answerOf, End end)
+        : address(freeAddress()), answerOf(std::move(answerOf)), end(end)
     {
         sockaddr_in local{};
         parseSocketAddress(this->address, local);
@@ -68,8 +78,8 @@
             return;
         evbuffer_drain(input, evbuffer_get_length(input));
         ++self->requests;
-        self->answered.insert(connection);
-        bufferevent_write(connection, self->answer.data(), self->answer.size());
+        const std::string answer = self->answerOf(++self->answered[connection]);
+        bufferevent_write(connection, answer.data(), answer.size());
     }
 
     static void written(bufferevent *connection, void *context)
@@ -99,11 +109,12 @@
         bufferevent_free(connection);
     }
 
-    std::string answer;
+    AnswerOf answerOf;
     End end;
     evconnlistener *listener = nullptr;
     std::set<bufferevent *> connections;
-    std::set<bufferevent *> answered;
+    /// Number of requests on the connection.
+    std::map<bufferevent *, int> answered;
 };
 
 } // namespace Nutmegrill
