Send a repeat on a connection that has not refused the request before

A backend server that wrote an earlier refusal once more on a kept connection answered the repeat of the same request with it, under the same id: the entry took the request for not run and sent it a third time while the server ran it (TWICE), or told the caller to come back (REFUSED). A refusal of another request was skipped by its id already, and bytes on an idle connection close it. FaultyWorkerTest::refusalWrittenAgainAnswersTheRepeat failed before (three sends instead of two).

--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -23,6 +23,7 @@
 struct BackendAttempts::OpenAttempt
 {
     std::string requestId;
+    std::string backend;
     std::shared_ptr<ClientConnection> connection;
     Answer answer;
     AnswerHead head;
@@ -46,7 +47,8 @@
     auto openAttempt = std::make_unique<OpenAttempt>();
     openAttempt->requestId = requestId;
     openAttempt->connection =
-            this->pool.acquire(command.backend, command.address, command.maxConnections);
+            this->pool.acquire(command.backend, command.address, command.maxConnections, requestId);
+    openAttempt->backend = command.backend;
     OpenAttempt &stored =
             *this->openAttempts.insert_or_assign(attempt, std::move(openAttempt)).first->second;
     if (stored.connection == nullptr) {
@@ -146,6 +148,9 @@
         return;
     }
     openAttempt.isOver = true;
+    if (openAttempt.head.notRun)
+        this->pool.recordRefusal(openAttempt.backend, openAttempt.connection.get(),
+                                 openAttempt.requestId);
     const bool keep = !openAttempt.head.isStream;
     this->observer.onEnd(attempt);
     if (!keep)
--- a/Tests/Platform/FaultyWorkerTest.cpp
+++ b/Tests/Platform/FaultyWorkerTest.cpp
@@ -23,11 +23,33 @@
 class FaultyWorkerTest : public RelayEntryFixture
 {
     CPPUNIT_TEST_SUITE(FaultyWorkerTest);
+    CPPUNIT_TEST(refusalWrittenAgainAnswersTheRepeat);
     CPPUNIT_TEST(errorTextAppearsInsideAStream);
     CPPUNIT_TEST(answerThatStopsInsideItsHeadPassesForComplete);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a request that runs twice: its repeat on the same connection is answered by
+    // the refusal of its first sending, which the server writes once more.
+    void refusalWrittenAgainAnswersTheRepeat()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        const std::string done = answerHeadText + "Content-Length: 4\r\n\r\ndone";
+        int sends = 0;
+        RawWorker worker(
+                *this->loop,
+                [&](int request) {
+                    if (++sends == 1)
+                        return refusal;
+                    return request > 1 ? refusal + done : done;
+                },
+                RawWorker::End::KeepOpen);
+        this->store->put("servers/i-1", worker.record("p"));
+        const Answer answer = this->send("/r/1", "k");
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT_EQUAL(2, worker.requests);
+    }
+
     // Whether the next server refuses or fails, and whatever type its text has, only events of a
     // success belong to the caller's stream.
     void errorTextAppearsInsideAStream()
