--- a/Source/Relay/RelayNodeCrashes.cpp
+++ b/Source/Relay/RelayNodeCrashes.cpp
@@ -34,9 +34,8 @@
         || found->second.removedAt)
         return;
     const std::string incarnation = this->incarnationOf(attempt.backend);
-    const auto repeated = exchange.hasBroken ? RequestQuarantine::contentTraitOf(exchange.service,
-                                                                                 exchange.request)
-                                             : std::nullopt;
+    const auto repeated =
+            exchange.hasBroken ? RequestQuarantine::contentTraitOf(exchange.request) : std::nullopt;
     if (this->quarantine.recordBreak(now, incarnation, exchange.traits, repeated))
         commands.push_back(RelayCommand::CheckBackend{incarnation, found->second.record.address});
     exchange.hasBroken = true;
--- a/Source/Relay/RequestQuarantine.cpp
+++ b/Source/Relay/RequestQuarantine.cpp
@@ -71,18 +71,16 @@
                                                       const RelayRequest &request)
 {
     Traits traits;
-    if (const auto content = contentTraitOf(service, request))
+    if (const auto content = contentTraitOf(request))
         traits.push_back(*content);
     for (const std::string &part : request.sharedParts)
         traits.push_back(hash64(service + '\n' + part));
     return traits;
 }
 
-std::optional<std::uint64_t> RequestQuarantine::contentTraitOf(const std::string &service,
-                                                               const RelayRequest &request)
+std::optional<std::uint64_t> RequestQuarantine::contentTraitOf(const RelayRequest &request)
 {
-    return request.contentHash == 0 ? std::nullopt
-                                    : std::optional(hash64(service, request.contentHash));
+    return request.contentHash == 0 ? std::nullopt : std::optional(request.contentHash);
 }
 
 bool RequestQuarantine::recordBreak(Instant now, const std::string &incarnation,
--- a/Source/Relay/RequestQuarantine.h
+++ b/Source/Relay/RequestQuarantine.h
@@ -33,9 +33,8 @@
 
     static Traits traitsOf(const std::string &service, const RelayRequest &request);
 
-    /// The content of a request alone; none if it is unknown.
-    static std::optional<std::uint64_t> contentTraitOf(const std::string &service,
-                                                       const RelayRequest &request);
+    /// The content of a request alone, whichever service it is sent to; none if it is unknown.
+    static std::optional<std::uint64_t> contentTraitOf(const RelayRequest &request);
 
     /// The connection of an attempt broke before it made progress. \a incarnation names one start
     /// of a backend server. \a repeated is the content of a request that had broken at another
--- a/Tests/Relay/RequestQuarantineTest.cpp
+++ b/Tests/Relay/RequestQuarantineTest.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(brokenConnectionsToLiveServersAreNoCrashes);
     CPPUNIT_TEST(lostRackQuarantinesSoundRequests);
     CPPUNIT_TEST(quickRepeatsCountAsOneCrash);
+    CPPUNIT_TEST(movedRouteForgetsTheCrashesOfARequest);
     CPPUNIT_TEST(soundPartOfCrashingRequestsIsRefused);
     CPPUNIT_TEST(undecidedPartIsTestedByManyEntries);
     CPPUNIT_TEST(soundPartStaysQuarantinedByMistake);
@@ -145,6 +146,18 @@
         CPPUNIT_ASSERT(blocks(successor, at(2), traits({}, 7)));
     }
 
+    // A configuration sends the same request to another service, or divides it between two.
+    void movedRouteForgetsTheCrashesOfARequest()
+    {
+        RelayRequest request;
+        request.contentHash = 7;
+        RequestQuarantine quarantine;
+        crash(quarantine, at(0), "a/1", {RequestQuarantine::traitsOf("before", request)});
+        crash(quarantine, at(4), "b/1", {RequestQuarantine::traitsOf("after", request)});
+        CPPUNIT_ASSERT(blocks(quarantine, at(5), RequestQuarantine::traitsOf("before", request)));
+        CPPUNIT_ASSERT(blocks(quarantine, at(5), RequestQuarantine::traitsOf("after", request)));
+    }
+
     // Requests with the crashing part share their first part with sound requests.
     void soundPartOfCrashingRequestsIsRefused()
     {
