Send nothing new to a backend server that says that it leaves

A backend server that leaves says so in its answers, at times before or without the instance list: nothing read it, so callers got failures of servers that were about to end (DRAIN). A head with Server-Leaving: 1, with any status, now ends new work for that start of the server in this entry: waiting requests, repeats, continued streams and kept connections all choose elsewhere, and with no server left requests are refused at once. The list does not take it back; a new start under the same id serves again, and a late answer of the start before does not count. The entry tells the others in three reports. Event 5027 and nutmegrill_backends_leaving_total.

--- a/Source/Relay/AnswerHead.h
+++ b/Source/Relay/AnswerHead.h
@@ -27,6 +27,8 @@
     bool isFramed = true;
     /// The body is a stream of events.
     bool isStream = false;
+    /// The backend server leaves: it takes no new work.
+    bool isLeaving = false;
     std::optional<Load> load;
     /// Requests per second that the backend server takes from all entries together for now.
     std::optional<double> requestsPerSecond;
--- a/Source/Relay/Attempt.h
+++ b/Source/Relay/Attempt.h
@@ -14,6 +14,8 @@
 {
     RelayCommand::AttemptId id = 0;
     std::string backend;
+    /// Start of the backend server to which the request was sent.
+    std::uint64_t incarnation = 0;
     Instant sentAt;
     /// When the connection to the backend server was usable; the time of sending if it was reused.
     Instant connectedAt;
--- a/Source/Relay/BackendRoster.cpp
+++ b/Source/Relay/BackendRoster.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace Nutmegrill {
 
@@ -31,8 +32,10 @@
     const bool restarted =
             row.record.incarnation != record.incarnation || row.record.address != record.address;
     const bool changed = !(row.record == record) || row.removedAt.has_value();
-    if (restarted)
+    if (restarted) {
         row.health = {};
+        row.saysItLeaves = false;
+    }
     if (row.record.coldLeft != record.coldLeft || restarted)
         row.coldUntil = now + record.coldLeft;
     row.record = record;
@@ -78,6 +81,13 @@
     });
 }
 
+bool BackendRoster::recordLeaving(const std::string &id, std::uint64_t incarnation)
+{
+    Row *row = this->find(id);
+    return row != nullptr && row->record.incarnation == incarnation
+           && !std::exchange(row->saysItLeaves, true);
+}
+
 BackendRoster::Row *BackendRoster::find(const std::string &id)
 {
     const auto found = this->table.find(id);
@@ -92,8 +102,8 @@
 
 bool BackendRoster::isEligible(const Row &row, Instant now) const
 {
-    return !row.record.isLeaving && !this->isSuperseded(row) && now < row.usableUntil
-           && this->domainsTakenOut.count(row.record.failureDomain) == 0;
+    return !row.record.isLeaving && !row.saysItLeaves && !this->isSuperseded(row)
+           && now < row.usableUntil && this->domainsTakenOut.count(row.record.failureDomain) == 0;
 }
 
 } // namespace Nutmegrill
--- a/Source/Relay/BackendRoster.h
+++ b/Source/Relay/BackendRoster.h
@@ -22,6 +22,8 @@
         BackendRecord record;
         Instant coldUntil;
         BackendHealth health;
+        /// An answer said that this start of the backend server leaves; the list may say so later.
+        bool saysItLeaves = false;
         /// When the row was removed from the instance list.
         std::optional<Instant> removedAt;
         /// Time until which the backend server of a removed row gets new work, see remove().
@@ -61,6 +63,9 @@
     /// Deletes removed rows after their retention time.
     void tick(Instant now);
 
+    /// A start of a backend server leaves. Returns whether that is new.
+    bool recordLeaving(const std::string &id, std::uint64_t incarnation);
+
     const Rows &rows() const { return this->table; }
     Row *find(const std::string &id);
 
--- a/Source/Relay/EntryReport.h
+++ b/Source/Relay/EntryReport.h
@@ -48,6 +48,8 @@
         std::chrono::milliseconds age{0};
     };
     std::vector<Limit> limits;
+    /// Starts of backend servers that said that they leave.
+    std::vector<std::string> leaving;
     /// News about requests that crash backend servers.
     std::vector<CrashReport> crashes;
 };
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -27,6 +27,7 @@
 inline constexpr std::uint32_t BackendChanged = 5022;
 inline constexpr std::uint32_t BackendRemoved = 5023;
 inline constexpr std::uint32_t BackendLimited = 5026;
+inline constexpr std::uint32_t BackendLeaves = 5027;
 inline constexpr std::uint32_t BackendUnreadable = 5024;
 inline constexpr std::uint32_t DomainsOut = 5025;
 inline constexpr std::uint32_t StoreLost = 5030;
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -209,8 +209,10 @@
         if (head.load)
             row->reportedLoad = head.load->running + head.load->waiting;
     }
-    if (!head.isMisdirected)
+    if (!head.isMisdirected) {
         this->recordNamedLimit(now, running, head, commands);
+        this->recordNotices(running, head, commands);
+    }
     if (head.notRun || head.isMisdirected) {
         // Handled at the end of the answer, so that the connection can be reused.
         running.refusal = head;
@@ -550,6 +552,7 @@
 {
     this->quarantine.fillReports(now, report.crashes);
     this->fillLimits(now, report.limits);
+    this->fillLeaving(report.leaving);
     for (const auto &[backend, use] : this->backendUses) {
         if (use.running > 0)
             report.running[backend] = use.running;
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -183,6 +183,12 @@
     void recordNamedLimit(Instant now, const Attempt &attempt, const AnswerHead &head,
                           Commands &commands);
     void fillLimits(Instant now, std::vector<EntryReport::Limit> &limits);
+    void recordNotices(const Attempt &attempt, const AnswerHead &head, Commands &commands);
+    /// A backend server said in an answer, or to another entry, that it leaves. Returns whether
+    /// that is new.
+    bool recordLeaving(const std::string &backend, std::uint64_t incarnation, const char *source,
+                       Commands &commands);
+    void fillLeaving(std::vector<std::string> &leaving);
     bool hasLimitCapacity(Instant now, const std::string &backend, BackendUse &use,
                           std::uint32_t entries) const;
     double coldRateOf(const ServiceDeclaration *service, bool isCold, Instant now) const;
@@ -204,6 +210,9 @@
     std::map<std::string, ServiceCircuitBreaker> circuitBreakers;
     std::map<std::string, ConcurrencyLimit> concurrencyLimits;
     std::map<std::string, Instant> lastServiceActivityAt;
+    /// Starts of backend servers that told this entry that they leave, and in how many further
+    /// reports the others are told.
+    std::map<std::string, std::uint32_t> leavingNews;
     std::optional<Instant> startedAt;
     Instant stopAt = NoDeadline;
     AttemptId nextAttempt = 1;
--- a/Source/Relay/RelayNodeCrashes.cpp
+++ b/Source/Relay/RelayNodeCrashes.cpp
@@ -31,7 +31,7 @@
     const auto found = this->backends.rows().find(attempt.backend);
     // The connections of a backend server that leaves break as planned.
     if (attempt.hasRunWell || found == this->backends.rows().end() || found->second.record.isLeaving
-        || found->second.removedAt)
+        || found->second.saysItLeaves || found->second.removedAt)
         return;
     const std::string incarnation = this->incarnationOf(attempt.backend);
     const auto repeated =
@@ -126,6 +126,13 @@
         if (this->incarnationOf(backend) == incarnation)
             this->observeLimit(now - age, backend, requestsPerSecond, commands);
     }
+    for (const std::string &incarnation : report.leaving) {
+        const auto separator = incarnation.rfind('/');
+        const std::string backend = incarnation.substr(0, separator);
+        if (const BackendRoster::Row *row = this->backends.find(backend);
+            row != nullptr && this->incarnationOf(backend) == incarnation)
+            this->recordLeaving(backend, row->record.incarnation, "report", commands);
+    }
     for (const CrashReport &crashes : report.crashes)
         this->quarantine.merge(now, crashes);
     return true;
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -116,6 +116,7 @@
     Attempt &started = exchange.attempt.emplace();
     started.id = attempt;
     started.backend = *chosen;
+    started.incarnation = row.record.incarnation;
     started.sentAt = now;
     started.connectedAt = now;
     exchange.times.waiting += now - exchange.waitingSince;
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -89,6 +89,8 @@
     for (const auto &[incarnation, requestsPerSecond, age] : report.limits)
         json["limits"].push_back(
                 {incarnation, requestsPerSecond ? Json(*requestsPerSecond) : Json(), age.count()});
+    if (!report.leaving.empty())
+        json["leave"] = report.leaving;
     for (const CrashReport &crashes : report.crashes)
         json["crashes"].push_back(crashesToJson(crashes));
     return toBytes(json);
@@ -123,6 +125,7 @@
                                              ? std::nullopt
                                              : std::optional(limit.at(1).get<double>()),
                                      std::chrono::milliseconds(limit.at(2).get<std::uint32_t>())});
+        report.leaving = json.value("leave", decltype(report.leaving)());
         for (const Json &crashes : json.value("crashes", Json::array()))
             report.crashes.push_back(crashesFromJson(crashes));
         if (report.peerAddress.empty())
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -1,6 +1,7 @@
 // Executes the commands that RelayNode returns.
 
 #include "Net/EventLog.h"
+#include "Relay/RelayLog.h"
 #include "RelayShell/PeerCodec.h"
 #include "RelayShell/RelayEntry.h"
 #include "RelayShell/RelayProtocol.h"
@@ -170,6 +171,8 @@
 
 void RelayEntry::executeOne(const RelayCommand::Log &command)
 {
+    if (command.record.number == RelayLog::BackendLeaves)
+        this->metrics.add("nutmegrill_backends_leaving_total", {});
     EventLog::writeRateLimited(this->loop.now(), command.record);
 }
 
--- a/Tests/Platform/AdapterTest.cpp
+++ b/Tests/Platform/AdapterTest.cpp
@@ -176,6 +176,14 @@
             limited.headers.emplace_back("Server-Limit", text);
             CPPUNIT_ASSERT(protocol.readAnswer(limited, "a")->requestsPerSecond == limit);
         }
+        // Any value but 1 says nothing.
+        for (const auto &[text, isLeaving] :
+             {std::pair("1", true), std::pair("0", false), std::pair("", false),
+              std::pair("yes", false), std::pair("11", false)}) {
+            HttpHead leaving = head;
+            leaving.headers.emplace_back("Server-Leaving", text);
+            CPPUNIT_ASSERT_EQUAL(isLeaving, protocol.readAnswer(leaving, "a")->isLeaving);
+        }
         const auto answer = protocol.readAnswer(head, "a");
         CPPUNIT_ASSERT(answer->isUsable && answer->load->waiting == 1);
         head.headers.emplace_back("Content-Encoding", "gzip");
--- a/Tests/Platform/EntryReportTest.cpp
+++ b/Tests/Platform/EntryReportTest.cpp
@@ -42,8 +42,11 @@
         report.crashes = {crashReport(~std::uint64_t(0), 2)};
         report.limits = {{"i-1/5", 2.5, milliseconds(300)},
                          {"i-2/5", std::nullopt, milliseconds(0)}};
+        report.leaving = {"i-1/5", "i-2/5"};
+        report.known = {3, 71};
         const auto decoded = decodeReport(encodeReport(report));
         CPPUNIT_ASSERT(decoded && decoded->crashes.size() == 1);
+        CPPUNIT_ASSERT(decoded->leaving == report.leaving && decoded->known == report.known);
         CPPUNIT_ASSERT(decoded->limits.size() == 2 && decoded->limits[0].requestsPerSecond == 2.5
                        && decoded->limits[0].age == milliseconds(300)
                        && decoded->limits[0].incarnation == "i-1/5"
--- /dev/null
+++ b/Tests/Relay/BackendNoticeTest.cpp
@@ -0,0 +1,102 @@
+#include "Relay/AnswerHead.h"
+#include "RelayNodeHarness.h"
+
+#include <chrono>
+#include <string>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+void answer(RelayNodeHarness &scene, RelayCommand::CallerId caller, const AnswerHead &head)
+{
+    scene.node.headArrived(scene.now, scene.attemptOf(caller)->attempt, head, scene.commands);
+}
+
+AnswerHead leavingHead(int status = 200)
+{
+    AnswerHead head;
+    head.status = status;
+    head.isLeaving = true;
+    return head;
+}
+
+} // namespace
+
+/// Tests what an entry does with what backend servers say about themselves in their answers.
+class BackendNoticeTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(BackendNoticeTest);
+    CPPUNIT_TEST(serverThatSaysItLeavesGetsNewRequests);
+    CPPUNIT_TEST(otherEntriesDoNotLearnThatAServerLeaves);
+    CPPUNIT_TEST(requestsWaitWhenAllServersLeave);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // The instance list shows it as active, and reports it so again.
+    void serverThatSaysItLeavesGetsNewRequests()
+    {
+        RelayNodeHarness scene(2, 0);
+        const auto first = scene.arrive("/stream/");
+        AnswerHead head = leavingHead();
+        head.isStream = true;
+        answer(scene, first, head);
+        const std::string leaving = scene.attemptOf(first)->backend;
+        const std::string other = leaving == "m0" ? "m1" : "m0";
+        scene.node.roster().update(scene.now, RelayNodeHarness::record(leaving, "model"));
+        for (int number = 0; number < 6; ++number)
+            CPPUNIT_ASSERT_EQUAL(other, scene.attemptOf(scene.arrive("/stream/"))->backend);
+        // A new start under the same id serves, and a late answer of the last one changes nothing.
+        BackendRecord restarted = RelayNodeHarness::record(leaving, "model");
+        restarted.incarnation += 1;
+        scene.node.roster().update(scene.now, restarted);
+        answer(scene, first, head);
+        bool isUsed = false;
+        for (int number = 0; number < 6; ++number)
+            isUsed = scene.attemptOf(scene.arrive("/stream/"))->backend == leaving || isUsed;
+        CPPUNIT_ASSERT(isUsed);
+    }
+
+    void otherEntriesDoNotLearnThatAServerLeaves()
+    {
+        RelayNodeHarness scene(1, 0);
+        answer(scene, scene.arrive("/stream/"), leavingHead(500));
+        EntryReport report;
+        report.peerAddress = "10.0.0.9:7000";
+        report.sequence = 1;
+        scene.node.fillReport(scene.now, report);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), report.leaving.size());
+        RelayNodeHarness other(2, 0);
+        other.node.reportArrived(other.now, report, other.commands);
+        for (int number = 0; number < 4; ++number)
+            CPPUNIT_ASSERT_EQUAL(std::string("m1"),
+                                 other.attemptOf(other.arrive("/stream/"))->backend);
+        // The others are told three times.
+        for (int number = 0; number < 3; ++number) {
+            report.leaving.clear();
+            scene.node.fillReport(scene.now, report);
+        }
+        CPPUNIT_ASSERT(report.leaving.empty());
+    }
+
+    void requestsWaitWhenAllServersLeave()
+    {
+        RelayNodeHarness scene(2, 0);
+        const auto first = scene.arrive("/stream/");
+        const auto second = scene.arrive("/stream/");
+        answer(scene, first, leavingHead());
+        answer(scene, second, leavingHead());
+        const auto late = scene.arrive("/stream/");
+        const RelayCommand::Refuse *refusal = scene.refusalOf(late);
+        CPPUNIT_ASSERT(refusal != nullptr && refusal->status == 503 && refusal->retryAfter);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BackendNoticeTest);
+
+} // namespace Nutmegrill
--- a/Tests/Relay/LoadPatternTest.cpp
+++ b/Tests/Relay/LoadPatternTest.cpp
@@ -138,6 +138,7 @@
     CPPUNIT_TEST(crashingPromptPartReachesServersAgainAndAgain);
     CPPUNIT_TEST(repeatedPlainRequestCrashesEveryServer);
     CPPUNIT_TEST(serversGetMoreThanTheLimitThatTheyName);
+    CPPUNIT_TEST(serversThatSayTheyLeaveGetRequests);
     CPPUNIT_TEST(sameSeedGivesTheSameResult);
     CPPUNIT_TEST_SUITE_END();
 
@@ -309,6 +310,21 @@
         }
     }
 
+    // The instance list shows the servers as active all the time.
+    void serversThatSayTheyLeaveGetRequests()
+    {
+        for (const std::uint32_t entries : {6U, 34U}) {
+            LoadSimulation::Options options;
+            options.entries = entries;
+            options.disruptions = {{Fault::ServersLeaving, seconds(4), seconds(16)},
+                                   {Fault::EntriesRestarted, seconds(8), milliseconds(700), 0.3},
+                                   {Fault::ReportsLost, seconds(0), seconds(20), 0.2}};
+            const LoadSimulation::Result result = LoadSimulation(options).run();
+            CPPUNIT_ASSERT_EQUAL(std::string(), result.sentToLeaving);
+            CPPUNIT_ASSERT_MESSAGE(std::to_string(result.all.served()), result.all.served() > 0.9);
+        }
+    }
+
     void sameSeedGivesTheSameResult()
     {
         const Disruptions pattern = {{Fault::SlowSteps, DisruptionStart, seconds(1), 1.8}};
--- a/Tests/Relay/LoadSimulation.h
+++ b/Tests/Relay/LoadSimulation.h
@@ -40,6 +40,7 @@
         LimitNamed,        ///< a rank and two plain servers name the factor as their limit a second
         CrashingPart,   ///< this share of the streams has a prompt part that crashes the ranks that
                         ///< run it
+        ServersLeaving, ///< a rank and two plain servers say in their answers that they leave
         CrashingRequest ///< one request that crashes the plain servers that run it arrives that
                         ///< often a second, from one caller and at any entry
     };
@@ -104,6 +105,8 @@
         std::vector<Instant> crashingArrivals;
         /// The first named limit that was broken.
         std::string brokenLimit;
+        /// The first request to a server that had told the entry that it leaves.
+        std::string sentToLeaving;
         /// Longest time from the sending of a request to its refusal.
         std::chrono::milliseconds longestHold{0};
     };
@@ -153,6 +156,7 @@
     void storeCrashes(const RelayCommand::StoreCrashes &crashes);
     AnswerHead headOf(Backend &backend, const Work &work, int status);
     void checkLimit(Backend &backend, const Work &work);
+    void checkLeaving(Backend &backend, const Work &work);
     void crashServer(Backend &backend);
     void returnServer(Backend &backend);
     void crashPlain(const Work &work);
--- a/Tests/Relay/LoadSimulationBackends.cpp
+++ b/Tests/Relay/LoadSimulationBackends.cpp
@@ -36,6 +36,8 @@
 constexpr double LimitSlack = 5;
 constexpr milliseconds LimitSettleTime{3000};
 constexpr milliseconds LimitNoticeTime{500};
+/// Requests that were on their way when the server said that it leaves.
+constexpr milliseconds LeavingNoticeTime{20};
 
 } // namespace
 
@@ -78,6 +80,7 @@
     if (work.crashesServer)
         this->result.crashingArrivals.push_back(this->now);
     this->checkLimit(backend, work);
+    this->checkLeaving(backend, work);
     if (backend.isUnreachable) {
         this->breakWork(work, AttemptFailure::NotSent);
         return;
@@ -259,6 +262,10 @@
     head.status = status;
     head.load = AnswerHead::Load{static_cast<std::uint32_t>(backend.running.size()),
                                  static_cast<std::uint32_t>(backend.queue.size()), backend.slots};
+    if (backend.namesLimit && this->factorOf(Fault::ServersLeaving) > 0) {
+        head.isLeaving = true;
+        backend.leavingToldAt.try_emplace({work.entry, work.start}, this->now);
+    }
     const double limit = this->factorOf(Fault::LimitNamed);
     if (!backend.namesLimit || limit <= 0)
         return head;
@@ -268,6 +275,18 @@
     return head;
 }
 
+void LoadSimulation::checkLeaving(Backend &backend, const Work &work)
+{
+    const auto told = backend.leavingToldAt.find({work.entry, work.start});
+    if (told != backend.leavingToldAt.end() && this->now > told->second + LeavingNoticeTime
+        && this->result.sentToLeaving.empty())
+        this->result.sentToLeaving =
+                backend.id + " got a request "
+                + std::to_string(
+                        std::chrono::duration_cast<milliseconds>(this->now - told->second).count())
+                + " ms after it told entry " + std::to_string(work.entry) + " that it leaves";
+}
+
 void LoadSimulation::checkLimit(Backend &backend, const Work &work)
 {
     const auto told = backend.toldAt.find(work.entry);
--- a/Tests/Relay/LoadSimulationParts.h
+++ b/Tests/Relay/LoadSimulationParts.h
@@ -105,6 +105,8 @@
     bool isFlaky = false;
     bool isCrashed = false;
     bool namesLimit = false;
+    /// When each start of an entry first got an answer which said that the server leaves.
+    std::map<std::pair<std::size_t, std::uint32_t>, Instant> leavingToldAt;
     Instant firstNamedAt = NoDeadline;
     /// When each entry first got an answer with the limit.
     std::map<std::size_t, Instant> toldAt;
