Send nothing to a backend server for the pause that it asks for

A backend server that rejects a request with 503 may name in Retry-After how long it wants nothing from that entry. The entry now sends it nothing until the end of the pause, per start of the server; a later end replaces an earlier one, a success does not cut it short. Rejected requests go elsewhere at once; if all servers pause, a request waits when the first pause ends in time for it and is refused otherwise, with a Retry-After that reaches that moment. Entries come back at random moments within a quarter of the pause and use all slots a second later. A pause does not count for the circuit breaker; repeats still draw on the retry limit, which counts arrivals.

BackendNoticeTest (pausingServerGetsRequests, requestsThatCanWaitAreRefusedDuringAPause, pauseOpensTheCircuitBreaker) and LoadPatternTest::serversThatAskForAPauseGetRequests at 6 and 34 entries; without the reading the first and the last one fail.

--- a/Source/Relay/AnswerHead.h
+++ b/Source/Relay/AnswerHead.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
@@ -29,6 +30,10 @@
     bool isStream = false;
     /// The backend server leaves: it takes no new work.
     bool isLeaving = false;
+    /// How long the backend server wants no request from this entry.
+    std::optional<std::chrono::milliseconds> pause;
+    /// The answer names a pause that cannot be read.
+    bool hasUnreadablePause = false;
     std::optional<Load> load;
     /// Requests per second that the backend server takes from all entries together for now.
     std::optional<double> requestsPerSecond;
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -211,7 +211,7 @@
     }
     if (!head.isMisdirected) {
         this->recordNamedLimit(now, running, head, commands);
-        this->recordNotices(running, head, commands);
+        this->recordNotices(now, running, head, commands);
     }
     if (head.notRun || head.isMisdirected) {
         // Handled at the end of the answer, so that the connection can be reused.
@@ -240,14 +240,16 @@
         if (head.isMisdirected)
             row->health.recordReplaced(now);
     }
-    if (!head.isMisdirected)
+    // A pause that a backend server asks for is no fault of the service.
+    if (!head.isMisdirected && !head.pause)
         this->circuitBreakers[exchange.service].recordRejection(now, backend);
     if (exchange.runs > 0)
         --exchange.runs;
     if (head.isMisdirected)
         exchange.failedOn.insert(backend);
     this->dropAttempt(exchange, commands);
-    exchange.notBefore = now + (head.isMisdirected ? milliseconds(0) : RejectionBackoff);
+    const bool isOverloaded = !head.isMisdirected && !head.pause;
+    exchange.notBefore = now + (isOverloaded ? RejectionBackoff : milliseconds(0));
     this->retryOrAbandon(now, exchange, "not run, status " + std::to_string(head.status), commands);
 }
 
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -133,6 +133,10 @@
         /// When the other entries are next told of the limit; NoDeadline unless this entry heard of
         /// it itself.
         Instant limitReportAt = NoDeadline;
+        /// End of the pause that the backend server asked this entry for, and when this entry
+        /// sends again.
+        Instant pausedUntil;
+        Instant resumeAt;
     };
 
     Exchange *findByAttempt(AttemptId attempt);
@@ -183,7 +187,15 @@
     void recordNamedLimit(Instant now, const Attempt &attempt, const AnswerHead &head,
                           Commands &commands);
     void fillLimits(Instant now, std::vector<EntryReport::Limit> &limits);
-    void recordNotices(const Attempt &attempt, const AnswerHead &head, Commands &commands);
+    void recordNotices(Instant now, const Attempt &attempt, const AnswerHead &head,
+                       Commands &commands);
+    void recordPause(Instant now, const Attempt &attempt, const AnswerHead &head,
+                     Commands &commands);
+    /// Requests that this entry may run at a backend server: none during a pause, then gradually
+    /// more.
+    static std::uint32_t slotsAfterPause(Instant now, const BackendUse &use, std::uint32_t slots);
+    /// When a service takes requests again whose usable backend servers all pause.
+    std::optional<Instant> endOfPauses(Instant now, const std::string &service) const;
     /// A backend server said in an answer, or to another entry, that it leaves. Returns whether
     /// that is new.
     bool recordLeaving(const std::string &backend, std::uint64_t incarnation, const char *source,
--- a/Source/Relay/RelayNodeLimits.cpp
+++ b/Source/Relay/RelayNodeLimits.cpp
@@ -30,6 +30,7 @@
     if (use.incarnation != row.record.incarnation) {
         use.incarnation = row.record.incarnation;
         use.limit = {};
+        use.pausedUntil = use.resumeAt = {};
     }
     return use;
 }
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -92,7 +92,8 @@
         const double coldRate = this->coldRateOf(service, isCold, now);
         if (coldRate > 0 && !this->hasColdCapacity(now, id, use, isCold, coldRate, entries))
             continue;
-        if (!this->hasLimitCapacity(now, id, use, entries))
+        if (!this->hasLimitCapacity(now, id, use, entries)
+            || use.running >= slotsAfterPause(now, use, row.record.slots))
             continue;
         candidates.push_back({id, concurrency.limit(row.record.slots),
                               use.running + this->peers.runningElsewhere(id, now),
@@ -163,9 +164,15 @@
     input.isStream = exchange.route.kind == Route::Kind::Stream;
     input.latencyTarget = exchange.route.latencyTarget;
     input.slots = this->usableSlots(exchange.service, now);
+    const std::optional<Instant> resumeAt =
+            input.slots == 0 ? this->endOfPauses(now, exchange.service) : std::nullopt;
+    if (resumeAt)
+        input.slots = 1;
     input.expectedDelay = this->waitEstimatorOf(exchange).meanDelay();
     input.expectedWait = this->waitEstimatorOf(exchange).expectedWait(
             ahead, input.slots, this->shareOfFreedSlots(exchange.service, now));
+    if (resumeAt)
+        input.expectedWait = std::max(input.expectedWait, toMilliseconds(*resumeAt - now));
     input.outageSince = this->circuitBreakers[exchange.service].openSince();
     return this->settings.policy.reasonToRefuse(input);
 }
@@ -177,6 +184,8 @@
         wait = std::max(wait, MinOutageRetryAfter);
     if (this->isBlocked(now, exchange))
         wait = std::max(wait, QuarantineRetryAfter);
+    if (const auto resumeAt = this->endOfPauses(now, exchange.service))
+        wait = std::max(wait, toMilliseconds(*resumeAt - now));
     // Jitter of up to the same length keeps refused callers from returning together. The sum stays
     // within the time for which callers honour Retry-After.
     const milliseconds maxPause = toMilliseconds(exchange.deadline - now) / RetryAfterDivisor;
@@ -229,6 +238,8 @@
                                        ? row.record.slots
                                        : concurrency->second.limit(row.record.slots);
         const auto use = this->backendUses.find(id);
+        if (use != this->backendUses.end() && use->second.incarnation == row.record.incarnation)
+            usable = std::min(usable, slotsAfterPause(now, use->second, row.record.slots));
         if (use != this->backendUses.end() && estimator != this->waitEstimators.end()
             && use->second.limit.requestsPerSecond()) {
             // A limited backend server runs as many requests as arrive while one holds its slot.
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -173,6 +173,8 @@
 {
     if (command.record.number == RelayLog::BackendLeaves)
         this->metrics.add("nutmegrill_backends_leaving_total", {});
+    else if (command.record.number == RelayLog::BackendPauses)
+        this->metrics.add("nutmegrill_backend_pauses_total", {});
     EventLog::writeRateLimited(this->loop.now(), command.record);
 }
 
--- a/Tests/Platform/AdapterTest.cpp
+++ b/Tests/Platform/AdapterTest.cpp
@@ -176,6 +176,20 @@
             limited.headers.emplace_back("Server-Limit", text);
             CPPUNIT_ASSERT(protocol.readAnswer(limited, "a")->requestsPerSecond == limit);
         }
+        // A pause is a number of seconds in a 503.
+        for (const auto &[text, pause] :
+             {std::pair("1.5", 1500), std::pair("0", 0), std::pair("1e300", 1000000000),
+              std::pair("-1", -1), std::pair("soon", -1), std::pair("", -1), std::pair("1 ", -1),
+              std::pair("Fri, 04 Dec 2026 23:00:00 GMT", -1), std::pair("nan", -1)}) {
+            HttpHead refused;
+            refused.status = 503;
+            refused.headers = {{"Retry-After", text}, {"Not-Executed", "1"}};
+            const auto read = protocol.readAnswer(refused, "a");
+            CPPUNIT_ASSERT_EQUAL(pause < 0, read->hasUnreadablePause);
+            CPPUNIT_ASSERT_EQUAL(pause, read->pause ? static_cast<int>(read->pause->count()) : -1);
+            refused.status = 500;
+            CPPUNIT_ASSERT(!protocol.readAnswer(refused, "a")->pause);
+        }
         // Any value but 1 says nothing.
         for (const auto &[text, isLeaving] :
              {std::pair("1", true), std::pair("0", false), std::pair("", false),
--- a/Tests/Relay/BackendNoticeTest.cpp
+++ b/Tests/Relay/BackendNoticeTest.cpp
@@ -26,6 +26,16 @@
     return head;
 }
 
+void rejectWithPause(RelayNodeHarness &scene, RelayCommand::CallerId caller, milliseconds pause)
+{
+    AnswerHead head;
+    head.status = 503;
+    head.notRun = true;
+    head.pause = pause;
+    answer(scene, caller, head);
+    scene.end(caller);
+}
+
 } // namespace
 
 /// Tests what an entry does with what backend servers say about themselves in their answers.
@@ -35,6 +45,9 @@
     CPPUNIT_TEST(serverThatSaysItLeavesGetsNewRequests);
     CPPUNIT_TEST(otherEntriesDoNotLearnThatAServerLeaves);
     CPPUNIT_TEST(requestsWaitWhenAllServersLeave);
+    CPPUNIT_TEST(pausingServerGetsRequests);
+    CPPUNIT_TEST(requestsThatCanWaitAreRefusedDuringAPause);
+    CPPUNIT_TEST(pauseOpensTheCircuitBreaker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -95,6 +108,69 @@
         const RelayCommand::Refuse *refusal = scene.refusalOf(late);
         CPPUNIT_ASSERT(refusal != nullptr && refusal->status == 503 && refusal->retryAfter);
     }
+
+    // Also after a success, after a shorter pause, and when it comes back all at once.
+    void pausingServerGetsRequests()
+    {
+        RelayNodeHarness scene(1, 1);
+        const auto open = scene.arrive("/stream/");
+        const auto rejected = scene.arrive("/stream/");
+        scene.streamHead(open);
+        rejectWithPause(scene, rejected, milliseconds(5000));
+        scene.event(open, 1);
+        scene.end(open);
+        const auto waiting = scene.arrive("/stream/");
+        CPPUNIT_ASSERT(scene.attemptOf(waiting) == nullptr);
+        CPPUNIT_ASSERT(scene.refusalOf(waiting) != nullptr
+                       && *scene.refusalOf(waiting)->retryAfter > milliseconds(1000));
+        scene.advance(milliseconds(4900));
+        CPPUNIT_ASSERT(scene.attemptOf(scene.arrive("/stream/")) == nullptr);
+        const std::size_t before = scene.count<RelayCommand::StartAttempt>();
+        const auto sent = [&] { return scene.count<RelayCommand::StartAttempt>() - before; };
+        for (const Instant latest = scene.now + milliseconds(1200); sent() == 0;) {
+            CPPUNIT_ASSERT(scene.now < latest);
+            scene.arrive("/stream/");
+            scene.advance(milliseconds(20));
+        }
+        for (int number = 0; number < 8; ++number)
+            scene.arrive("/stream/");
+        CPPUNIT_ASSERT(sent() <= 2);
+        // A new start of the server has no pause.
+        BackendRecord restarted = RelayNodeHarness::record("m0", "model");
+        restarted.incarnation += 1;
+        rejectWithPause(scene, scene.arrive("/lookup/"), milliseconds(500));
+        restarted = RelayNodeHarness::record("p0", "plain");
+        restarted.incarnation += 1;
+        scene.node.roster().update(scene.now, restarted);
+        const auto later = scene.arrive("/lookup/");
+        scene.advance(milliseconds(40));
+        CPPUNIT_ASSERT(scene.attemptOf(later) != nullptr);
+    }
+
+    void requestsThatCanWaitAreRefusedDuringAPause()
+    {
+        RelayNodeHarness scene(1, 2);
+        const auto first = scene.arrive("/lookup/");
+        rejectWithPause(scene, first, milliseconds(400));
+        // The other server takes it.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scene.attemptsOf(first));
+        rejectWithPause(scene, first, milliseconds(200));
+        CPPUNIT_ASSERT(scene.refusalOf(first) == nullptr);
+        scene.advance(milliseconds(280));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), scene.attemptsOf(first));
+    }
+
+    void pauseOpensTheCircuitBreaker()
+    {
+        RelayNodeHarness scene(3, 0);
+        const auto rejected = scene.arrive("/stream/");
+        for (int number = 0; number < 3; ++number)
+            rejectWithPause(scene, rejected, milliseconds(5000));
+        scene.advance(milliseconds(7100));
+        const auto first = scene.arrive("/stream/");
+        const auto second = scene.arrive("/stream/");
+        CPPUNIT_ASSERT(scene.attemptOf(first) != nullptr && scene.attemptOf(second) != nullptr);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendNoticeTest);
--- a/Tests/Relay/LoadPatternTest.cpp
+++ b/Tests/Relay/LoadPatternTest.cpp
@@ -139,6 +139,7 @@
     CPPUNIT_TEST(repeatedPlainRequestCrashesEveryServer);
     CPPUNIT_TEST(serversGetMoreThanTheLimitThatTheyName);
     CPPUNIT_TEST(serversThatSayTheyLeaveGetRequests);
+    CPPUNIT_TEST(serversThatAskForAPauseGetRequests);
     CPPUNIT_TEST(sameSeedGivesTheSameResult);
     CPPUNIT_TEST_SUITE_END();
 
@@ -325,6 +326,25 @@
         }
     }
 
+    void serversThatAskForAPauseGetRequests()
+    {
+        for (const std::uint32_t entries : {6U, 34U}) {
+            for (const double pause : {0.8, 3.0}) {
+                LoadSimulation::Options options;
+                options.entries = entries;
+                options.load = 1.3;
+                options.disruptions = {
+                        {Fault::ServersPause, seconds(4), seconds(10), pause},
+                        {Fault::EntriesRestarted, seconds(8), milliseconds(700), 0.3},
+                        {Fault::ReportsLost, seconds(0), seconds(20), 0.2}};
+                const LoadSimulation::Result result = LoadSimulation(options).run();
+                CPPUNIT_ASSERT_EQUAL(std::string(), result.brokenPause);
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(result.all.served()),
+                                       result.all.served() > 0.9);
+            }
+        }
+    }
+
     void sameSeedGivesTheSameResult()
     {
         const Disruptions pattern = {{Fault::SlowSteps, DisruptionStart, seconds(1), 1.8}};
--- a/Tests/Relay/LoadSimulation.h
+++ b/Tests/Relay/LoadSimulation.h
@@ -41,6 +41,8 @@
         CrashingPart,   ///< this share of the streams has a prompt part that crashes the ranks that
                         ///< run it
         ServersLeaving, ///< a rank and two plain servers say in their answers that they leave
+        ServersPause, ///< a rank and two plain servers reject everything and ask for a pause of the
+                      ///< factor in seconds
         CrashingRequest ///< one request that crashes the plain servers that run it arrives that
                         ///< often a second, from one caller and at any entry
     };
@@ -107,6 +109,8 @@
         std::string brokenLimit;
         /// The first request to a server that had told the entry that it leaves.
         std::string sentToLeaving;
+        /// The first server that got more than two requests from an entry during a pause.
+        std::string brokenPause;
         /// Longest time from the sending of a request to its refusal.
         std::chrono::milliseconds longestHold{0};
     };
@@ -157,6 +161,7 @@
     AnswerHead headOf(Backend &backend, const Work &work, int status);
     void checkLimit(Backend &backend, const Work &work);
     void checkLeaving(Backend &backend, const Work &work);
+    void checkPause(Backend &backend, const Work &work);
     void crashServer(Backend &backend);
     void returnServer(Backend &backend);
     void crashPlain(const Work &work);
--- a/Tests/Relay/LoadSimulationBackends.cpp
+++ b/Tests/Relay/LoadSimulationBackends.cpp
@@ -36,6 +36,9 @@
 constexpr double LimitSlack = 5;
 constexpr milliseconds LimitSettleTime{3000};
 constexpr milliseconds LimitNoticeTime{500};
+/// The platform's tolerance for requests during a pause.
+constexpr milliseconds PauseNoticeTime{500};
+constexpr std::uint32_t MaxRequestsInPause = 2;
 /// Requests that were on their way when the server said that it leaves.
 constexpr milliseconds LeavingNoticeTime{20};
 
@@ -81,6 +84,11 @@
         this->result.crashingArrivals.push_back(this->now);
     this->checkLimit(backend, work);
     this->checkLeaving(backend, work);
+    this->checkPause(backend, work);
+    if (backend.namesLimit && this->factorOf(Fault::ServersPause) > 0) {
+        this->rejectWork(work, NetworkDelay);
+        return;
+    }
     if (backend.isUnreachable) {
         this->breakWork(work, AttemptFailure::NotSent);
         return;
@@ -262,6 +270,15 @@
     head.status = status;
     head.load = AnswerHead::Load{static_cast<std::uint32_t>(backend.running.size()),
                                  static_cast<std::uint32_t>(backend.queue.size()), backend.slots};
+    if (const double pause = this->factorOf(Fault::ServersPause);
+        backend.namesLimit && pause > 0 && status == 503) {
+        head.pause = milliseconds(static_cast<std::int64_t>(1000 * pause));
+        const Instant end = this->now + *head.pause;
+        auto &row = backend.pauses[{work.entry, work.start}];
+        if (row.end <= this->now)
+            row = {this->now, end, 0};
+        row.end = std::max(row.end, end);
+    }
     if (backend.namesLimit && this->factorOf(Fault::ServersLeaving) > 0) {
         head.isLeaving = true;
         backend.leavingToldAt.try_emplace({work.entry, work.start}, this->now);
@@ -287,6 +304,17 @@
                 + " ms after it told entry " + std::to_string(work.entry) + " that it leaves";
 }
 
+void LoadSimulation::checkPause(Backend &backend, const Work &work)
+{
+    const auto found = backend.pauses.find({work.entry, work.start});
+    if (found == backend.pauses.end() || this->now <= found->second.since + PauseNoticeTime
+        || this->now >= found->second.end)
+        return;
+    if (++found->second.requests > MaxRequestsInPause && this->result.brokenPause.empty())
+        this->result.brokenPause = backend.id + " got more than two requests of entry "
+                                   + std::to_string(work.entry) + " during a pause";
+}
+
 void LoadSimulation::checkLimit(Backend &backend, const Work &work)
 {
     const auto told = backend.toldAt.find(work.entry);
--- a/Tests/Relay/LoadSimulationParts.h
+++ b/Tests/Relay/LoadSimulationParts.h
@@ -105,6 +105,15 @@
     bool isFlaky = false;
     bool isCrashed = false;
     bool namesLimit = false;
+    /// By start of an entry: when it was first asked for the pause that lasts, the end of it, and
+    /// the requests meanwhile.
+    struct Pause
+    {
+        Instant since;
+        Instant end;
+        std::uint32_t requests = 0;
+    };
+    std::map<std::pair<std::size_t, std::uint32_t>, Pause> pauses;
     /// When each start of an entry first got an answer which said that the server leaves.
     std::map<std::pair<std::size_t, std::uint32_t>, Instant> leavingToldAt;
     Instant firstNamedAt = NoDeadline;
