Let requests wait for a check of their own content only

Requests waited while a check decided about any of their traits. A shared part of prompts is in flight at many servers, so resets of many connections held sound requests with it for up to half a second. Only the content of the request itself waits now; repeatedPlainRequestCrashesEveryServer passes as before.

--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -77,7 +77,7 @@
 {
     ServiceCircuitBreaker &circuit = this->circuitBreakers[exchange.service];
     if (!circuit.allowsRequest(now) || this->isBlocked(now, exchange)
-        || this->quarantine.awaitsCheck(now, exchange.traits))
+        || this->quarantine.awaitsCheck(now, RequestQuarantine::contentTraitOf(exchange.request)))
         return false;
     const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
     const std::uint32_t entries = this->peers.entryCount(now);
--- a/Source/Relay/RequestQuarantine.cpp
+++ b/Source/Relay/RequestQuarantine.cpp
@@ -126,18 +126,18 @@
         found->second.isChecked = true;
 }
 
-bool RequestQuarantine::awaitsCheck(Instant now, const Traits &traits) const
+bool RequestQuarantine::awaitsCheck(Instant now, std::optional<std::uint64_t> content) const
 {
-    return std::any_of(traits.begin(), traits.end(), [&](std::uint64_t trait) {
-        const auto unchecked =
-                std::count_if(this->broken.begin(), this->broken.end(), [trait](const auto &entry) {
-                    const Break &row = entry.second;
-                    return !row.isEnd && !row.isChecked && row.traits.count(trait) != 0;
-                });
-        return unchecked > 0
-               && this->records.crashes(now, trait).size() + static_cast<std::size_t>(unchecked)
-                          >= this->records.quarantineThreshold(trait);
-    });
+    if (!content)
+        return false;
+    const auto unchecked =
+            std::count_if(this->broken.begin(), this->broken.end(), [content](const auto &entry) {
+                const Break &row = entry.second;
+                return !row.isEnd && !row.isChecked && row.traits.count(*content) != 0;
+            });
+    return unchecked > 0
+           && this->records.crashes(now, *content).size() + static_cast<std::size_t>(unchecked)
+                      >= this->records.quarantineThreshold(*content);
 }
 
 std::vector<std::string> RequestQuarantine::unexplained() const
--- a/Source/Relay/RequestQuarantine.h
+++ b/Source/Relay/RequestQuarantine.h
@@ -49,8 +49,9 @@
     std::optional<std::size_t> recordEnd(Instant now, const std::string &incarnation);
     /// The check found out nothing.
     void recordUnknown(const std::string &incarnation);
-    /// Whether a check is under way that decides whether a trait of the request is quarantined.
-    bool awaitsCheck(Instant now, const Traits &traits) const;
+    /// Whether a check is under way that decides whether the content of a request is quarantined.
+    /// Shared parts do not wait: sound requests have them too.
+    bool awaitsCheck(Instant now, std::optional<std::uint64_t> content) const;
     /// Starts of backend servers with breaks that are not explained yet.
     std::vector<std::string> unexplained() const;
 
