--- a/Tests/Platform/Soak/SoakWorld.cpp
+++ b/Tests/Platform/Soak/SoakWorld.cpp
@@ -87,8 +87,9 @@
     add("l", "idempotent", "p");
     for (std::uint64_t number = 1; number <= this->version; ++number)
         add("v" + std::to_string(number), "idempotent", "p");
-    this->store.put("op/config", R"({"version":)" + std::to_string(this->version) + R"(,"routes":[)"
-                                         + routes + R"(],"services":[{"name":"m"},{"name":"p"}]})");
+    this->configuration = R"({"version":)" + std::to_string(this->version) + R"(,"routes":[)"
+                          + routes + R"(],"services":[{"name":"m"},{"name":"p"}]})";
+    this->store.put("op/config", this->configuration);
     this->acknowledged.emplace(this->version, this->loop.now());
 }
 
@@ -104,12 +105,11 @@
 
 void SoakWorld::restoreStore()
 {
-    const std::string configuration = *this->store.valueOf("op/config");
     this->store.restore(*this->copy);
     this->store.failureStatus = 503;
-    this->loop.after(milliseconds(300), [this, configuration] {
+    this->loop.after(milliseconds(300), [this] {
         this->store.failureStatus = 0;
-        this->store.put("op/config", configuration);
+        this->store.put("op/config", this->configuration);
         this->writeAll();
         this->copy = this->store.copy();
     });
@@ -346,6 +346,7 @@
     this->timers.push_back(
             this->loop.every(seconds(3), [this] { this->copy = this->store.copy(); }));
     this->timers.push_back(this->loop.every(milliseconds(100), [this] {
+        this->store.tick(this->loop.now());
         for (const auto &worker : this->workers)
             worker->tick();
     }));
--- a/Tests/Platform/Soak/SoakWorld.h
+++ b/Tests/Platform/Soak/SoakWorld.h
@@ -80,6 +80,8 @@
     std::vector<std::unique_ptr<EventLoop::Timer>> timers;
     std::shared_ptr<const StoreServer::Copy> copy;
     std::uint64_t version = 0;
+    /// The newest one, which the operator writes again after a restore.
+    std::string configuration;
     /// Versions that are acknowledged, with the time.
     std::map<std::uint64_t, Instant> acknowledged;
     /// Last fault of each entry process and of the store.
--- a/Tests/Platform/StoreServer.cpp
+++ b/Tests/Platform/StoreServer.cpp
@@ -12,6 +12,8 @@
 
 using Json = nlohmann::json;
 
+constexpr std::size_t MaxConnections = 2000;
+
 /// Value of a query parameter; empty if it is missing.
 std::string queryField(const std::string &target, const std::string &name)
 {
@@ -30,7 +32,8 @@
 } // namespace
 
 StoreServer::StoreServer(EventLoop &loop, const std::string &address)
-    : listener(loop, address, 64, [this](HttpListener::Request &&request) { this->serve(request); })
+    : listener(loop, address, MaxConnections,
+               [this](HttpListener::Request &&request) { this->serve(request); })
 {
     this->listener.onCallerDisconnected(
             [this](HttpListener::RequestId id) { this->watches.erase(id); });
--- a/Tests/Platform/StoreServer.h
+++ b/Tests/Platform/StoreServer.h
@@ -23,6 +23,8 @@
 
     void put(const std::string &key, const std::string &value, std::uint64_t lease = 0);
     void remove(const std::string &key);
+    /// Frees connections that were closed. Needed only when many are opened.
+    void tick(Instant now) { this->listener.tick(now); }
     /// Drops the history: watches from earlier revisions get status 410.
     void compact() { this->oldestRevision = this->revision; }
     std::optional<std::string> valueOf(const std::string &key) const;
