Tell the model groups of a service apart in its agents

Cause: agents kept and exchanged states, counts and samples by rank alone, and the instance list does not name groups. With two groups in a service, the agents of rank 0 of both took themselves for the hub of all, ranks of one group replaced those of the other, and no map changed.

Change: the group, its name and its number of ranks, is part of the identity of all of these. An agent that gets a state of another group answers it once and sends that agent nothing more. A new group, or a new size, starts afresh. A rank out of range is logged and ignored.

--- a/Source/Experts/GroupExchange.cpp
+++ b/Source/Experts/GroupExchange.cpp
@@ -31,6 +31,8 @@
 constexpr milliseconds MinCountsPeriod{300};
 constexpr milliseconds DefaultCountsPeriod{2000};
 constexpr std::uint64_t MicrosecondsPerSecond = 1000000;
+/// An agent of another group that still sends states has not received the reply.
+constexpr milliseconds ReplyPeriod{2000};
 
 milliseconds statePeriod(std::uint32_t ranks)
 {
@@ -75,21 +77,79 @@
     return MissedStates * statePeriod(ranks);
 }
 
-bool GroupExchange::stateReceived(Instant now, const RankState &state)
+void GroupExchange::setPeers(const std::set<std::string> &addresses)
 {
+    std::erase_if(this->peers, [&](const auto &entry) { return !addresses.contains(entry.first); });
+    for (const std::string &address : addresses)
+        this->peers.try_emplace(address);
+}
+
+void GroupExchange::followGroup(const EngineState &own)
+{
+    if (this->group && own.isOfGroup(*this->group))
+        return;
+    const bool isFirst = !this->group.has_value();
+    this->group = GroupIdentity{own.group, own.ranks};
+    std::erase_if(this->rows, [&](const auto &entry) {
+        return !entry.second.state.engine.isOfGroup(*this->group);
+    });
+    if (isFirst)
+        return;
+    this->mode = Mode::Mesh;
+    this->listeningSince.reset();
+    this->switchingSince.reset();
+    this->sample.reset();
+    this->wholeCommand.reset();
+    this->deltaCommand.reset();
+    this->nextStateAt = Instant();
+    for (auto &[address, peer] : this->peers)
+        peer = {};
+}
+
+bool GroupExchange::isNewer(Instant now, const RankState &state, const Row &known)
+{
+    // A lower incarnation is accepted only after MaxMessageDelay: the incarnation is the time of
+    // the start, and the clock may have been set back between two starts.
+    return state.incarnation == known.state.incarnation
+                   ? state.sequence > known.state.sequence
+                   : state.incarnation > known.state.incarnation
+                             || now > known.heardAt + MaxMessageDelay;
+}
+
+void GroupExchange::noteOtherGroup(Instant now, const RankState &state)
+{
+    const auto isSender = [&](const auto &entry) {
+        return entry.second.state.address == state.address;
+    };
+    if (const auto row = std::find_if(this->rows.begin(), this->rows.end(), isSender);
+        row != this->rows.end()) {
+        if (!isNewer(now, state, row->second))
+            return;
+        this->rows.erase(row);
+    }
+    if (const auto peer = this->peers.find(state.address); peer != this->peers.end()) {
+        peer->second.isOfOtherGroup = true;
+        peer->second.awaitsReply = now >= peer->second.nextReplyAt;
+    }
+}
+
+GroupExchange::Receipt GroupExchange::stateReceived(Instant now, const RankState &state)
+{
+    if (state.engine.rank >= state.engine.ranks)
+        return Receipt::Invalid;
+    if (this->group && !state.engine.isOfGroup(*this->group)) {
+        this->noteOtherGroup(now, state);
+        return Receipt::OfOtherGroup;
+    }
     // From an earlier agent of this rank.
     if (this->sentState && state.engine.rank == this->ownRank)
-        return false;
+        return Receipt::Outdated;
     Row &row = this->rows[state.engine.rank];
     const RankState &known = row.state;
-    // A lower incarnation is accepted only after MaxMessageDelay: the incarnation is the time of
-    // the start, and the clock may have been set back between two starts.
-    const bool isNewer =
-            state.incarnation == known.incarnation
-                    ? state.sequence > known.sequence
-                    : state.incarnation > known.incarnation || now > row.heardAt + MaxMessageDelay;
-    if (!isNewer)
-        return false;
+    if (!isNewer(now, state, row))
+        return Receipt::Outdated;
+    if (const auto peer = this->peers.find(state.address); peer != this->peers.end())
+        peer->second.isOfOtherGroup = false;
     std::vector<std::vector<std::uint32_t>> experts;
     if (state.experts.empty() && known.engine.epoch == state.engine.epoch
         && known.engine.mapVersion == state.engine.mapVersion)
@@ -98,12 +158,13 @@
     if (state.experts.empty())
         row.state.experts = std::move(experts);
     row.heardAt = now;
-    return true;
+    return Receipt::New;
 }
 
 void GroupExchange::commandReceived(Instant now, const OwnerCommand &command)
 {
-    if (const auto found = this->rows.find(command.owner); found != this->rows.end())
+    const auto found = this->rows.find(command.owner);
+    if (found != this->rows.end() && found->second.state.engine.group == command.group)
         found->second.heardAt = now;
 }
 
@@ -172,10 +233,12 @@
 void GroupExchange::tick(Instant now, RankState &own, const std::optional<OwnerCommand> &command,
                          Messages &messages)
 {
+    this->followGroup(own.engine);
     this->updateMode(now, own);
     own.isHub = this->isHub();
     own.countsPeriod = this->countsPeriod();
     this->sendState(now, own, messages);
+    this->sendReplies(now, messages);
     if (command)
         this->sendCommand(now, *command, messages);
     this->sendCounts(now, own, messages);
@@ -199,13 +262,35 @@
     }
     if (this->isHub())
         state->experts.clear();
-    std::set<std::string> addresses = this->peers;
+    std::set<std::string> addresses;
+    for (auto &[address, peer] : this->peers) {
+        if (peer.isOfOtherGroup)
+            continue;
+        addresses.insert(address);
+        peer.nextReplyAt = now + ReplyPeriod;
+    }
     for (const auto &[rank, row] : this->rows)
         addresses.insert(row.state.address);
     for (const std::string &address : addresses)
         messages.push_back({address, state});
 }
 
+void GroupExchange::sendReplies(Instant now, Messages &messages)
+{
+    std::shared_ptr<RankState> reply;
+    for (auto &[address, peer] : this->peers) {
+        if (!peer.awaitsReply)
+            continue;
+        peer.awaitsReply = false;
+        peer.nextReplyAt = now + ReplyPeriod;
+        if (reply == nullptr) {
+            reply = std::make_shared<RankState>(*this->sentState);
+            reply->experts.clear();
+        }
+        messages.push_back({address, reply});
+    }
+}
+
 void GroupExchange::shareCommand(const OwnerCommand &command)
 {
     if (this->wholeCommand != nullptr && this->wholeCommand->phase == command.phase
--- a/Source/Experts/GroupExchange.h
+++ b/Source/Experts/GroupExchange.h
@@ -24,6 +24,10 @@
 /// its state to all others, which finds the next hub. Commands are repeated only to agents that
 /// have not confirmed them, and maps and counts keep to a rate, so that they leave room for the
 /// states.
+///
+/// The instance list does not tell the groups of a service apart. An agent that gets a state of
+/// another group ignores it, answers it once with its own and sends that agent nothing more, until
+/// the agent sends a state of this group.
 class GroupExchange
 {
 public:
@@ -52,13 +56,20 @@
     };
     using Messages = std::vector<Message>;
 
+    /// What became of a state that was received.
+    enum class Receipt {
+        New,          ///< newer than the known one of its rank
+        Outdated,     ///< not newer, or of an earlier agent of the own rank
+        OfOtherGroup, ///< of another group, or of this one at another size
+        Invalid       ///< its rank is not one of its group
+    };
+
     explicit GroupExchange(const Settings &settings) : settings(settings) {}
 
     /// Addresses of the agents that the instance list names.
-    void setPeers(std::set<std::string> addresses) { this->peers = std::move(addresses); }
+    void setPeers(const std::set<std::string> &addresses);
 
-    /// Returns whether the state is newer than the known one of its rank.
-    bool stateReceived(Instant now, const RankState &state);
+    Receipt stateReceived(Instant now, const RankState &state);
     void commandReceived(Instant now, const OwnerCommand &command);
     /// Newest sample of the own rank, which is sent when its turn comes.
     void countsSampled(ExpertCounts counts);
@@ -95,6 +106,21 @@
         Instant commandSentAt;
     };
 
+    /// An agent that the instance list names.
+    struct Peer
+    {
+        /// Its last state was of another group.
+        bool isOfOtherGroup = false;
+        /// The agent gets the own state again from then on, if it sends one of another group.
+        Instant nextReplyAt;
+        bool awaitsReply = false;
+    };
+
+    /// Forgets the ranks of the former group if the own engine is in another one now.
+    void followGroup(const EngineState &own);
+    /// The agent is in another group; its former rank, if any, is no longer in this one.
+    void noteOtherGroup(Instant now, const RankState &state);
+    static bool isNewer(Instant now, const RankState &state, const Row &known);
     void updateMode(Instant now, const RankState &own);
     std::chrono::milliseconds silenceLimit() const;
     /// Whether all lower ranks are known to have failed. One that this agent has not heard of may
@@ -103,13 +129,16 @@
     /// Since when the rank has been silent although this agent listened to it.
     Instant silentSince(std::uint32_t rank, const Row &row) const;
     void sendState(Instant now, const RankState &own, Messages &messages);
+    /// Answers agents of other groups.
+    void sendReplies(Instant now, Messages &messages);
     void sendCommand(Instant now, const OwnerCommand &command, Messages &messages);
     void shareCommand(const OwnerCommand &command);
     void sendCounts(Instant now, const RankState &own, Messages &messages);
     std::chrono::milliseconds countsPeriod() const;
 
     Settings settings;
-    std::set<std::string> peers;
+    std::map<std::string, Peer> peers;
+    std::optional<GroupIdentity> group;
     std::map<std::uint32_t, Row> rows;
     Mode mode = Mode::Mesh;
     std::uint32_t ownRank = 0;
--- a/Source/Experts/RankState.h
+++ b/Source/Experts/RankState.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Experts/GroupIdentity.h"
 #include "Experts/MapDelta.h"
 
 #include <chrono>
@@ -37,6 +38,11 @@
     /// Step that the group does not begin until this rank is released.
     std::optional<std::uint64_t> heldStep;
 
+    bool isOfGroup(const GroupIdentity &identity) const
+    {
+        return this->ranks == identity.ranks && this->group == identity.name;
+    }
+
     bool operator==(const EngineState &) const = default;
 };
 
--- a/Source/Experts/SwitchOwner.cpp
+++ b/Source/Experts/SwitchOwner.cpp
@@ -73,8 +73,18 @@
     return text.str();
 }
 
+void SwitchOwner::enterGroup(const GroupIdentity &identity)
+{
+    if (this->group == identity)
+        return;
+    *this = SwitchOwner(this->settings);
+    this->group = identity;
+}
+
 void SwitchOwner::report(Instant now, const RankState &state)
 {
+    if (!state.engine.isOfGroup(this->group) || state.engine.rank >= state.engine.ranks)
+        return;
     Rank &rank = this->ranks[state.engine.rank];
     const RankState &known = rank.state;
     if (std::make_pair(state.incarnation, state.sequence)
@@ -144,7 +154,7 @@
 void SwitchOwner::addCounts(const ExpertCounts &sample)
 {
     const std::size_t length = std::size_t(this->settings.layers) * this->settings.experts;
-    if (sample.counts.size() != length)
+    if (sample.counts.size() != length || sample.group != this->group.name)
         return;
     if (this->reported.empty())
         this->reported.assign(this->settings.layers,
--- a/Source/Experts/SwitchOwner.h
+++ b/Source/Experts/SwitchOwner.h
@@ -33,6 +33,9 @@
 
     explicit SwitchOwner(const Settings &settings);
 
+    /// Group of the own rank; a change of it drops what was known of the former one.
+    void enterGroup(const GroupIdentity &identity);
+    /// States and counts of other groups are ignored.
     void report(Instant now, const RankState &state);
     void addCounts(const ExpertCounts &sample);
 
@@ -76,6 +79,7 @@
     std::uint64_t chooseStep(Instant now) const;
 
     Settings settings;
+    GroupIdentity group;
     PlacementPlanner planner;
     ExpertLoad load;
     std::map<std::uint32_t, Rank> ranks;
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -45,6 +45,8 @@
 inline constexpr std::uint32_t LoopLate = 5041;
 inline constexpr std::uint32_t PeerSilent = 5042;
 inline constexpr std::uint32_t StoreRestored = 5043;
+inline constexpr std::uint32_t OtherGroupHeard = 5044;
+inline constexpr std::uint32_t RankStateInvalid = 5045;
 
 } // namespace RelayLog
 
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -356,6 +356,7 @@
     for (const std::uint64_t count : sample.counts)
         bytes.push_back(static_cast<std::uint8_t>((count + unit / 2) / unit));
     return toBytes({{"type", "counts"},
+                    {"g", sample.group},
                     {"r", sample.rank},
                     {"e", sample.epoch},
                     {"u", unit},
@@ -369,6 +370,7 @@
         if (!json.is_object() || json.at("type") != "counts")
             return std::nullopt;
         ExpertCounts sample;
+        json.at("g").get_to(sample.group);
         json.at("r").get_to(sample.rank);
         json.at("e").get_to(sample.epoch);
         const auto unit = json.at("u").get<std::uint64_t>();
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -32,6 +32,8 @@
 /// A planned stop waits for a map change in progress, which takes some tenths of a second.
 constexpr milliseconds StopTimeout{3000};
 constexpr std::size_t MaxMetricsConnections = 16;
+/// Other groups that an agent remembers as logged.
+constexpr std::size_t MaxLoggedGroups = 64;
 /// A map change begins above StartSkew and is planned to reach TargetSkew. The requests of a single
 /// step vary by more than the difference, and every change slows the steps while it copies; see
 /// docs/measurements/platform.md.
@@ -230,23 +232,43 @@
                 }
                 if (!report)
                     return;
+                if (report->rank >= report->ranks) {
+                    this->logInvalidRank(*report, this->options.engineAddress);
+                    return;
+                }
                 const auto &before = this->rankSwitch->engine();
                 if (!before || before->epoch != report->epoch
-                    || before->mapVersion != report->mapVersion || before->rank != report->rank) {
-                    this->expertsKnown = false;
-                    this->state.experts.clear();
-                    this->log(RelayLog::MapInUse,
-                              "group=" + report->group + " epoch=" + std::to_string(report->epoch)
-                                      + " rank=" + std::to_string(report->rank)
-                                      + " open=" + std::to_string(report->isOpen)
-                                      + " version=" + std::to_string(report->mapVersion)
-                                      + " step=" + std::to_string(report->step));
-                }
+                    || before->mapVersion != report->mapVersion || before->rank != report->rank
+                    || !report->isOfGroup({before->group, before->ranks}))
+                    this->engineChanged(*report);
                 this->rankSwitch->engineReported(*report);
                 this->sendNextCommand();
             });
 }
 
+void RankAgent::engineChanged(const EngineState &engine)
+{
+    this->expertsKnown = false;
+    this->state.experts.clear();
+    if (const auto &before = this->rankSwitch->engine();
+        before && !engine.isOfGroup({before->group, before->ranks})) {
+        this->takeovers.clear();
+        this->lastCounts.clear();
+    }
+    this->log(RelayLog::MapInUse, "group=" + engine.group + " epoch=" + std::to_string(engine.epoch)
+                                          + " rank=" + std::to_string(engine.rank)
+                                          + " open=" + std::to_string(engine.isOpen)
+                                          + " version=" + std::to_string(engine.mapVersion)
+                                          + " step=" + std::to_string(engine.step));
+}
+
+void RankAgent::logInvalidRank(const EngineState &engine, const std::string &from)
+{
+    this->log(RelayLog::RankStateInvalid,
+              "group=" + engine.group + " rank=" + std::to_string(engine.rank)
+                      + " ranks=" + std::to_string(engine.ranks) + " from=" + from);
+}
+
 void RankAgent::readCounts()
 {
     this->nextCountsAt = this->loop.now() + CountsPeriod;
@@ -257,6 +279,7 @@
                           if (!counts || !this->rankSwitch->engine())
                               return;
                           ExpertCounts sample;
+                          sample.group = this->rankSwitch->engine()->group;
                           sample.rank = this->rank();
                           sample.epoch = this->rankSwitch->engine()->epoch;
                           // The engine resets its counts when it starts.
@@ -370,10 +393,13 @@
                               const auto found = this->takeovers.find(rank);
                               const auto report = status == 200 ? this->protocol.readReport(body)
                                                                 : std::nullopt;
-                              if (found == this->takeovers.end() || !report || report->rank != rank)
+                              const RankState *known = this->exchange.find(rank);
+                              if (found == this->takeovers.end() || !report || known == nullptr
+                                  || report->rank != rank
+                                  || !report->isOfGroup({known->engine.group, known->engine.ranks}))
                                   return;
                               found->second.rankSwitch.engineReported(*report);
-                              RankState seen = *this->exchange.find(rank);
+                              RankState seen = *known;
                               seen.engine = *report;
                               this->exchange.stateReadForPeer(seen);
                               this->rankSwitch->peerReported(seen);
@@ -418,6 +444,7 @@
     RankState own = this->state;
     this->rankSwitch->describe(own);
     own.sequence = ++this->ownReports;
+    this->owner->enterGroup({own.engine.group, own.engine.ranks});
     this->owner->report(now, own);
     this->state.wantsExperts = this->owner->wantsExperts();
     const auto command = this->owner->tick(now, this->rank());
@@ -463,18 +490,7 @@
     this->traffic.receivedBytes += bytes.size();
     const Instant now = this->loop.now();
     if (const auto state = decodeRankState(bytes)) {
-        const RankState *known = this->exchange.find(state->engine.rank);
-        if (known != nullptr && known->incarnation == state->incarnation
-            && known->sequence < state->sequence)
-            this->traffic.missedStates += state->sequence - known->sequence - 1;
-        if (!this->exchange.stateReceived(now, *state))
-            return;
-        this->rankSwitch->peerReported(*state);
-        if (this->owner != nullptr)
-            this->owner->report(now, *state);
-        // The next command is sent without waiting for the next tick: the shorter a step is held,
-        // the lower the risk that an agent pauses meanwhile.
-        this->sendNextCommand();
+        this->handleState(now, *state);
         return;
     }
     if (const auto command = decodeOwnerCommand(bytes)) {
@@ -491,4 +507,37 @@
     this->metrics.add("nutmegrill_reports_unreadable_total", {});
 }
 
+void RankAgent::handleState(Instant now, const RankState &state)
+{
+    const RankState *known = this->exchange.find(state.engine.rank);
+    const bool follows = known != nullptr && known->incarnation == state.incarnation
+                         && known->sequence < state.sequence;
+    const std::uint64_t missed = follows ? state.sequence - known->sequence - 1 : 0;
+    switch (this->exchange.stateReceived(now, state)) {
+    case GroupExchange::Receipt::Outdated:
+        return;
+    case GroupExchange::Receipt::Invalid:
+        this->logInvalidRank(state.engine, state.address);
+        return;
+    case GroupExchange::Receipt::OfOtherGroup:
+        if (this->loggedGroups.size() < MaxLoggedGroups
+            && this->loggedGroups
+                       .insert(state.engine.group + "/" + std::to_string(state.engine.ranks))
+                       .second)
+            this->log(RelayLog::OtherGroupHeard,
+                      "group=" + state.engine.group + " ranks=" + std::to_string(state.engine.ranks)
+                              + " from=" + state.address);
+        return;
+    case GroupExchange::Receipt::New:
+        break;
+    }
+    this->traffic.missedStates += missed;
+    this->rankSwitch->peerReported(state);
+    if (this->owner != nullptr)
+        this->owner->report(now, state);
+    // The next command is sent without waiting for the next tick: the shorter a step is held, the
+    // lower the risk that an agent pauses meanwhile.
+    this->sendNextCommand();
+}
+
 } // namespace Nutmegrill
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -84,15 +84,19 @@
     void readPeers();
     void tick();
     void readReport();
+    /// The engine reports a rank of another group, or a changed one, or a new map.
+    void engineChanged(const EngineState &engine);
     void readCounts();
     void readExperts();
     void sendNextCommand();
     void takeOverSilentRanks();
     void driveTakeover(std::uint32_t rank, Takeover &takeover);
+    void logInvalidRank(const EngineState &engine, const std::string &from);
     void logCommand(const EngineCommand &command, std::uint32_t rank, int status);
     void exchangeStates();
     std::optional<OwnerCommand> tickOwner();
     void handleDatagram(std::string_view bytes);
+    void handleState(Instant now, const RankState &state);
     std::string encode(const GroupExchange::Message::Body &body);
     std::uint32_t rank() const;
     void log(std::uint32_t number, const std::string &text);
@@ -106,6 +110,8 @@
     HttpListener metricsListener;
     DatagramSocket peerSocket;
     std::set<std::string> peerAddresses;
+    /// Other groups that were logged.
+    std::set<std::string> loggedGroups;
     GroupExchange exchange;
     /// The last commands that were encoded, with a whole map and with a difference, and their
     /// bytes: a map goes to many ranks.
--- a/Tests/Experts/SwitchWorld.cpp
+++ b/Tests/Experts/SwitchWorld.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <numeric>
 #include <utility>
 
@@ -31,31 +32,89 @@
 
 SwitchWorld::SwitchWorld(std::uint32_t ranks, std::uint64_t seed, const Faults &faults,
                          RankSwitch::SafetyRules rules, const Scale &scale)
-    : ranks(ranks), random(seed), faults(faults), rules(rules), scale(scale),
-      network(ranks, scale.links), demand(scale.layers), engines(ranks), agents(ranks)
+    : random(seed), faults(faults), rules(rules), scale(scale),
+      network(std::accumulate(scale.otherGroups.begin(), scale.otherGroups.end(), ranks),
+              scale.links)
 {
-    this->shiftDemand();
+    std::vector<std::uint32_t> sizes{ranks};
+    sizes.insert(sizes.end(), scale.otherGroups.begin(), scale.otherGroups.end());
+    for (const std::uint32_t size : sizes) {
+        Group &group = this->groups.emplace_back();
+        group.name = "g" + std::to_string(this->groups.size());
+        group.demand.resize(scale.layers);
+        this->shiftDemand(group);
+        for (std::uint32_t rank = 0; rank < size; ++rank)
+            group.members.push_back(static_cast<std::uint32_t>(this->engines.size()) + rank);
+        this->engines.resize(this->engines.size() + size);
+        this->formGroup(group);
+    }
+    this->agents.resize(this->engines.size());
+    for (std::uint32_t server = 0; server < this->engines.size(); ++server)
+        this->startAgent(server);
+}
+
+void SwitchWorld::formGroup(Group &group)
+{
+    const auto ranks = static_cast<std::uint32_t>(group.members.size());
     for (std::uint32_t rank = 0; rank < ranks; ++rank) {
-        Engine &engine = this->engines[rank];
+        Engine &engine = this->engines[group.members[rank]];
+        engine = {};
         EngineState &state = engine.state;
-        state.group = "g";
-        state.epoch = 1;
+        state.group = group.name;
+        state.epoch = group.epoch;
         state.rank = rank;
         state.ranks = ranks;
         state.isOpen = true;
-        engine.counts.assign(std::size_t(scale.layers) * scale.experts, 0);
-        engine.map.assign(scale.layers, Slots::value_type(ranks));
+        state.step = group.step;
+        engine.counts.assign(std::size_t(this->scale.layers) * this->scale.experts, 0);
+        engine.map.assign(this->scale.layers, Slots::value_type(ranks));
         for (auto &layer : engine.map) {
-            for (std::uint32_t expert = 0; expert < scale.experts; ++expert)
+            for (std::uint32_t expert = 0; expert < this->scale.experts; ++expert)
                 layer[expert % ranks].push_back(expert);
         }
-        this->startAgent(rank);
     }
 }
 
-void SwitchWorld::startAgent(std::uint32_t rank)
+SwitchWorld::Group &SwitchWorld::groupOf(std::uint32_t server)
+{
+    return *std::find_if(this->groups.begin(), this->groups.end(), [&](const Group &group) {
+        return group.name == this->engines[server].state.group;
+    });
+}
+
+void SwitchWorld::delayGroup(std::uint32_t group)
+{
+    this->groups[group].isFounded = false;
+}
+
+void SwitchWorld::foundGroup(std::uint32_t group)
+{
+    this->groups[group].isFounded = true;
+}
+
+void SwitchWorld::moveServer(std::uint32_t from, std::uint32_t to)
+{
+    this->groups[to].members.push_back(this->groups[from].members.back());
+    this->groups[from].members.pop_back();
+    for (const std::uint32_t changed : {from, to}) {
+        ++this->groups[changed].epoch;
+        this->formGroup(this->groups[changed]);
+    }
+}
+
+void SwitchWorld::repeatMessages(std::uint32_t from, std::uint32_t to)
+{
+    for (const std::uint32_t sender : this->groups[from].members) {
+        for (const auto &[kind, body] : this->agents[sender].sent) {
+            for (const std::uint32_t receiver : this->groups[to].members)
+                this->messages.emplace(this->now, Message{receiver, body});
+        }
+    }
+}
+
+void SwitchWorld::startAgent(std::uint32_t server)
 {
-    Agent &agent = this->agents[rank];
+    Agent &agent = this->agents[server];
     agent.rankSwitch = std::make_unique<RankSwitch>(this->rules);
     SwitchOwner::Settings settings;
     settings.layers = this->scale.layers;
@@ -70,24 +129,25 @@
     agent.owner = std::make_unique<SwitchOwner>(settings);
     agent.state = {};
     agent.state.incarnation = ++this->incarnations;
-    agent.state.address = std::to_string(rank);
+    agent.state.address = std::to_string(server);
     agent.lastCounts.clear();
     agent.ownReports = 0;
     const std::uint64_t linkRate =
             this->scale.links.bytesPerSecond == 0 ? 1000000 : this->scale.links.bytesPerSecond;
     agent.exchange = std::make_unique<GroupExchange>(GroupExchange::Settings::forLink(linkRate));
     std::set<std::string> addresses;
-    for (std::uint32_t other = 0; other < this->ranks; ++other) {
-        if (other != rank)
+    for (std::uint32_t other = 0; other < this->engines.size(); ++other) {
+        if (other != server)
             addresses.insert(std::to_string(other));
     }
     agent.exchange->setPeers(std::move(addresses));
 }
 
-EngineCommandResult SwitchWorld::execute(std::uint32_t rank, const EngineCommand &engineCommand)
+EngineCommandResult SwitchWorld::execute(std::uint32_t server, const EngineCommand &engineCommand)
 {
-    Engine &engine = this->engines[rank];
+    Engine &engine = this->engines[server];
     EngineState &state = engine.state;
+    const std::uint64_t currentStep = this->groupOf(server).step;
     if (engineCommand.epoch != state.epoch)
         return EngineCommandResult::Refused;
     switch (engineCommand.kind) {
@@ -102,13 +162,13 @@
         this->finishLoading();
         return EngineCommandResult::Accepted;
     case EngineCommand::Kind::Hold:
-        if (engineCommand.change.step <= this->currentStep)
+        if (engineCommand.change.step <= currentStep)
             return EngineCommandResult::Refused;
         state.heldStep = engineCommand.change.step;
         return EngineCommandResult::Accepted;
     case EngineCommand::Kind::Arm:
         if (state.preparedVersion != engineCommand.change.version
-            || engineCommand.change.step <= this->currentStep)
+            || engineCommand.change.step <= currentStep)
             return EngineCommandResult::Refused;
         state.armed = engineCommand.change;
         return EngineCommandResult::Accepted;
@@ -130,20 +190,23 @@
     }
 }
 
-std::string SwitchWorld::advanceStep()
+std::string SwitchWorld::advanceStep(Group &group)
 {
-    if (this->now < this->nextStepAt)
+    if (this->now < group.nextStepAt || !group.isFounded)
         return {};
-    const std::uint64_t next = this->currentStep + 1;
+    const std::uint64_t next = group.step + 1;
+    const auto index = static_cast<std::uint32_t>(&group - this->groups.data());
     const bool isHeld =
-            std::any_of(this->engines.begin(), this->engines.end(),
-                        [&](const Engine &engine) { return engine.state.heldStep == next; });
+            std::any_of(group.members.begin(), group.members.end(), [&](std::uint32_t server) {
+                return this->engines[server].state.heldStep == next;
+            });
     if (isHeld)
         return {};
-    this->nextStepAt = this->now + StepTime;
-    this->currentStep = next;
-    const std::uint64_t before = this->lowestMap();
-    for (Engine &engine : this->engines) {
+    group.nextStepAt = this->now + StepTime;
+    group.step = next;
+    const std::uint64_t before = this->lowestMap(index);
+    for (const std::uint32_t server : group.members) {
+        Engine &engine = this->engines[server];
         engine.state.step = next;
         if (engine.state.armed && engine.state.armed->step == next) {
             engine.state.mapVersion = engine.state.armed->version;
@@ -152,22 +215,24 @@
             engine.map = std::exchange(engine.prepared, {});
         }
     }
-    const Engine &first = this->engines.front();
-    for (const Engine &engine : this->engines) {
+    const Engine &first = this->engines[group.members.front()];
+    for (const std::uint32_t server : group.members) {
+        const Engine &engine = this->engines[server];
         if (engine.state.mapVersion != first.state.mapVersion || engine.map != first.map)
-            return "step " + std::to_string(next) + " began with maps "
+            return group.name + ": step " + std::to_string(next) + " began with maps "
                    + std::to_string(first.state.mapVersion) + " and "
                    + std::to_string(engine.state.mapVersion);
     }
-    this->changes += this->lowestMap() > before ? 1 : 0;
-    this->skewSum += this->skewOfStep();
-    ++this->measuredSteps;
+    group.changes += this->lowestMap(index) > before ? 1 : 0;
+    group.skewSum += this->skewOfStep(group);
+    ++group.measuredSteps;
     if (this->random.below(this->scale.stepsPerShift) == 0)
-        this->shiftDemand();
-    for (Engine &engine : this->engines) {
+        this->shiftDemand(group);
+    for (const std::uint32_t server : group.members) {
+        Engine &engine = this->engines[server];
         for (std::uint32_t layer = 0; layer < this->scale.layers; ++layer) {
             for (std::uint32_t expert = 0; expert < this->scale.experts; ++expert) {
-                const double chosen = this->demand[layer][expert] * TokensPerStep;
+                const double chosen = group.demand[layer][expert] * TokensPerStep;
                 // Rounds up with the probability of the fraction.
                 engine.counts[std::size_t(layer) * this->scale.experts + expert] +=
                         static_cast<std::uint64_t>(chosen + this->random.unit());
@@ -177,9 +242,9 @@
     return {};
 }
 
-void SwitchWorld::shiftDemand()
+void SwitchWorld::shiftDemand(Group &group)
 {
-    for (auto &layer : this->demand) {
+    for (auto &layer : group.demand) {
         layer.assign(this->scale.experts, 0);
         const std::uint32_t hotExperts = 1 + this->scale.experts / 20;
         for (double &share : layer)
@@ -189,30 +254,30 @@
     }
 }
 
-double SwitchWorld::skewOfStep() const
+double SwitchWorld::skewOfStep(const Group &group) const
 {
     ExpertMap map;
-    map.slots = this->engines.front().map;
-    return PlacementPlanner::skew(map, this->demand);
+    map.slots = this->engines[group.members.front()].map;
+    return PlacementPlanner::skew(map, group.demand);
 }
 
-double SwitchWorld::meanSkew() const
+double SwitchWorld::meanSkew(std::uint32_t group) const
 {
-    return this->skewSum / static_cast<double>(this->measuredSteps);
+    return this->groups[group].skewSum / static_cast<double>(this->groups[group].measuredSteps);
 }
 
-std::uint64_t SwitchWorld::lowestMap() const
+std::uint64_t SwitchWorld::lowestMap(std::uint32_t group) const
 {
-    return std::min_element(this->engines.begin(), this->engines.end(),
-                            [](const Engine &left, const Engine &right) {
-                                return left.state.mapVersion < right.state.mapVersion;
-                            })
-            ->state.mapVersion;
+    std::uint64_t lowest = std::numeric_limits<std::uint64_t>::max();
+    for (const std::uint32_t server : this->groups[group].members)
+        lowest = std::min(lowest, this->engines[server].state.mapVersion);
+    return lowest;
 }
 
 void SwitchWorld::post(std::uint32_t from, const GroupExchange::Message &message)
 {
     const auto to = static_cast<std::uint32_t>(std::stoul(message.address));
+    this->agents[from].sent.insert_or_assign(message.body.index(), message.body);
     if (to == from || this->random.unit() < this->faults.lostMessages)
         return;
     std::size_t bytes = 0;
@@ -228,15 +293,22 @@
                                Message{to, message.body});
 }
 
-void SwitchWorld::exchangeStates(std::uint32_t rank)
+void SwitchWorld::exchangeStates(std::uint32_t server)
 {
-    Agent &agent = this->agents[rank];
+    Agent &agent = this->agents[server];
     agent.rankSwitch->describe(agent.state);
     agent.state.experts.clear();
-    for (const auto &layer : this->engines[rank].map)
-        agent.state.experts.push_back(layer[rank]);
+    const EngineState &engine = this->engines[server].state;
+    const std::uint32_t rank = agent.rankSwitch->engine()->rank;
+    // The agent reads the experts after the report that names the group.
+    if (agent.rankSwitch->engine()->group == engine.group
+        && agent.rankSwitch->engine()->epoch == engine.epoch) {
+        for (const auto &layer : this->engines[server].map)
+            agent.state.experts.push_back(layer[rank]);
+    }
     RankState own = agent.state;
     own.sequence = ++agent.ownReports;
+    agent.owner->enterGroup({own.engine.group, own.engine.ranks});
     agent.owner->report(this->now, own);
     agent.state.wantsExperts = agent.owner->wantsExperts();
     const auto command = agent.owner->tick(this->now, rank);
@@ -246,52 +318,53 @@
     GroupExchange::Messages out;
     agent.exchange->tick(this->now, agent.state, command, out);
     for (const GroupExchange::Message &message : out)
-        this->post(rank, message);
+        this->post(server, message);
 }
 
-void SwitchWorld::sampleCounts(std::uint32_t rank)
+void SwitchWorld::sampleCounts(std::uint32_t server)
 {
-    Agent &agent = this->agents[rank];
-    const std::vector<std::uint64_t> &counts = this->engines[rank].counts;
+    Agent &agent = this->agents[server];
+    const std::vector<std::uint64_t> &counts = this->engines[server].counts;
     if (this->now < agent.nextCountsAt)
         return;
     agent.nextCountsAt = this->now + CountsPeriod;
     ExpertCounts sample;
-    sample.rank = rank;
-    sample.epoch = this->engines[rank].state.epoch;
+    sample.group = agent.rankSwitch->engine()->group;
+    sample.rank = agent.rankSwitch->engine()->rank;
+    sample.epoch = agent.rankSwitch->engine()->epoch;
     for (std::size_t index = 0; index < agent.lastCounts.size(); ++index)
-        sample.counts.push_back(counts[index] - agent.lastCounts[index]);
+        sample.counts.push_back(counts[index] - std::min(counts[index], agent.lastCounts[index]));
     agent.lastCounts = counts;
     if (agent.exchange->isHub())
         agent.owner->addCounts(sample);
     agent.exchange->countsSampled(std::move(sample));
 }
 
-void SwitchWorld::receive(std::uint32_t rank, const RankState &state)
+void SwitchWorld::receive(std::uint32_t server, const RankState &state)
 {
-    Agent &agent = this->agents[rank];
-    if (!agent.exchange->stateReceived(this->now, state))
+    Agent &agent = this->agents[server];
+    if (agent.exchange->stateReceived(this->now, state) != GroupExchange::Receipt::New)
         return;
     agent.rankSwitch->peerReported(state);
     agent.owner->report(this->now, state);
 }
 
-void SwitchWorld::receive(std::uint32_t rank, const OwnerCommand &command)
+void SwitchWorld::receive(std::uint32_t server, const OwnerCommand &command)
 {
-    this->agents[rank].exchange->commandReceived(this->now, command);
-    this->agents[rank].rankSwitch->ownerCommanded(command);
+    this->agents[server].exchange->commandReceived(this->now, command);
+    this->agents[server].rankSwitch->ownerCommanded(command);
 }
 
-void SwitchWorld::receive(std::uint32_t rank, const ExpertCounts &counts)
+void SwitchWorld::receive(std::uint32_t server, const ExpertCounts &counts)
 {
-    this->agents[rank].owner->addCounts(counts);
+    this->agents[server].owner->addCounts(counts);
 }
 
 void SwitchWorld::deliver()
 {
     for (const LateCommand &late : this->lateCommands) {
         if (late.due <= this->now)
-            this->execute(late.rank, late.order);
+            this->execute(late.server, late.order);
     }
     std::erase_if(this->lateCommands,
                   [this](const LateCommand &late) { return late.due <= this->now; });
@@ -304,37 +377,37 @@
     }
 }
 
-void SwitchWorld::runAgent(std::uint32_t rank)
+void SwitchWorld::runAgent(std::uint32_t server)
 {
-    Agent &agent = this->agents[rank];
-    if (this->now < agent.pausedUntil)
+    Agent &agent = this->agents[server];
+    if (this->now < agent.pausedUntil || !this->groupOf(server).isFounded)
         return;
     if (this->faults.pauses && this->random.below(600) == 0) {
         agent.pausedUntil = this->now + milliseconds(200 + this->random.below(2000));
         return;
     }
     if (this->faults.restarts && this->random.below(900) == 0) {
-        this->startAgent(rank);
+        this->startAgent(server);
         agent.pausedUntil = this->now + milliseconds(300);
         return;
     }
     if (this->now >= agent.nextReportAt) {
         agent.nextReportAt = this->now + (agent.rankSwitch->isBusy() ? Tick : 5 * Tick);
-        agent.rankSwitch->engineReported(this->engines[rank].state);
+        agent.rankSwitch->engineReported(this->engines[server].state);
     }
     if (const auto engineCommand = agent.rankSwitch->nextCommand(this->now)) {
         if (this->random.unit() < this->faults.lateCommands) {
             this->lateCommands.push_back({this->now + milliseconds(100 + this->random.below(6000)),
-                                          rank, *engineCommand});
+                                          server, *engineCommand});
             agent.rankSwitch->commandAnswered(this->now, *engineCommand,
                                               EngineCommandResult::Unknown);
         } else {
             agent.rankSwitch->commandAnswered(this->now, *engineCommand,
-                                              this->execute(rank, *engineCommand));
+                                              this->execute(server, *engineCommand));
         }
     }
-    this->sampleCounts(rank);
-    this->exchangeStates(rank);
+    this->sampleCounts(server);
+    this->exchangeStates(server);
 }
 
 std::string SwitchWorld::run(milliseconds span)
@@ -342,10 +415,12 @@
     for (const Instant end = this->now + span; this->now < end; this->now += Tick) {
         this->deliver();
         this->finishLoading();
-        for (std::uint32_t rank = 0; rank < this->ranks; ++rank)
-            this->runAgent(rank);
-        if (const std::string violation = this->advanceStep(); !violation.empty())
-            return violation;
+        for (std::uint32_t server = 0; server < this->agents.size(); ++server)
+            this->runAgent(server);
+        for (Group &group : this->groups) {
+            if (const std::string violation = this->advanceStep(group); !violation.empty())
+                return violation;
+        }
     }
     return {};
 }
--- a/Tests/Experts/SwitchWorld.h
+++ b/Tests/Experts/SwitchWorld.h
@@ -15,9 +15,11 @@
 
 namespace Nutmegrill {
 
-/// Simulates a group of engines that switch maps by themselves, their agents and the messages
-/// between them on a virtual clock. Faults: commands lose their answers and are executed late,
-/// messages are lost or delayed, agents pause and restart.
+/// Simulates one or more groups of engines of a service, which switch maps by themselves, their
+/// agents and the messages between them on a virtual clock. Servers and agents are numbered over
+/// all groups; each agent knows the addresses of all others, whatever their group. Faults: commands
+/// lose their answers and are executed late, messages are lost or delayed, agents pause and
+/// restart.
 class SwitchWorld
 {
 public:
@@ -44,6 +46,8 @@
         /// Mean steps between two shifts of demand.
         std::uint32_t stepsPerShift = 40;
         SimulatedLinks::Limits links;
+        /// Ranks of the groups beside the first one.
+        std::vector<std::uint32_t> otherGroups;
     };
 
     SwitchWorld(std::uint32_t ranks, std::uint64_t seed, const Faults &faults,
@@ -57,12 +61,25 @@
     /// Stops all faults, so that an open change can end.
     void stopFaults();
 
-    std::uint64_t step() const { return this->currentStep; }
-    std::uint64_t lowestMap() const;
-    std::uint64_t completedChanges() const { return this->changes; }
+    /// The group stands still, and its engines report nothing, until it is founded.
+    void delayGroup(std::uint32_t group);
+    void foundGroup(std::uint32_t group);
+    /// The last rank of a group starts again as the last rank of another one. Both groups form
+    /// again; the agents keep running.
+    void moveServer(std::uint32_t from, std::uint32_t to);
+    /// Sends again the newest messages of each kind of the agents of one group to all agents of
+    /// another.
+    void repeatMessages(std::uint32_t from, std::uint32_t to);
+
+    std::uint64_t step(std::uint32_t group = 0) const { return this->groups[group].step; }
+    std::uint64_t lowestMap(std::uint32_t group = 0) const;
+    std::uint64_t completedChanges(std::uint32_t group = 0) const
+    {
+        return this->groups[group].changes;
+    }
     const SimulatedLinks &links() const { return this->network; }
     /// Mean over the steps so far of the most loaded rank over the mean of all ranks.
-    double meanSkew() const;
+    double meanSkew(std::uint32_t group = 0) const;
 
 private:
     using Slots = std::vector<std::vector<std::vector<std::uint32_t>>>;
@@ -79,10 +96,26 @@
         std::vector<std::uint64_t> counts;
     };
 
+    struct Group
+    {
+        std::string name;
+        /// Numbers of the servers, by rank.
+        std::vector<std::uint32_t> members;
+        bool isFounded = true;
+        std::uint64_t epoch = 1;
+        std::uint64_t step = 0;
+        Instant nextStepAt{std::chrono::seconds(10)};
+        std::uint64_t changes = 0;
+        /// Share of the tokens that choose each expert, by layer.
+        std::vector<std::vector<double>> demand;
+        double skewSum = 0;
+        std::uint64_t measuredSteps = 0;
+    };
+
     struct LateCommand
     {
         Instant due;
-        std::uint32_t rank = 0;
+        std::uint32_t server = 0;
         EngineCommand order;
     };
 
@@ -103,38 +136,35 @@
         Instant nextCountsAt;
         std::vector<std::uint64_t> lastCounts;
         std::uint64_t ownReports = 0;
+        /// The newest message of each kind.
+        std::map<std::size_t, GroupExchange::Message::Body> sent;
     };
 
-    EngineCommandResult execute(std::uint32_t rank, const EngineCommand &engineCommand);
-    void startAgent(std::uint32_t rank);
-    void runAgent(std::uint32_t rank);
-    void exchangeStates(std::uint32_t rank);
-    void sampleCounts(std::uint32_t rank);
+    EngineCommandResult execute(std::uint32_t server, const EngineCommand &engineCommand);
+    void formGroup(Group &group);
+    void startAgent(std::uint32_t server);
+    void runAgent(std::uint32_t server);
+    void exchangeStates(std::uint32_t server);
+    void sampleCounts(std::uint32_t server);
     void post(std::uint32_t from, const GroupExchange::Message &message);
-    void receive(std::uint32_t rank, const RankState &state);
-    void receive(std::uint32_t rank, const OwnerCommand &command);
-    void receive(std::uint32_t rank, const ExpertCounts &counts);
+    void receive(std::uint32_t server, const RankState &state);
+    void receive(std::uint32_t server, const OwnerCommand &command);
+    void receive(std::uint32_t server, const ExpertCounts &counts);
     void deliver();
     void finishLoading();
-    double skewOfStep() const;
-    std::string advanceStep();
-    void shiftDemand();
+    Group &groupOf(std::uint32_t server);
+    double skewOfStep(const Group &group) const;
+    std::string advanceStep(Group &group);
+    void shiftDemand(Group &group);
 
-    std::uint32_t ranks;
     RandomSource random;
     Faults faults;
     RankSwitch::SafetyRules rules;
     Instant now{std::chrono::seconds(10)};
-    Instant nextStepAt{std::chrono::seconds(10)};
-    std::uint64_t currentStep = 0;
-    std::uint64_t changes = 0;
     std::uint64_t incarnations = 0;
     Scale scale;
+    std::vector<Group> groups;
     SimulatedLinks network;
-    /// Share of the tokens that choose each expert, by layer.
-    std::vector<std::vector<double>> demand;
-    double skewSum = 0;
-    std::uint64_t measuredSteps = 0;
     std::vector<Engine> engines;
     std::vector<Agent> agents;
     std::vector<LateCommand> lateCommands;
