Keep circuit breaker, pauses and stalls by model group at the entries

Cause: an entry knew services only. The ranks of a group that turns requests away or stands still look idle and draw all requests, while the other group keeps the circuit breaker of the service closed; long pauses of one group limited both.

Change: an entry asks the agent of each model server once per start for its group. Circuit breaker, limit by pauses, activity and stalls are kept by group (ServingUnit). Placing weighs a load with the square of the group's pauses and puts stalled groups last.

--- a/Source/Relay/Attempt.h
+++ b/Source/Relay/Attempt.h
@@ -14,6 +14,8 @@
 {
     RelayCommand::AttemptId id = 0;
     std::string backend;
+    /// Name of the unit of the backend server, see ServingUnit.
+    std::string unit;
     /// Start of the backend server to which the request was sent.
     std::uint64_t incarnation = 0;
     Instant sentAt;
--- a/Source/Relay/BackendRoster.cpp
+++ b/Source/Relay/BackendRoster.cpp
@@ -24,6 +24,7 @@
     if (found == this->table.end()) {
         Row row;
         row.record = record;
+        row.unit = record.service;
         row.coldUntil = now + record.coldLeft;
         this->table.emplace(record.id, row);
         return true;
@@ -36,6 +37,11 @@
         row.health = {};
         row.saysItLeaves = false;
     }
+    if (restarted || row.record.service != record.service) {
+        row.unit = record.service;
+        row.isGroupKnown = false;
+        row.nextGroupQueryAt = now;
+    }
     if (row.record.coldLeft != record.coldLeft || restarted)
         row.coldUntil = now + record.coldLeft;
     row.record = record;
@@ -64,6 +70,18 @@
     row->usableUntil = mayHaveExpired ? *this->storeReturnedAt + ReregistrationTime : now;
 }
 
+void BackendRoster::recordGroup(const std::string &address, const std::string &group,
+                                Instant nextQueryAt)
+{
+    for (auto &[id, row] : this->table) {
+        if (row.record.address != address || this->isSuperseded(row))
+            continue;
+        row.unit = row.record.service + "/" + group;
+        row.isGroupKnown = true;
+        row.nextGroupQueryAt = nextQueryAt;
+    }
+}
+
 void BackendRoster::storeReturned(Instant now)
 {
     this->storeReturnedAt = std::max(this->storeReturnedAt.value_or(now), now);
--- a/Source/Relay/BackendRoster.h
+++ b/Source/Relay/BackendRoster.h
@@ -20,6 +20,11 @@
     struct Row
     {
         BackendRecord record;
+        /// Name of the serving unit: the service, or one of its model groups.
+        std::string unit;
+        /// Whether the model group of this start is known, and when its agent is next asked for it.
+        bool isGroupKnown = false;
+        Instant nextGroupQueryAt;
         Instant coldUntil;
         BackendHealth health;
         /// An answer said that this start of the backend server leaves; the list may say so later.
@@ -63,10 +68,15 @@
     /// Deletes removed rows after their retention time.
     void tick(Instant now);
 
+    /// The backend server at that address is a rank of the group; its agent is asked again at \a
+    /// nextQueryAt.
+    void recordGroup(const std::string &address, const std::string &group, Instant nextQueryAt);
+
     /// A start of a backend server leaves. Returns whether that is new.
     bool recordLeaving(const std::string &id, std::uint64_t incarnation);
 
     const Rows &rows() const { return this->table; }
+    Rows &rows() { return this->table; }
     Row *find(const std::string &id);
 
     /// Whether a backend server with a later start has the same address, so that this row is stale.
--- a/Source/Relay/ConcurrencyLimit.cpp
+++ b/Source/Relay/ConcurrencyLimit.cpp
@@ -20,6 +20,7 @@
 constexpr double IncreaseStep = 0.06;
 /// With fewer than about a third of its slots in use, the fixed cost of a group's steps dominates.
 constexpr double MinShare = 0.35;
+constexpr double MinPace = 0.3;
 
 } // namespace
 
@@ -41,6 +42,11 @@
         this->slotShare = std::min(this->slotShare + IncreaseStep, 1.0);
 }
 
+double ConcurrencyLimit::pace() const
+{
+    return std::max(this->pauseRatio, MinPace);
+}
+
 std::uint32_t ConcurrencyLimit::limit(std::uint32_t slots) const
 {
     return std::max(1U, static_cast<std::uint32_t>(std::lround(this->slotShare * slots)));
--- a/Source/Relay/ConcurrencyLimit.h
+++ b/Source/Relay/ConcurrencyLimit.h
@@ -23,6 +23,10 @@
     /// Concurrent requests allowed at a backend server with \a slots.
     std::uint32_t limit(std::uint32_t slots) const;
 
+    /// Smoothed pauses between events relative to their target; not below a minimum, since short
+    /// pauses do not tell the groups apart.
+    double pace() const;
+
 private:
     /// Smoothed ratio of pause to target.
     double pauseRatio = 0;
--- a/Source/Relay/Placement.cpp
+++ b/Source/Relay/Placement.cpp
@@ -32,15 +32,16 @@
     if (candidates.empty())
         return std::nullopt;
     const double medianShare = medianFailureShare(candidates);
-    using Rank = std::tuple<bool, bool, double, std::uint64_t>;
+    using Rank = std::tuple<bool, bool, bool, double, std::uint64_t>;
     std::optional<Rank> best;
     const PlacementCandidate *chosen = nullptr;
     for (const PlacementCandidate &candidate : candidates) {
         if (candidate.running >= candidate.slots)
             continue;
         static constexpr std::uint64_t TieBreakRange = 1U << 20U;
-        const Rank rank{candidate.failureShare > medianShare + FailureMargin, candidate.isCold,
-                        static_cast<double>(candidate.running) / candidate.slots,
+        const Rank rank{candidate.isStalled, candidate.failureShare > medianShare + FailureMargin,
+                        candidate.isCold,
+                        candidate.pace * candidate.pace * candidate.running / candidate.slots,
                         random.below(TieBreakRange)};
         if (!best || rank < *best) {
             best = rank;
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -18,8 +18,6 @@
 /// A stream without an event for this long is resumed at another backend server if the service is
 /// active. Three times the usual latency target of 400 ms; callers disconnect 0.8 s later.
 constexpr milliseconds MaxStreamSilence{1200};
-/// A service is active when any of its backend servers sent a head or an event within this time.
-constexpr milliseconds ServiceActivityWindow{300};
 /// Expected duration of the longest streams at twice the usual pause between events.
 constexpr milliseconds MaxStreamDuration{4500};
 /// Attempts per request, including those that backend servers rejected as not run.
@@ -28,6 +26,8 @@
 constexpr milliseconds RejectionBackoff{40};
 /// Time between events after which a request is known not to crash its backend server.
 constexpr milliseconds MinProgress{500};
+/// Groups that form again under other names leave units behind.
+constexpr std::size_t MaxUnusedUnits = 64;
 
 milliseconds toMilliseconds(std::chrono::microseconds span)
 {
@@ -200,7 +200,7 @@
     Attempt &running = *exchange->attempt;
     running.hasHead = true;
     running.lastActivityAt = now;
-    this->lastServiceActivityAt[exchange->service] = now;
+    this->units[running.unit].recordActivity(now);
     running.isSuccess = head.status / 100 == 2;
     running.isFramed = head.isFramed;
     this->quarantine.recordAlive(this->incarnationOf(running.backend), running.sentAt);
@@ -242,7 +242,7 @@
     }
     // A pause that a backend server asks for is no fault of the service.
     if (!head.isMisdirected && !head.pause)
-        this->circuitBreakers[exchange.service].recordRejection(now, backend);
+        this->units[exchange.attempt->unit].circuit.recordRejection(now, backend);
     if (exchange.runs > 0)
         --exchange.runs;
     if (head.isMisdirected)
@@ -258,11 +258,11 @@
     Exchange *exchange = this->findByAttempt(attempt);
     if (exchange == nullptr)
         return;
+    ServingUnit &unit = this->units[exchange->attempt->unit];
     if (exchange->attempt->hasEvent) {
         const std::chrono::microseconds pause = now - exchange->attempt->lastActivityAt;
         exchange->times.longestPause = std::max(exchange->times.longestPause, pause);
-        this->concurrencyLimits[exchange->service].recordPause(now, pause,
-                                                               exchange->route.pauseTarget);
+        unit.concurrency.recordPause(now, pause, exchange->route.pauseTarget);
     } else {
         exchange->times.serving += now - exchange->attempt->connectedAt;
         this->waitEstimatorOf(*exchange).recordDelay(now - exchange->attempt->sentAt);
@@ -272,8 +272,8 @@
     exchange->attempt->hasEvent = true;
     if (now >= exchange->attempt->firstEventAt + MinProgress)
         this->recordProgress(now, *exchange);
-    this->circuitBreakers[exchange->service].recordServed();
-    this->lastServiceActivityAt[exchange->service] = now;
+    unit.circuit.recordServed();
+    unit.recordActivity(now);
     if (BackendRoster::Row *row = this->backends.find(exchange->attempt->backend))
         row->lastReceivedAt = now;
     // A resumed stream may repeat events that the caller already received.
@@ -307,13 +307,13 @@
     // A backend server that crashed may have ended an unframed answer.
     if (running.isFramed)
         this->recordProgress(now, *exchange);
-    this->circuitBreakers[exchange->service].recordServed();
+    this->units[running.unit].circuit.recordServed();
     this->waitEstimatorOf(*exchange).recordHoldTime(now - running.sentAt);
     if (!running.hasEvent) {
         exchange->times.serving += now - running.connectedAt;
         this->waitEstimatorOf(*exchange).recordDelay(now - running.sentAt);
     }
-    this->releaseSlot(running.backend);
+    this->releaseSlot(running);
     this->attempts.erase(attempt);
     exchange->attempt.reset();
     if (exchange->isStreamOpen) {
@@ -436,6 +436,18 @@
     std::erase_if(this->backendUses, [this](const auto &entry) {
         return entry.second.running == 0 && this->backends.find(entry.first) == nullptr;
     });
+    if (this->units.size() > MaxUnusedUnits)
+        this->dropUnusedUnits();
+}
+
+void RelayNode::dropUnusedUnits()
+{
+    std::set<std::string> used;
+    for (const auto &[id, row] : this->backends.rows())
+        used.insert(row.unit);
+    std::erase_if(this->units, [&used](const auto &entry) {
+        return used.count(entry.first) == 0 && !entry.second.isInUse();
+    });
 }
 
 void RelayNode::checkDeadlines(Instant now, Commands &commands)
@@ -458,12 +470,9 @@
             continue;
         const bool isStream = exchange.route.kind == Route::Kind::Stream;
         const milliseconds limit = isStream ? MaxStreamSilence : exchange.route.latencyTarget;
-        const auto lastActivity = this->lastServiceActivityAt.find(exchange.service);
         // All ranks of a model group stall together; a retry at another rank would not be faster.
-        const bool isServiceActive = !isStream
-                                     || (lastActivity != this->lastServiceActivityAt.end()
-                                         && now < lastActivity->second + ServiceActivityWindow);
-        if (isServiceActive && now >= exchange.attempt->lastActivityAt + limit)
+        const bool isUnitActive = !isStream || this->units[exchange.attempt->unit].isActive(now);
+        if (isUnitActive && now >= exchange.attempt->lastActivityAt + limit)
             silent.push_back(caller);
     }
     for (const CallerId caller : silent) {
@@ -487,17 +496,18 @@
     return found == this->attempts.end() ? nullptr : &this->exchanges.at(found->second);
 }
 
-void RelayNode::releaseSlot(const std::string &backend)
+void RelayNode::releaseSlot(const Attempt &attempt)
 {
-    if (BackendUse &use = this->backendUses[backend]; use.running > 0)
+    if (BackendUse &use = this->backendUses[attempt.backend]; use.running > 0)
         --use.running;
+    this->units[attempt.unit].requestEnded();
 }
 
 void RelayNode::dropAttempt(Exchange &exchange, Commands &commands)
 {
     if (!exchange.attempt)
         return;
-    this->releaseSlot(exchange.attempt->backend);
+    this->releaseSlot(*exchange.attempt);
     commands.push_back(RelayCommand::CancelAttempt{exchange.attempt->id});
     this->attempts.erase(exchange.attempt->id);
     exchange.attempt.reset();
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -4,17 +4,17 @@
 #include "Relay/AnswerHead.h"
 #include "Relay/BackendRoster.h"
 #include "Relay/ColdRateLimit.h"
-#include "Relay/ConcurrencyLimit.h"
 #include "Relay/EntryTable.h"
 #include "Relay/Exchange.h"
+#include "Relay/GroupMembership.h"
 #include "Relay/NamedLimit.h"
 #include "Relay/RelayCommand.h"
 #include "Relay/RelayPolicy.h"
 #include "Relay/RequestQuarantine.h"
 #include "Relay/RouteTable.h"
-#include "Relay/ServiceCircuitBreaker.h"
 #include "Relay/ServiceRetryBudget.h"
 #include "Relay/ServiceWaitEstimator.h"
+#include "Relay/ServingUnit.h"
 #include "Relay/StreamEvent.h"
 
 #include <chrono>
@@ -105,6 +105,11 @@
     bool reportArrived(Instant now, const EntryReport &report, Commands &commands);
     RequestQuarantine &requestQuarantine() { return this->quarantine; }
 
+    /// Addresses of the backend servers whose agents are to be asked for their model group now.
+    std::vector<std::string> dueGroupQueries(Instant now);
+    /// An agent named the group of its backend server.
+    void groupArrived(Instant now, const GroupMembership &membership);
+
     void tick(Instant now, Commands &commands);
 
     std::size_t openRequests() const { return this->exchanges.size(); }
@@ -149,7 +154,7 @@
                 Commands &commands);
     void finish(Instant now, const Exchange &exchange, const char *how, Commands &commands);
     void dropAttempt(Exchange &exchange, Commands &commands);
-    void releaseSlot(const std::string &backend);
+    void releaseSlot(const Attempt &attempt);
     void retryOrAbandon(Instant now, Exchange &exchange, const std::string &why,
                         Commands &commands);
     void abandon(Instant now, Exchange &exchange, const std::string &why, Commands &commands);
@@ -176,6 +181,10 @@
     ServiceWaitEstimator &waitEstimatorOf(const Exchange &exchange);
     ServiceRetryBudget &retryBudgetOf(const std::string &service);
     std::uint32_t usableSlots(const std::string &service, Instant now) const;
+    /// Since when all units of a service turn requests away; nullopt if one of them does not.
+    std::optional<Instant> outageSince(const std::string &service, Instant now) const;
+    const ServingUnit *findUnit(const std::string &name) const;
+    void dropUnusedUnits();
     bool hasColdCapacity(Instant now, const std::string &backend, BackendUse &use, bool isCold,
                          double rate, std::uint32_t entries) const;
     /// The use of a backend server; a new start of it has no named limit.
@@ -219,9 +228,8 @@
     std::map<std::string, BackendUse> backendUses;
     std::map<std::string, ServiceWaitEstimator> waitEstimators;
     std::map<std::string, ServiceRetryBudget> retryBudgets;
-    std::map<std::string, ServiceCircuitBreaker> circuitBreakers;
-    std::map<std::string, ConcurrencyLimit> concurrencyLimits;
-    std::map<std::string, Instant> lastServiceActivityAt;
+    /// By name of the unit.
+    std::map<std::string, ServingUnit> units;
     /// Starts of backend servers that told this entry that they leave, and in how many further
     /// reports the others are told.
     std::map<std::string, std::uint32_t> leavingNews;
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -38,6 +38,11 @@
 constexpr double WarmRateFactor = 1.5;
 /// The entries that use a scarce cold rate change only with the entries.
 constexpr milliseconds ChoicePeriod{500};
+/// An agent that has not answered is asked again after this time. The group changes only with a
+/// new start of the backend server, which is asked at once.
+constexpr milliseconds GroupQueryPeriod{1000};
+constexpr milliseconds KnownGroupPeriod{60000};
+constexpr std::size_t MaxGroupQueries = 32;
 /// Callers honour Retry-After up to this fraction (1/3) of their remaining time.
 constexpr int RetryAfterDivisor = 3;
 
@@ -75,18 +80,21 @@
 
 bool RelayNode::tryPlace(Instant now, Exchange &exchange, Commands &commands)
 {
-    ServiceCircuitBreaker &circuit = this->circuitBreakers[exchange.service];
-    if (!circuit.allowsRequest(now) || this->isBlocked(now, exchange)
+    if (this->isBlocked(now, exchange)
         || this->quarantine.awaitsCheck(now, RequestQuarantine::contentTraitOf(exchange.request)))
         return false;
     const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
     const std::uint32_t entries = this->peers.entryCount(now);
-    const ConcurrencyLimit &concurrency = this->concurrencyLimits[exchange.service];
+    // A request that was turned away does not probe a group while another one takes requests.
+    const bool mayProbe = exchange.sends == 0 || this->outageSince(exchange.service, now);
     std::vector<PlacementCandidate> candidates;
     for (const auto &[id, row] : this->backends.rows()) {
         if (row.record.service != exchange.service || !this->backends.isEligible(row, now)
             || row.health.isSuspended(now) || exchange.failedOn.count(id) != 0)
             continue;
+        const ServingUnit &unit = this->units[row.unit];
+        if (!unit.circuit.allowsRequest(now) || (unit.circuit.isOpen() && !mayProbe))
+            continue;
         BackendUse &use = this->useOf(row);
         const bool isCold = now < row.coldUntil;
         const double coldRate = this->coldRateOf(service, isCold, now);
@@ -95,17 +103,18 @@
         if (!this->hasLimitCapacity(now, id, use, entries)
             || use.running >= slotsAfterPause(now, use, row.record.slots))
             continue;
-        candidates.push_back({id, concurrency.limit(row.record.slots),
+        candidates.push_back({id, unit.concurrency.limit(row.record.slots),
                               use.running + this->peers.runningElsewhere(id, now),
-                              row.health.failureShare(now), isCold, use.sends, row.reportedLoad});
+                              row.health.failureShare(now), isCold, use.sends, row.reportedLoad,
+                              unit.isStalled(now), unit.concurrency.pace()});
     }
     const std::optional<std::string> chosen = this->settings.policy.place(candidates, this->random);
     if (!chosen
         || (exchange.sends > 0 && !this->retryBudgetOf(exchange.service).tryAcquire(now, entries)))
         return false;
-    circuit.recordSent(now);
 
     const BackendRoster::Row &row = *this->backends.find(*chosen);
+    this->units[row.unit].requestSent(now);
     BackendUse &use = this->backendUses[*chosen];
     // The cold rate always applies, because a backend server can become cold without notice.
     if (const double coldRate = this->coldRateOf(service, now < row.coldUntil, now); coldRate > 0)
@@ -117,6 +126,7 @@
     Attempt &started = exchange.attempt.emplace();
     started.id = attempt;
     started.backend = *chosen;
+    started.unit = row.unit;
     started.incarnation = row.record.incarnation;
     started.sentAt = now;
     started.connectedAt = now;
@@ -173,14 +183,14 @@
             ahead, input.slots, this->shareOfFreedSlots(exchange.service, now));
     if (resumeAt)
         input.expectedWait = std::max(input.expectedWait, toMilliseconds(*resumeAt - now));
-    input.outageSince = this->circuitBreakers[exchange.service].openSince();
+    input.outageSince = this->outageSince(exchange.service, now);
     return this->settings.policy.reasonToRefuse(input);
 }
 
 std::chrono::milliseconds RelayNode::retryAfterFor(Instant now, const Exchange &exchange,
                                                    milliseconds wait)
 {
-    if (this->circuitBreakers[exchange.service].isOpen())
+    if (this->outageSince(exchange.service, now))
         wait = std::max(wait, MinOutageRetryAfter);
     if (this->isBlocked(now, exchange))
         wait = std::max(wait, QuarantineRetryAfter);
@@ -227,16 +237,17 @@
 
 std::uint32_t RelayNode::usableSlots(const std::string &service, Instant now) const
 {
-    const auto concurrency = this->concurrencyLimits.find(service);
     const auto estimator = this->waitEstimators.find(service);
+    // Slots of the units that take requests, and of those whose circuit is open.
     std::uint32_t slots = 0;
+    std::uint32_t closedOff = 0;
     for (const auto &[id, row] : this->backends.rows()) {
         if (row.record.service != service || !this->backends.isEligible(row, now)
             || row.health.isSuspended(now))
             continue;
-        std::uint32_t usable = concurrency == this->concurrencyLimits.end()
-                                       ? row.record.slots
-                                       : concurrency->second.limit(row.record.slots);
+        const ServingUnit *unit = this->findUnit(row.unit);
+        std::uint32_t usable =
+                unit == nullptr ? row.record.slots : unit->concurrency.limit(row.record.slots);
         const auto use = this->backendUses.find(id);
         if (use != this->backendUses.end() && use->second.incarnation == row.record.incarnation)
             usable = std::min(usable, slotsAfterPause(now, use->second, row.record.slots));
@@ -248,9 +259,55 @@
                     * std::chrono::duration<double>(estimator->second.meanHoldTime()).count();
             usable = std::min(usable, static_cast<std::uint32_t>(std::max(1.0, running)));
         }
-        slots += usable;
+        (unit != nullptr && unit->circuit.isOpen() ? closedOff : slots) += usable;
     }
-    return slots;
+    return slots > 0 ? slots : closedOff;
+}
+
+std::optional<Instant> RelayNode::outageSince(const std::string &service, Instant now) const
+{
+    std::optional<Instant> since;
+    for (const auto &[id, row] : this->backends.rows()) {
+        if (row.record.service != service || !this->backends.isEligible(row, now)
+            || row.health.isSuspended(now))
+            continue;
+        const ServingUnit *unit = this->findUnit(row.unit);
+        if (unit == nullptr || !unit->circuit.isOpen())
+            return std::nullopt;
+        since = std::max(since.value_or(Instant()), *unit->circuit.openSince());
+    }
+    return since;
+}
+
+const ServingUnit *RelayNode::findUnit(const std::string &name) const
+{
+    const auto found = this->units.find(name);
+    return found == this->units.end() ? nullptr : &found->second;
+}
+
+std::vector<std::string> RelayNode::dueGroupQueries(Instant now)
+{
+    std::vector<std::string> addresses;
+    if (this->routes == nullptr)
+        return addresses;
+    for (auto &[id, row] : this->backends.rows()) {
+        if (addresses.size() == MaxGroupQueries)
+            break;
+        if (now < row.nextGroupQueryAt || !this->backends.isEligible(row, now))
+            continue;
+        const ServiceDeclaration *service =
+                this->routes->configuration().findService(row.record.service);
+        if (service == nullptr || service->experts.count == 0)
+            continue;
+        row.nextGroupQueryAt = now + GroupQueryPeriod;
+        addresses.push_back(row.record.address);
+    }
+    return addresses;
+}
+
+void RelayNode::groupArrived(Instant now, const GroupMembership &membership)
+{
+    this->backends.recordGroup(membership.address, membership.group, now + KnownGroupPeriod);
 }
 
 double RelayNode::shareOfFreedSlots(const std::string &service, Instant now) const
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -2,6 +2,7 @@
 
 #include "Net/EventLog.h"
 #include "Relay/RelayLog.h"
+#include "RelayShell/GroupQueryCodec.h"
 #include "RelayShell/PeerCodec.h"
 
 #include <algorithm>
@@ -504,6 +505,12 @@
             this->owner->addCounts(*counts);
         return;
     }
+    if (const auto replyAddress = decodeGroupQuery(bytes)) {
+        if (const auto &known = this->rankSwitch->engine(); known && this->engineReachable)
+            this->sendTo(*replyAddress,
+                         encodeGroupMembership({this->options.engineAddress, known->group}));
+        return;
+    }
     this->metrics.add("nutmegrill_reports_unreadable_total", {});
 }
 
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -4,6 +4,7 @@
 #include "Http/HttpCall.h"
 #include "Net/EventLog.h"
 #include "Relay/RelayLog.h"
+#include "RelayShell/GroupQueryCodec.h"
 #include "RelayShell/PeerCodec.h"
 #include "RelayShell/RelayProtocol.h"
 
@@ -339,6 +340,12 @@
 void RelayEntry::handleReport(std::string_view bytes)
 {
     const std::optional<EntryReport> report = decodeReport(bytes);
+    if (!report) {
+        if (const auto membership = decodeGroupMembership(bytes)) {
+            this->node.groupArrived(this->loop.now(), *membership);
+            return;
+        }
+    }
     if (!report || report->peerAddress == this->options.peerAddress) {
         this->metrics.add("nutmegrill_reports_unreadable_total", {});
         return;
@@ -381,6 +388,21 @@
             this->node.entries().watchesStore(this->options.name, this->options.failureDomain, now);
     this->storeFeed.setWatching(this->isWatchingStore);
     this->pullFromPeer();
+    this->askForGroups();
+}
+
+void RelayEntry::askForGroups()
+{
+    const auto portOf = [](const std::string &address) {
+        return address.substr(std::min(address.rfind(':'), address.size()));
+    };
+    // Agents and entries use the same port for messages.
+    const std::string port = portOf(this->options.peerAddress);
+    for (const std::string &address : this->node.dueGroupQueries(this->loop.now())) {
+        const std::string ip = address.substr(0, address.rfind(':'));
+        if (!this->reportSocket.send(ip + port, encodeGroupQuery(this->options.peerAddress)))
+            this->metrics.add("nutmegrill_messages_unsent_total", {});
+    }
 }
 
 void RelayEntry::pullFromPeer()
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -70,6 +70,7 @@
     void applyChanges(const StoreMirror::Changes &changes);
     void handleReport(std::string_view bytes);
     void sendReports();
+    void askForGroups();
     void pullFromPeer();
     void storeReturned(std::chrono::milliseconds outage);
     void storeRestored(StorePosition before);
--- /dev/null
+++ b/Tests/Platform/ModelGroupQueryTest.cpp
@@ -0,0 +1,78 @@
+#include "RelayEntryFixture.h"
+#include "RelayShell/DatagramSocket.h"
+#include "RelayShell/GroupQueryCodec.h"
+
+#include <string>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr const char *ModelConfiguration =
+        R"({"version":5,"routes":[{"name":"r1","hostname":"h.example","prefix":"/s/",
+        "kind":"streaming","timeoutMs":8000,"targetLatencyMs":400,"service":"m"}],
+        "services":[{"name":"m","engine":{"expertSets":4,"experts":72,"placements":8}},
+        {"name":"p"}]})";
+
+} // namespace
+
+/// An entry asks the agents of model servers for their groups.
+class ModelGroupQueryTest : public RelayEntryFixture
+{
+    CPPUNIT_TEST_SUITE(ModelGroupQueryTest);
+    CPPUNIT_TEST(messagesAreReadOnlyWhenWhole);
+    CPPUNIT_TEST(entryAsksTheAgentsOfModelServers);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void messagesAreReadOnlyWhenWhole()
+    {
+        const std::string query = encodeGroupQuery("10.0.0.1:7340");
+        CPPUNIT_ASSERT_EQUAL(std::string("10.0.0.1:7340"), *decodeGroupQuery(query));
+        const std::string answer = encodeGroupMembership({"10.0.0.9:80", "g-7"});
+        CPPUNIT_ASSERT_EQUAL(std::string("g-7"), decodeGroupMembership(answer)->group);
+        CPPUNIT_ASSERT(!decodeGroupQuery(answer) && !decodeGroupMembership(query));
+        for (std::size_t length = 0; length < query.size(); ++length)
+            CPPUNIT_ASSERT(!decodeGroupQuery(std::string_view(query).substr(0, length)));
+        for (std::size_t length = 0; length < answer.size(); ++length)
+            CPPUNIT_ASSERT(!decodeGroupMembership(std::string_view(answer).substr(0, length)));
+        for (const std::string &name : {std::string(), std::string(201, 'g')})
+            CPPUNIT_ASSERT(!decodeGroupMembership(encodeGroupMembership({"10.0.0.9:80", name})));
+    }
+
+    void entryAsksTheAgentsOfModelServers()
+    {
+        const std::string &peer = this->options.peerAddress;
+        int queries = 0;
+        std::string replyAddress;
+        DatagramSocket agent(
+                *this->loop, "127.0.0.2" + peer.substr(peer.find(':')),
+                [&](std::string_view bytes) {
+                    if (const auto address = decodeGroupQuery(bytes)) {
+                        ++queries;
+                        replyAddress = *address;
+                        agent.send(*address, encodeGroupMembership({"127.0.0.2:9", "g"}));
+                    }
+                });
+        CPPUNIT_ASSERT(agent.isOpen());
+        this->store->put("op/config", ModelConfiguration);
+        this->store->put("servers/i-1", serverRecord("m", "127.0.0.2:9"));
+        this->store->put("servers/i-2", serverRecord("p", "127.0.0.2:10"));
+        this->loop->runUntil([&] { return queries > 0; }, TestTimeout);
+        CPPUNIT_ASSERT_EQUAL(peer, replyAddress);
+        // The answer has arrived, so the agent is not asked again.
+        this->loop->runUntil([&] { return queries > 1; }, std::chrono::milliseconds(1500));
+        CPPUNIT_ASSERT_EQUAL(1, queries);
+    }
+
+private:
+    static std::string serverRecord(const std::string &service, const std::string &address)
+    {
+        return R"({"service":")" + service + R"(","address":")" + address
+               + R"(","zone":"n","slots":12,"state":"ready"})";
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ModelGroupQueryTest);
+
+} // namespace Nutmegrill
--- a/Tests/Relay/RelayNodeHarness.cpp
+++ b/Tests/Relay/RelayNodeHarness.cpp
@@ -19,6 +19,7 @@
     ServiceDeclaration model;
     model.name = "model";
     model.coldRequestsPerSecond = 26;
+    model.experts.count = 72;
     ServiceDeclaration plain;
     plain.name = "plain";
     made->services = {model, plain};
