Leave out odd records of backend servers that another writer left

Port 70000, names of a megabyte and names with line ends were taken. One malformed item made its whole page of the store unreadable.

Change: depth and size are limited before the parse, whole numbers, addresses and names are checked, and only the item is left out. A server that asks for a pause of 0 (Retry-After: 0) asks for none: the refusal counts for the circuit breaker and the backoff.

--- a/Source/Core/Cbor.cpp
+++ b/Source/Core/Cbor.cpp
@@ -68,14 +68,12 @@
     std::size_t depth = 0;
 };
 
-} // namespace
-
-nlohmann::json parseCbor(std::string_view bytes)
+Json parse(std::string_view bytes, Json::input_format_t format)
 {
     Json result;
     BoundedBuilder builder(result);
     try {
-        if (Json::sax_parse(bytes.begin(), bytes.end(), &builder, Json::input_format_t::cbor))
+        if (Json::sax_parse(bytes.begin(), bytes.end(), &builder, format))
             return result;
     } catch (const Json::exception &) {
         // Thrown for a length that exceeds any memory.
@@ -83,4 +81,16 @@
     return Json(Json::value_t::discarded);
 }
 
+} // namespace
+
+nlohmann::json parseCbor(std::string_view bytes)
+{
+    return parse(bytes, Json::input_format_t::cbor);
+}
+
+nlohmann::json parseJson(std::string_view text)
+{
+    return parse(text, Json::input_format_t::json);
+}
+
 } // namespace Nutmegrill
--- a/Source/Core/Cbor.h
+++ b/Source/Core/Cbor.h
@@ -10,4 +10,7 @@
 /// length that exceeds any memory and for input that is nested too deeply.
 nlohmann::json parseCbor(std::string_view bytes);
 
+/// The same for JSON text that another process wrote.
+nlohmann::json parseJson(std::string_view text);
+
 } // namespace Nutmegrill
--- a/Tests/Core/CborTest.cpp
+++ b/Tests/Core/CborTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(CborTest);
     CPPUNIT_TEST(messagesAreRead);
     CPPUNIT_TEST(hostileBytesAreDiscarded);
+    CPPUNIT_TEST(hostileTextIsDiscarded);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -36,6 +37,15 @@
         CPPUNIT_ASSERT(parseCbor(std::string(60'000, '\x81')).is_discarded());
         CPPUNIT_ASSERT(parseCbor("").is_discarded());
     }
+
+    void hostileTextIsDiscarded()
+    {
+        CPPUNIT_ASSERT(parseJson(R"({"a":[1]})") == nlohmann::json({{"a", {1}}}));
+        const std::string deep = std::string(10'000, '[') + std::string(10'000, ']');
+        for (const std::string &text : {deep, R"({"a":)" + deep + "}", std::string("1e999"),
+                                        std::string("\xff\xfe"), std::string(), std::string("{")})
+            CPPUNIT_ASSERT(parseJson(text).is_discarded());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CborTest);
--- a/Tests/Platform/AdapterTest.cpp
+++ b/Tests/Platform/AdapterTest.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(configurationIsDecoded);
     CPPUNIT_TEST(backendRecordIsDecoded);
     CPPUNIT_TEST(invalidValuesAreUnreadable);
+    CPPUNIT_TEST(oddBackendRecordIsLeftOut);
     CPPUNIT_TEST(keysAreDecodedByPrefix);
     CPPUNIT_TEST(requestHeadersAreReadAndReplaced);
     CPPUNIT_TEST(answerHeadsAreClassified);
@@ -97,6 +98,52 @@
         CPPUNIT_ASSERT(std::holds_alternative<StateDecoder::Unreadable>(decoded));
     }
 
+    // Guards against a record of another writer that ends the process, or that names a server with
+    // billions of slots or an address that cannot be.
+    void oddBackendRecordIsLeftOut()
+    {
+        const std::string deep = std::string(10'000, '[') + std::string(10'000, ']');
+        const std::pair<const char *, std::string> changes[] = {
+                {"slots", "4294967297"},
+                {"slots", "-3"},
+                {"slots", "1.5"},
+                {"slots", "true"},
+                {"slots", "1e400"},
+                {"slots", "99999999999999999999999"},
+                {"slots", "\"NaN\""},
+                {"slots", deep},
+                {"coldLeftMs", "9223372036854775807"},
+                {"coldLeftMs", "-1"},
+                {"coldLeftMs", "1e300"},
+                {"born", "-7"},
+                {"born", "1e30"},
+                {"born", "18446744073709551616"},
+                {"address", R"("10.0.0.9:0")"},
+                {"address", R"("10.0.0.9:70000")"},
+                {"address", R"("10.0.0.9:-1")"},
+                {"address", R"("10.0.0.9:")"},
+                {"address", R"("10.0.0.900:80")"},
+                {"address", deep},
+                {"service", "\"" + std::string(1'000'000, 's') + "\""},
+                {"service", R"("s\r\nX: y")"},
+                {"zone", R"("")"},
+                {"state", deep},
+                {"extra", deep}};
+        for (const auto &[name, value] : changes) {
+            std::string text = R"({"service":"s","address":"10.0.0.9:80","zone":"n","slots":1,)"
+                               R"("state":"ready","coldLeftMs":0,"born":5})";
+            text.insert(text.size() - 1, ",\"" + std::string(name) + "\":" + value);
+            const auto decoded = decode("servers/i-1", text);
+            const auto *unreadable = std::get_if<StateDecoder::Unreadable>(&decoded);
+            CPPUNIT_ASSERT_MESSAGE(name + std::string(" ") + value.substr(0, 40),
+                                   unreadable != nullptr && unreadable->backend == "i-1");
+            CPPUNIT_ASSERT(unreadable->reason.size() < 300);
+        }
+        // A name that would add a header to the requests for the server.
+        CPPUNIT_ASSERT(std::holds_alternative<StateDecoder::Unreadable>(
+                decode("servers/i-1\r\nTenant: x", BackendText)));
+    }
+
     void keysAreDecodedByPrefix()
     {
         const PlatformDecoder decoder;
@@ -178,8 +225,8 @@
         }
         // A pause is a number of seconds in a 503.
         for (const auto &[text, pause] :
-             {std::pair("1.5", 1500), std::pair("0", 0), std::pair("1e300", 1000000000),
-              std::pair("-1", -1), std::pair("soon", -1), std::pair("", -1), std::pair("1 ", -1),
+             {std::pair("1.5", 1500), std::pair("1e300", 1000000000), std::pair("-1", -1),
+              std::pair("soon", -1), std::pair("", -1), std::pair("1 ", -1),
               std::pair("Fri, 04 Dec 2026 23:00:00 GMT", -1), std::pair("nan", -1)}) {
             HttpHead refused;
             refused.status = 503;
@@ -190,6 +237,14 @@
             refused.status = 500;
             CPPUNIT_ASSERT(!protocol.readAnswer(refused, "a")->pause);
         }
+        // No pause, and nothing unreadable.
+        for (const char *text : {"0", "0.0", "0.0004"}) {
+            HttpHead refused;
+            refused.status = 503;
+            refused.headers = {{"Retry-After", text}, {"Not-Executed", "1"}};
+            const auto read = protocol.readAnswer(refused, "a");
+            CPPUNIT_ASSERT(!read->pause && !read->hasUnreadablePause);
+        }
         // Any value but 1 says nothing.
         for (const auto &[text, isLeaving] :
              {std::pair("1", true), std::pair("0", false), std::pair("", false),
--- a/Tests/Relay/BackendNoticeTest.cpp
+++ b/Tests/Relay/BackendNoticeTest.cpp
@@ -156,7 +156,10 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), scene.attemptsOf(first));
         rejectWithPause(scene, first, milliseconds(200));
         CPPUNIT_ASSERT(scene.refusalOf(first) == nullptr);
-        scene.advance(milliseconds(280));
+        // Nothing is sent before the end of the pause.
+        scene.advance(milliseconds(180));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), scene.attemptsOf(first));
+        scene.advance(milliseconds(100));
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), scene.attemptsOf(first));
     }
 
