Share limits as before a pause of the process until the others report

Cause: after a pause of ten seconds an entry counted the others as gone, because it had not heard them, and took the whole of a shared limit (cold rate, named limits, right to test a quarantined request).

The mirror remembers 4,096 deleted keys instead of all.

The test plays both with the rule and without it.

--- a/Source/Relay/EntryTable.cpp
+++ b/Source/Relay/EntryTable.cpp
@@ -3,6 +3,7 @@
 #include "Core/Hash.h"
 #include "Membership/RelaySelector.h"
 
+#include <algorithm>
 #include <chrono>
 #include <tuple>
 #include <utility>
@@ -22,6 +23,8 @@
 /// A lower incarnation is accepted after this silence of the previous one, because the clock may
 /// have been set back between the two starts. Delayed datagrams of an earlier start arrive sooner.
 constexpr std::chrono::milliseconds MinSilenceBeforeEarlierStart{500};
+/// A process that decides nothing for this long has been paused.
+constexpr std::chrono::milliseconds MinOwnPause{1000};
 /// Addresses are deleted after this time without a report.
 constexpr std::chrono::seconds AddressRetention{60};
 /// An entry without a report for this long is not counted on to watch the store. An additional
@@ -83,7 +86,19 @@
     const auto silence =
             this->switches.countsSilent ? SilentEntryRetention : std::chrono::milliseconds(0);
     const bool isKnown = row.report.has_value() || this->switches.countsAnnounced;
-    return isKnown && now <= row.lastSeenAt + LivenessTimeout + silence;
+    const bool isAfterPause = this->switches.countsAfterOwnPause && this->resumedAt != Instant()
+                              && now < this->resumedAt + LivenessTimeout;
+    const Instant at = isAfterPause ? std::min(now, this->pausedAt) : now;
+    return isKnown && at <= row.lastSeenAt + LivenessTimeout + silence;
+}
+
+void EntryTable::noteTime(Instant now)
+{
+    if (this->notedAt != Instant() && now >= this->notedAt + MinOwnPause) {
+        this->pausedAt = this->notedAt;
+        this->resumedAt = now;
+    }
+    this->notedAt = now;
 }
 
 std::uint32_t EntryTable::entryCount(Instant now) const
@@ -170,6 +185,10 @@
 
 void EntryTable::tick(Instant now)
 {
+    this->noteTime(now);
+    // After a pause of this process the addresses stay for as long as they would have without it.
+    if (this->resumedAt != Instant() && now < this->resumedAt + AddressRetention)
+        return;
     std::erase_if(this->rows, [now](const auto &entry) {
         return now > entry.second.lastSeenAt + AddressRetention;
     });
--- a/Source/Relay/EntryTable.h
+++ b/Source/Relay/EntryTable.h
@@ -38,6 +38,8 @@
         bool replacesCutWatchers = true;
         /// A rate below one request a second and entry is used by some entries only.
         bool choosesEntries = true;
+        /// Entries that were silent while this process was paused count for shared limits.
+        bool countsAfterOwnPause = true;
     };
 
     EntryTable() = default;
@@ -82,6 +84,11 @@
 
     void tick(Instant now);
 
+    /// Called before decisions that depend on the other entries. After a pause of this process
+    /// their silence means nothing: until they had the time to report again, the limits are shared
+    /// with all that counted before the pause.
+    void noteTime(Instant now);
+
     std::size_t size() const { return this->rows.size(); }
 
 private:
@@ -89,6 +96,10 @@
     bool countsForLimits(const Row &row, Instant now) const;
 
     Switches switches;
+    Instant notedAt;
+    /// Last moment before the latest pause of this process, and its end.
+    Instant pausedAt;
+    Instant resumedAt;
     /// By peer address.
     std::map<std::string, Row> rows;
 };
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -84,6 +84,7 @@
         || this->quarantine.awaitsCheck(now, RequestQuarantine::contentTraitOf(exchange.request)))
         return false;
     const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
+    this->peers.noteTime(now);
     const std::uint32_t entries = this->peers.entryCount(now);
     // A request that was turned away does not probe a group while another one takes requests.
     const bool mayProbe = exchange.sends == 0 || this->outageSince(exchange.service, now);
--- a/Source/Relay/StoreMirror.cpp
+++ b/Source/Relay/StoreMirror.cpp
@@ -9,6 +9,9 @@
 
 /// Changes kept for other entries. An entry that lags further behind gets a snapshot.
 constexpr std::size_t MaxLogLength = 512;
+/// Deleted keys that are remembered. Backend servers get a new key at each start, so there is no
+/// end to them.
+constexpr std::size_t MaxDeletedKeys = 4096;
 
 } // namespace
 
@@ -20,16 +23,35 @@
     const auto deletion = this->deleted.find(change.key);
     if (deletion != this->deleted.end() && deletion->second >= change.revision)
         return false;
+    // A key without a value that is older than a dropped deletion may be the one that was deleted.
+    if (found == this->table.end() && change.value && change.revision <= this->droppedDeletions)
+        return false;
     const bool wasDoubtful = this->doubtful.erase(change.key) > 0;
     if (change.value) {
         this->table.insert_or_assign(change.key, change);
         this->deleted.erase(change.key);
         return true;
     }
-    this->deleted.insert_or_assign(change.key, change.revision);
+    this->recordDeletion(change.key, change.revision);
     return this->table.erase(change.key) > 0 || wasDoubtful;
 }
 
+void StoreMirror::recordDeletion(const std::string &key, std::uint64_t revision)
+{
+    this->deleted.insert_or_assign(key, revision);
+    this->deletions.emplace(revision, key);
+    while (this->deletions.size() > MaxDeletedKeys) {
+        const auto oldest = this->deletions.begin();
+        const auto found = this->deleted.find(oldest->second);
+        // The key may have been written and deleted again.
+        if (found != this->deleted.end() && found->second == oldest->first) {
+            this->droppedDeletions = std::max(this->droppedDeletions, oldest->first);
+            this->deleted.erase(found);
+        }
+        this->deletions.erase(oldest);
+    }
+}
+
 StoreMirror::Changes StoreMirror::reset(const std::vector<StoreChange> &items,
                                         StorePosition position)
 {
@@ -50,7 +72,7 @@
             continue;
         }
         changes.push_back({entry->first, std::nullopt, position.revision});
-        this->deleted.insert_or_assign(entry->first, position.revision);
+        this->recordDeletion(entry->first, position.revision);
         entry = this->table.erase(entry);
     }
     this->known = std::max(this->known, position);
@@ -65,6 +87,8 @@
 {
     const auto before = std::exchange(this->table, {});
     const auto deletedBefore = std::exchange(this->deleted, {});
+    this->deletions.clear();
+    this->droppedDeletions = 0;
     Changes changes;
     for (const StoreChange &item : items) {
         const auto found = before.find(item.key);
--- a/Source/Relay/StoreMirror.h
+++ b/Source/Relay/StoreMirror.h
@@ -64,13 +64,23 @@
 
     const std::map<std::string, StoreChange> &items() const { return this->table; }
 
+    /// Deleted keys that are still known.
+    std::size_t deletedCount() const { return this->deleted.size(); }
+
 private:
     Changes replace(const std::vector<StoreChange> &items, StorePosition position);
     bool applyIfNewer(const StoreChange &change);
 
     std::map<std::string, StoreChange> table;
-    /// Revisions of deleted keys, so that an older value is not applied afterwards.
+    void recordDeletion(const std::string &key, std::uint64_t revision);
+
+    /// Revisions of the keys that were deleted last, so that an older value is not applied
+    /// afterwards, and keys that a restored store brings back are recognized.
     std::map<std::string, std::uint64_t> deleted;
+    /// Keys in the order of their deletions.
+    std::multimap<std::uint64_t, std::string> deletions;
+    /// Highest revision of the deletions that were dropped.
+    std::uint64_t droppedDeletions = 0;
     /// Keys that the snapshot of a new generation lacks or has with another value.
     std::set<std::string> doubtful;
     std::deque<StoreChange> log;
--- a/Tests/Relay/RosterTest.cpp
+++ b/Tests/Relay/RosterTest.cpp
@@ -29,7 +29,9 @@
     CPPUNIT_TEST(silentAndLeavingEntriesAreNotListed);
     CPPUNIT_TEST(oldReportsAreIgnored);
     CPPUNIT_TEST(sharesStayBelowTheLimitOfAllEntries);
+    CPPUNIT_TEST(sharesHoldAfterAPauseOfTheProcess);
     CPPUNIT_TEST(mirrorNeverReverts);
+    CPPUNIT_TEST(mirrorForgetsOldDeletions);
     CPPUNIT_TEST(mirrorReturnsTheChangesThatAnotherEntryLacks);
     CPPUNIT_TEST(lateAnswerOfAnEarlierGenerationIsApplied);
     CPPUNIT_TEST(restoredStoreBringsBackWhatHasEnded);
@@ -169,6 +171,50 @@
         CPPUNIT_ASSERT(starts <= 26);
     }
 
+    // Guards against an entry that takes the whole of a shared limit for itself after it was
+    // paused: it heard nobody meanwhile, but the others have gone on.
+    void sharesHoldAfterAPauseOfTheProcess()
+    {
+        for (const bool isRuleOn : {true, false}) {
+            EntryTable::Switches switches;
+            switches.countsAfterOwnPause = isRuleOn;
+            EntryTable table(switches);
+            Instant now = this->start;
+            for (std::uint64_t sequence = 1; sequence < 20; ++sequence, now += milliseconds(100)) {
+                for (const char *name : {"a", "b", "c"})
+                    table.update(now, this->report(name, sequence));
+                table.tick(now);
+            }
+            CPPUNIT_ASSERT_EQUAL(4U, table.entryCount(now));
+            now += seconds(12);
+            table.noteTime(now);
+            CPPUNIT_ASSERT_EQUAL(isRuleOn ? 4U : 1U, table.entryCount(now));
+            // One has reported again, the others have ended.
+            table.update(now + milliseconds(50), this->report("a", 300));
+            for (int tick = 0; tick < 200; ++tick, now += milliseconds(20))
+                table.tick(now);
+            CPPUNIT_ASSERT_EQUAL(2U, table.entryCount(now));
+        }
+    }
+
+    void mirrorForgetsOldDeletions()
+    {
+        StoreMirror mirror;
+        std::uint64_t revision = 1;
+        for (int number = 0; number < 20'000; ++number, revision += 2) {
+            const std::string key = "key/" + std::to_string(number);
+            mirror.apply({{key, "x", revision}}, {0, revision});
+            mirror.apply({{key, std::nullopt, revision + 1}}, {0, revision + 1});
+        }
+        CPPUNIT_ASSERT(mirror.deletedCount() <= 4096);
+        // A value of before comes late, from an entry that lags behind.
+        CPPUNIT_ASSERT(mirror.apply({{"key/0", "x", 1}}, {0, 1}).empty());
+        CPPUNIT_ASSERT(mirror.items().empty());
+        // The key is written again.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                             mirror.apply({{"key/0", "y", revision}}, {0, revision}).size());
+    }
+
     void mirrorNeverReverts()
     {
         StoreMirror mirror;
