Cut off no request in a planned stop, and end no process by one error

Cause: only streams were refused late in the grace time, so that calls were taken and cut at its end, among them ones that may not be repeated; connections that had just been accepted were closed as idle; a request body had one idle time for all of it; an exception in a callback left the event loop.

Change: StopAdmission takes a request in a planned stop only if it is expected to end before the process, a non-idempotent one only if its deadline does. An unexpected error ends one attempt, request, key of the store or message, with event 5046.

--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -109,6 +109,12 @@
         accepted.connection->closeIfIdle();
 }
 
+void HttpListener::stopAccepting()
+{
+    if (this->listener != nullptr)
+        evconnlistener_free(std::exchange(this->listener, nullptr));
+}
+
 void HttpListener::tick(Instant now)
 {
     for (auto it = this->requests.begin(); it != this->requests.end();) {
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -60,8 +60,11 @@
 
     /// Adds "Connection: close" to every further response.
     void announceClose();
-    /// Closes the connections without an open request.
+    /// Closes the connections without an open request, but for new ones whose first request may be
+    /// on its way.
     void closeIdle();
+    /// Refuses new connections, so that their callers turn to another instance at once.
+    void stopAccepting();
 
     /// Enforces the timeouts and frees closed connections. Has to be called periodically.
     void tick(Instant now);
--- a/Source/Http/ServerConnection.cpp
+++ b/Source/Http/ServerConnection.cpp
@@ -16,6 +16,10 @@
 
 /// Time for the caller to read the last response before the connection is reset.
 constexpr std::chrono::milliseconds LingerTime{1000};
+/// Bytes of a body that count as progress within the idle time. Single bytes now and then do not.
+constexpr std::size_t MinBodyProgress = 1024;
+/// A new connection is not idle before its first request had the time to arrive.
+constexpr std::chrono::milliseconds FirstRequestTime{1000};
 
 std::string_view defaultReasonPhrase(int status)
 {
@@ -83,7 +87,7 @@
       connection(bufferevent_socket_new(loop.base(), socket,
                                         BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
       parser(HttpParser::Kind::Request, *this), handlers(std::move(handlers)),
-      deadline(loop.now() + limits.idleTime)
+      deadline(loop.now() + limits.idleTime), firstRequestBy(loop.now() + FirstRequestTime)
 {
     setSocketOptions(this->connection);
     bufferevent_setcb(this->connection, &Callbacks::onRead, &Callbacks::onWrite,
@@ -108,6 +112,7 @@
 {
     this->head = std::move(parsed);
     this->body.clear();
+    this->progress = 0;
     this->deadline = this->loop.now() + this->limits.idleTime;
 }
 
@@ -116,6 +121,10 @@
     // Stores at most one byte more than the limit, by which readInput() detects an oversized body.
     if (this->body.size() <= this->limits.bodyBytes)
         this->body.append(data.substr(0, this->limits.bodyBytes + 1 - this->body.size()));
+    if (this->body.size() >= this->progress + MinBodyProgress) {
+        this->progress = this->body.size();
+        this->deadline = this->loop.now() + this->limits.idleTime;
+    }
 }
 
 void ServerConnection::readInput()
@@ -151,6 +160,7 @@
         if (this->parser.state() == HttpParser::State::Complete) {
             this->requestOpen = true;
             this->deadline = NoDeadline;
+            this->firstRequestBy = Instant();
             this->handlers.onRequest(std::move(this->head), std::move(this->body));
             if (guard.expired())
                 return;
@@ -266,7 +276,7 @@
 void ServerConnection::closeIfIdle()
 {
     if (!this->requestOpen && !this->lingering && this->parser.state() == HttpParser::State::Idle
-        && this->connection != nullptr
+        && this->connection != nullptr && this->loop.now() >= this->firstRequestBy
         && evbuffer_get_length(bufferevent_get_input(this->connection)) == 0) {
         this->closeAfterWrite();
     }
--- a/Source/Http/ServerConnection.h
+++ b/Source/Http/ServerConnection.h
@@ -102,6 +102,10 @@
     bool lingering = false;
     bool reading = false;
     Instant deadline;
+    /// The connection counts as idle only after this time or its first request.
+    Instant firstRequestBy;
+    /// Bytes of the body at the last extension of the deadline.
+    std::size_t progress = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -47,6 +47,7 @@
 inline constexpr std::uint32_t StoreRestored = 5043;
 inline constexpr std::uint32_t OtherGroupHeard = 5044;
 inline constexpr std::uint32_t RankStateInvalid = 5045;
+inline constexpr std::uint32_t UnexpectedError = 5046;
 
 } // namespace RelayLog
 
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -2,6 +2,7 @@
 
 #include "Relay/RelayLimits.h"
 #include "Relay/RelayLog.h"
+#include "Relay/StopAdmission.h"
 
 #include <algorithm>
 #include <sstream>
@@ -18,8 +19,6 @@
 /// A stream without an event for this long is resumed at another backend server if the service is
 /// active. Three times the usual latency target of 400 ms; callers disconnect 0.8 s later.
 constexpr milliseconds MaxStreamSilence{1200};
-/// Expected duration of the longest streams at twice the usual pause between events.
-constexpr milliseconds MaxStreamDuration{4500};
 /// Attempts per request, including those that backend servers rejected as not run.
 constexpr std::uint32_t MaxSends = 4;
 /// Backoff before a request that a backend server rejected as not run is sent again.
@@ -123,13 +122,6 @@
         return;
     }
 
-    if (route->kind == Route::Kind::Stream && now + MaxStreamDuration > this->stopAt) {
-        // The process could end before the stream; another entry can complete it.
-        this->refuseUntracked(caller, request.id, 503, RelayLimits::MinRetryAfter, "planned stop",
-                              commands);
-        return;
-    }
-
     Exchange exchange;
     exchange.caller = caller;
     exchange.route = *route;
@@ -141,6 +133,13 @@
     exchange.waitingSince = now;
     exchange.targetAt = now + route->latencyTarget;
     exchange.deadline = now + std::min(request.timeLeft.value_or(DefaultDeadline), route->timeout);
+    if (!StopAdmission::endsInTime({now, this->stopAt, exchange.deadline, route->kind,
+                                    route->latencyTarget,
+                                    this->waitEstimatorOf(exchange).meanHoldTime()})) {
+        this->refuseUntracked(caller, request.id, 503, RelayLimits::MinRetryAfter, "planned stop",
+                              commands);
+        return;
+    }
     exchange.lastEvent = request.lastEvent;
     exchange.request = std::move(request);
     exchange.traits = RequestQuarantine::traitsOf(exchange.service, exchange.request);
--- /dev/null
+++ b/Source/Relay/StopAdmission.cpp
@@ -0,0 +1,44 @@
+#include "Relay/StopAdmission.h"
+
+#include <algorithm>
+
+namespace Nutmegrill {
+
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+/// Expected duration of the longest streams at twice the usual pause between events.
+constexpr milliseconds MaxStreamDuration{4500};
+/// Longest expected duration of requests as a multiple of their mean.
+constexpr int MaxHoldTimes = 4;
+/// Longest wait for a slot and an answer as a multiple of the latency target.
+constexpr int MaxLatencyTargets = 3;
+/// Time for the answer to leave the process.
+constexpr milliseconds DeliveryTime{200};
+
+microseconds longestDuration(const StopAdmission::Input &input)
+{
+    const microseconds held = input.meanHoldTime * MaxHoldTimes;
+    switch (input.kind) {
+    case Route::Kind::Stream:
+        return std::max<microseconds>(held, MaxStreamDuration);
+    case Route::Kind::Idempotent:
+        return std::max<microseconds>(held, input.latencyTarget * MaxLatencyTargets);
+    case Route::Kind::NonIdempotent:
+        // Only its deadline is certain to end it.
+        break;
+    }
+    return input.deadline - input.now;
+}
+
+} // namespace
+
+bool StopAdmission::endsInTime(const Input &input)
+{
+    const Instant latestEnd = std::min(input.deadline, input.now + longestDuration(input));
+    return latestEnd + DeliveryTime <= input.stopAt;
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Relay/StopAdmission.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Config/Route.h"
+#include "Core/Time.h"
+
+#include <chrono>
+
+namespace Nutmegrill {
+
+/// Decides whether an entry in a planned stop still takes a request. Load pattern: callers with a
+/// cached address lookup send their requests up to the end of the grace time. A request that is
+/// taken and cut is lost, and one that may not be repeated is in doubt, while one that is refused
+/// as not run goes to another entry at once.
+namespace StopAdmission {
+
+struct Input
+{
+    Instant now;
+    /// End of the process.
+    Instant stopAt;
+    /// The caller's deadline or the route's timeout, whichever is earlier.
+    Instant deadline;
+    Route::Kind kind = Route::Kind::NonIdempotent;
+    std::chrono::milliseconds latencyTarget{0};
+    /// Mean time for which requests of the service hold their slot.
+    std::chrono::microseconds meanHoldTime{0};
+};
+
+/// Whether the request is expected to end before the process does.
+bool endsInTime(const Input &input);
+
+} // namespace StopAdmission
+
+} // namespace Nutmegrill
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <exception>
 #include <utility>
 
 namespace Nutmegrill {
@@ -35,6 +36,7 @@
 constexpr std::size_t MaxMetricsConnections = 16;
 /// Other groups that an agent remembers as logged.
 constexpr std::size_t MaxLoggedGroups = 64;
+constexpr std::size_t MaxLoggedError = 200;
 /// A map change begins above StartSkew and is planned to reach TargetSkew. The requests of a single
 /// step vary by more than the difference, and every change slows the steps while it copies; see
 /// docs/measurements/platform.md.
@@ -75,7 +77,17 @@
                                                 this->metrics.text());
                       }),
       peerSocket(loop, options.ip + ":" + std::to_string(options.peerPort),
-                 [this](std::string_view bytes) { this->handleDatagram(bytes); }),
+                 [this](std::string_view bytes) {
+                     try {
+                         this->handleDatagram(bytes);
+                     } catch (const std::exception &error) {
+                         this->metrics.add("nutmegrill_unexpected_errors_total", {});
+                         this->log(RelayLog::UnexpectedError,
+                                   "bytes=" + std::to_string(bytes.size()) + " error=\""
+                                           + std::string(error.what()).substr(0, MaxLoggedError)
+                                           + "\"");
+                     }
+                 }),
       exchange(GroupExchange::Settings::forLink(options.linkBytesPerSecond)),
       engine(loop, options.engineAddress), loopLag(TickPeriod)
 {
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <charconv>
 #include <csignal>
+#include <exception>
 #include <utility>
 
 namespace Nutmegrill {
@@ -40,6 +41,7 @@
 constexpr int ExitPercent = 96;
 /// Other entries learn of the return of the store for this long.
 constexpr milliseconds StoreReturnReportTime{1000};
+constexpr std::size_t MaxLoggedError = 200;
 constexpr std::string_view PeerUpdatePrefix = "/state?after=";
 constexpr std::string_view PeerUpdateGeneration = "&generation=";
 
@@ -82,24 +84,25 @@
       attempts(loop, protocol,
                {[this](auto attempt) { this->node.attemptConnected(this->loop.now(), attempt); },
                 [this](auto attempt, const AnswerHead &head) {
-                    RelayNode::Commands commands;
-                    this->node.headArrived(this->loop.now(), attempt, head, commands);
-                    this->execute(commands);
+                    this->runAttempt(attempt, [&](RelayNode::Commands &commands) {
+                        this->node.headArrived(this->loop.now(), attempt, head, commands);
+                    });
                 },
                 [this](auto attempt, StreamEvent event) {
-                    RelayNode::Commands commands;
-                    this->node.eventArrived(this->loop.now(), attempt, std::move(event), commands);
-                    this->execute(commands);
+                    this->runAttempt(attempt, [&](RelayNode::Commands &commands) {
+                        this->node.eventArrived(this->loop.now(), attempt, std::move(event),
+                                                commands);
+                    });
                 },
                 [this](auto attempt) {
-                    RelayNode::Commands commands;
-                    this->node.answerEnded(this->loop.now(), attempt, commands);
-                    this->execute(commands);
+                    this->runAttempt(attempt, [&](RelayNode::Commands &commands) {
+                        this->node.answerEnded(this->loop.now(), attempt, commands);
+                    });
                 },
                 [this](auto attempt, AttemptFailure failure) {
-                    RelayNode::Commands commands;
-                    this->node.attemptFailed(this->loop.now(), attempt, failure, commands);
-                    this->execute(commands);
+                    this->runAttempt(attempt, [&](RelayNode::Commands &commands) {
+                        this->node.attemptFailed(this->loop.now(), attempt, failure, commands);
+                    });
                 }}),
       storeFeed(loop, store,
                 {[this](const StoreMirror::Changes &changes) { this->applyChanges(changes); },
@@ -130,7 +133,7 @@
                                                 this->metrics.text());
                       }),
       reportSocket(loop, options.peerAddress,
-                   [this](std::string_view bytes) { this->handleReport(bytes); }),
+                   [this](std::string_view bytes) { this->handleDatagram(bytes); }),
       loopLag(TickPeriod)
 {
     this->callerListener.onCallerDisconnected([this](HttpListener::RequestId id) {
@@ -197,7 +200,46 @@
     return this->node.isConfigured() && this->stopAt == NoDeadline;
 }
 
+void RelayEntry::runAttempt(RelayCommand::AttemptId attempt,
+                            const std::function<void(RelayNode::Commands &)> &step)
+{
+    RelayNode::Commands commands;
+    try {
+        step(commands);
+        this->execute(commands);
+    } catch (const std::exception &error) {
+        this->logUnexpected("attempt=" + std::to_string(attempt), error);
+        // What became of the request is unknown.
+        RelayNode::Commands failed;
+        this->node.attemptFailed(this->loop.now(), attempt, AttemptFailure::Malformed, failed);
+        this->execute(failed);
+    }
+}
+
 void RelayEntry::handleRequest(HttpListener::Request &&request)
+{
+    const auto id = request.id;
+    try {
+        this->startRequest(std::move(request));
+    } catch (const std::exception &error) {
+        this->logUnexpected("request=" + std::to_string(id), error);
+        RelayNode::Commands commands;
+        this->node.callerDisconnected(this->loop.now(), id, commands);
+        this->requests.erase(id);
+        this->execute(commands);
+        if (auto *connection = this->callerListener.find(id))
+            connection->reply(500, {}, {}, {});
+    }
+}
+
+void RelayEntry::logUnexpected(const std::string &where, const std::exception &error)
+{
+    this->metrics.add("nutmegrill_unexpected_errors_total", {});
+    this->log(RelayLog::UnexpectedError, LogRecord::Level::Error,
+              where + " error=\"" + std::string(error.what()).substr(0, MaxLoggedError) + "\"");
+}
+
+void RelayEntry::startRequest(HttpListener::Request &&request)
 {
     const Instant now = this->loop.now();
     const auto id = request.id;
@@ -262,7 +304,7 @@
     RelayNode::Commands commands;
     auto domainsOut = this->node.roster().takenOutDomains();
     for (const StoreChange &change : changes) {
-        const StateDecoder::DecodedChange decoded = this->decoder.decode(change);
+        const StateDecoder::DecodedChange decoded = this->decode(change);
         if (const auto *configuration = std::get_if<ConfigurationPtr>(&decoded)) {
             const CallerLimits &limits = (*configuration)->callerLimits;
             this->callerListener.setLimits({limits.bodyBytes, limits.headerTime, limits.idleTime});
@@ -313,6 +355,16 @@
     this->execute(commands);
 }
 
+StateDecoder::DecodedChange RelayEntry::decode(const StoreChange &change)
+{
+    try {
+        return this->decoder.decode(change);
+    } catch (const std::exception &error) {
+        this->logUnexpected("key=" + change.key, error);
+        return {};
+    }
+}
+
 void RelayEntry::storeReturned(milliseconds outage)
 {
     const Instant now = this->loop.now();
@@ -337,6 +389,15 @@
                       + " before=" + std::to_string(before.revision));
 }
 
+void RelayEntry::handleDatagram(std::string_view bytes)
+{
+    try {
+        this->handleReport(bytes);
+    } catch (const std::exception &error) {
+        this->logUnexpected("bytes=" + std::to_string(bytes.size()), error);
+    }
+}
+
 void RelayEntry::handleReport(std::string_view bytes)
 {
     const std::optional<EntryReport> report = decodeReport(bytes);
@@ -509,8 +570,10 @@
         return;
     const milliseconds grace = this->options.graceTime;
     const Instant closeIdleAt = this->stopAt - grace * (ExitPercent - IdleClosePercent) / 100;
-    if (now >= closeIdleAt)
+    if (now >= closeIdleAt) {
+        this->callerListener.stopAccepting();
         this->callerListener.closeIdle();
+    }
     if (now >= this->stopAt
         || (now >= closeIdleAt && this->node.openRequests() == 0
             && this->callerListener.connectionCount() == 0))
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -14,6 +14,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -63,7 +64,15 @@
     void run();
 
 private:
+    /// Runs a step of the decision logic and the commands that it returns. An unexpected error ends
+    /// this attempt only.
+    void runAttempt(RelayCommand::AttemptId attempt,
+                    const std::function<void(RelayNode::Commands &)> &step);
     void handleRequest(HttpListener::Request &&request);
+    void startRequest(HttpListener::Request &&request);
+    void logUnexpected(const std::string &where, const std::exception &error);
+    StateDecoder::DecodedChange decode(const StoreChange &change);
+    void handleDatagram(std::string_view bytes);
     void answerReadiness(const HttpListener::Request &request);
     void answerDirectory(const HttpListener::Request &request);
     void answerPeer(const HttpListener::Request &request);
--- /dev/null
+++ b/Tests/Http/ListenerTest.cpp
@@ -0,0 +1,177 @@
+#include "Http/HttpListener.h"
+#include "Net/EventLoop.h"
+
+#include <arpa/inet.h>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cppunit/TestFixture.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace Nutmegrill {
+
+using std::chrono::milliseconds;
+
+/// Connections of callers whose bytes come slowly or late.
+class ListenerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ListenerTest);
+    CPPUNIT_TEST(newConnectionIsNotClosedAsIdle);
+    CPPUNIT_TEST(usedConnectionIsClosedAsIdle);
+    CPPUNIT_TEST(connectionsAreRefusedAfterTheEndOfAccepting);
+    CPPUNIT_TEST(slowButSteadyBodyIsRead);
+    CPPUNIT_TEST(dribblingBodyIsRejected);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        this->listener = std::make_unique<HttpListener>(
+                this->loop, Address, 16, [this](HttpListener::Request &&request) {
+                    this->body = request.body;
+                    this->listener->find(request.id)->reply(200, {}, {}, "ok");
+                });
+        CPPUNIT_ASSERT(this->listener->isListening());
+        this->tickTimer = this->loop.every(milliseconds(10), [this] {
+            this->listener->tick(this->loop.now());
+            if (this->closesIdle)
+                this->listener->closeIdle();
+        });
+    }
+
+    void tearDown() override
+    {
+        close(this->client);
+        this->listener.reset();
+    }
+
+    // Guards against a planned stop that closes connections whose first request is on its way.
+    void newConnectionIsNotClosedAsIdle()
+    {
+        this->connectClient();
+        this->closesIdle = true;
+        this->run(milliseconds(200));
+        this->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        this->run(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), this->received().substr(0, 12));
+        // Without a request it is closed a second later.
+        close(this->client);
+        this->connectClient();
+        this->run(milliseconds(1300));
+        CPPUNIT_ASSERT(this->isClosed());
+    }
+
+    void usedConnectionIsClosedAsIdle()
+    {
+        this->connectClient();
+        this->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        this->run(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), this->received().substr(0, 12));
+        this->closesIdle = true;
+        this->run(milliseconds(100));
+        CPPUNIT_ASSERT(this->isClosed());
+    }
+
+    void connectionsAreRefusedAfterTheEndOfAccepting()
+    {
+        this->listener->stopAccepting();
+        this->client = ::socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in peer = this->peer();
+        CPPUNIT_ASSERT(
+                connect(this->client, reinterpret_cast<const sockaddr *>(&peer), sizeof(peer))
+                != 0);
+    }
+
+    // Guards against a caller on a slow link whose request is rejected although it comes steadily.
+    void slowButSteadyBodyIsRead()
+    {
+        this->setIdleTime();
+        this->connectClient();
+        this->send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 24576\r\n\r\n");
+        // Six times the idle time in all.
+        for (int part = 0; part < 12; ++part) {
+            this->send(std::string(2048, 'b'));
+            this->run(milliseconds(150));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(24576), this->body.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), this->received().substr(0, 12));
+    }
+
+    void dribblingBodyIsRejected()
+    {
+        this->setIdleTime();
+        this->connectClient();
+        this->send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 24576\r\n\r\n");
+        for (int part = 0; part < 8; ++part) {
+            this->send("b");
+            this->run(milliseconds(100));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 408"), this->received().substr(0, 12));
+    }
+
+private:
+    static constexpr const char *Address = "127.0.0.1:21871";
+
+    sockaddr_in peer() const
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        address.sin_port = htons(21871);
+        return address;
+    }
+
+    void setIdleTime()
+    {
+        ServerLimits limits;
+        limits.idleTime = milliseconds(300);
+        this->listener->setLimits(limits);
+    }
+
+    void connectClient()
+    {
+        this->client = ::socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in address = this->peer();
+        CPPUNIT_ASSERT_EQUAL(0, connect(this->client, reinterpret_cast<const sockaddr *>(&address),
+                                        sizeof(address)));
+        this->run(milliseconds(50));
+    }
+
+    void send(const std::string &bytes) const
+    {
+        ::send(this->client, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+
+    std::string received() const
+    {
+        std::string bytes(4096, '\0');
+        const ssize_t length = recv(this->client, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        bytes.resize(length > 0 ? static_cast<std::size_t>(length) : 0);
+        return bytes;
+    }
+
+    bool isClosed() const
+    {
+        char byte = 0;
+        return recv(this->client, &byte, 1, MSG_DONTWAIT) == 0;
+    }
+
+    void run(milliseconds span)
+    {
+        this->loop.runUntil([] { return false; }, span);
+    }
+
+    EventLoop loop;
+    std::unique_ptr<HttpListener> listener;
+    std::unique_ptr<EventLoop::Timer> tickTimer;
+    std::string body;
+    int client = -1;
+    bool closesIdle = false;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ListenerTest);
+
+} // namespace Nutmegrill
--- a/Tests/Relay/RelayNodeTest.cpp
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -63,6 +63,7 @@
     CPPUNIT_TEST(requestsWaitForServersBeyondTheirLimits);
     CPPUNIT_TEST(openCircuitLimitsRepeats);
     CPPUNIT_TEST(streamIsRefusedShortlyBeforeAPlannedStop);
+    CPPUNIT_TEST(callIsRefusedShortlyBeforeAPlannedStop);
     CPPUNIT_TEST(excessRequestsAreRefusedAtOnce);
     CPPUNIT_TEST(smallAccountIsServedBesideALargeOne);
     CPPUNIT_TEST(failedRequestsAreTraceableInTheLog);
@@ -438,6 +439,28 @@
         CPPUNIT_ASSERT(scene.attemptOf(scene.arrive("/record/")) != nullptr);
     }
 
+    // Guards against requests that are taken late in the grace time and cut off at its end. Those
+    // that may not be repeated have no other chance.
+    void callIsRefusedShortlyBeforeAPlannedStop()
+    {
+        RelayNodeHarness scene;
+        scene.node.beginStop(scene.now + milliseconds(7680));
+        scene.advance(milliseconds(6600));
+        CPPUNIT_ASSERT(scene.attemptOf(scene.arrive("/record/")) != nullptr);
+        scene.advance(milliseconds(160));
+        // The route's timeout of 800 ms ends after the process.
+        const auto record = scene.arrive("/record/");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), scene.attemptsOf(record));
+        CPPUNIT_ASSERT_EQUAL(503, scene.refusalOf(record)->status);
+        scene.advance(milliseconds(500));
+        const auto lookup = scene.arrive("/lookup/");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), scene.attemptsOf(lookup));
+        CPPUNIT_ASSERT_EQUAL(503, scene.refusalOf(lookup)->status);
+        // The callers of requests that were taken have their answers or deadlines by the end.
+        scene.advance(milliseconds(300));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), scene.node.openRequests());
+    }
+
     // Many more simultaneous requests than slots: those that cannot get a slot in time are refused
     // at once, with different Retry-After times.
     void excessRequestsAreRefusedAtOnce()
