--- a/Tests/Experts/SwitchWorld.cpp
+++ b/Tests/Experts/SwitchWorld.cpp
@@ -140,7 +140,7 @@
         if (other != server)
             addresses.insert(std::to_string(other));
     }
-    agent.exchange->setPeers(std::move(addresses));
+    agent.exchange->setPeers(addresses);
 }
 
 EngineCommandResult SwitchWorld::execute(std::uint32_t server, const EngineCommand &engineCommand)
