--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <cmath>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -53,13 +55,16 @@
            && std::stoull(text) <= std::numeric_limits<std::uint32_t>::max();
 }
 
-bool isDecimal(const std::string &text)
+/// A finite number without sign that fills the whole text; independent of the locale.
+std::optional<double> readDecimal(const std::string &text)
 {
-    // Digits with at most one point; no sign, exponent or locale.
-    const auto point = text.find('.');
-    const std::string whole = text.substr(0, point);
-    const std::string fraction = point == std::string::npos ? "0" : text.substr(point + 1);
-    return isNumber(whole) && isNumber(fraction);
+    double number = 0;
+    const char *const end = text.data() + text.size();
+    const auto [read, error] = std::from_chars(text.data(), end, number);
+    const bool isWhole = error == std::errc() && read == end && !text.empty();
+    return isWhole && !std::signbit(number) && number <= std::numeric_limits<std::uint32_t>::max()
+                   ? std::optional(number)
+                   : std::nullopt;
 }
 
 std::vector<std::string> splitList(const std::string &text)
@@ -95,7 +100,10 @@
         {isNumber, "a number from 0 to 4294967295"},
         {[](const std::string &text) { return isNumber(text) && std::stoull(text) > 0; },
          "a number from 1 to 4294967295"},
-        {isDecimal, "a number such as 0.2"},
+        {[](const std::string &text) { return readDecimal(text).has_value(); },
+         "a number such as 0.2"},
+        {[](const std::string &text) { return readDecimal(text).value_or(0) > 0; },
+         "a number above 0 such as 7.5"},
         {[](const std::string &text) { return text == "yes" || text == "no"; }, "yes or no"}};
 
 } // namespace
@@ -287,7 +295,7 @@
 
 double Settings::decimal(const std::string &name) const
 {
-    return std::stod(this->text(name));
+    return readDecimal(this->text(name)).value_or(0);
 }
 
 std::vector<std::string> Settings::list(const std::string &name) const
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -24,6 +24,7 @@
         Number,
         PositiveNumber,
         Decimal,
+        PositiveDecimal,
         YesNo
     };
 
--- a/Tests/Programs/SettingsTest.cpp
+++ b/Tests/Programs/SettingsTest.cpp
@@ -28,6 +28,7 @@
 {
     CPPUNIT_TEST_SUITE(SettingsTest);
     CPPUNIT_TEST(flagsOverrideFile);
+    CPPUNIT_TEST(fractionsAreRead);
     CPPUNIT_TEST(invalidFileIsRejected);
     CPPUNIT_TEST(reloadChangesAllSettingsOrNone);
     CPPUNIT_TEST(fileIsReloadedWithAndWithoutSignal);
@@ -63,6 +64,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), this->settings->number("grace"));
     }
 
+    // Guards against a process that does not start because the platform gives a fraction.
+    void fractionsAreRead()
+    {
+        this->settings->allow("window", Settings::Format::PositiveDecimal, "10", "");
+        this->write("name = a\nstore = 10.0.0.1:80\nratio = 34.10526315789474\nwindow = 7.5\n");
+        CPPUNIT_ASSERT(this->read({}));
+        CPPUNIT_ASSERT_EQUAL(34.10526315789474, this->settings->decimal("ratio"));
+        CPPUNIT_ASSERT_EQUAL(7.5, this->settings->decimal("window"));
+        for (const char *text : {"-1", "1e999", "nan", "0.2x", "", "0,2", " 1"})
+            CPPUNIT_ASSERT_MESSAGE(text, !this->read({"--ratio=" + std::string(text)}));
+        CPPUNIT_ASSERT(!this->read({"--window=0"}));
+        CPPUNIT_ASSERT(!this->read({"--window=0.0"}));
+    }
+
     // Guards against a process that starts with an invalid or unreadable file.
     void invalidFileIsRejected()
     {
