Tell the load of a large fleet as sums, and reports less often

Cause: each entry sent its report to each other one ten times a second: 148 entries sent 217,000 messages a second. An entry also looked through the reports of all others for each server and request.

Change: the period of reports grows with the fleet, up to a second; a stop, crashes, leaving servers and what watchers of the store learn are told sooner (ReportSchedule). From 25 entries on, loads are added up by two relays of each failure domain and told to each entry at 6 KB/s at most (LoadExchange); without a recent sum the reports count. Sums are kept up to date by each report instead of being added up for each request. Leases of entries are renewed each 9 s instead of 3, and agents that follow a hub read the list of servers each 20 s instead of 4.

--- a/Source/Experts/GroupExchange.cpp
+++ b/Source/Experts/GroupExchange.cpp
@@ -359,6 +359,16 @@
     this->sample.reset();
 }
 
+bool GroupExchange::isSettled(Instant now) const
+{
+    if (this->mode != Mode::Hub)
+        return this->mode == Mode::Star;
+    return this->rows.size() + 1 >= this->ranks
+           && std::all_of(this->rows.begin(), this->rows.end(), [&](const auto &entry) {
+                  return now < entry.second.heardAt + livenessTimeout(this->ranks);
+              });
+}
+
 std::vector<std::uint32_t> GroupExchange::silentRanks(Instant now) const
 {
     std::vector<std::uint32_t> silent;
--- a/Source/Experts/GroupExchange.h
+++ b/Source/Experts/GroupExchange.h
@@ -81,6 +81,8 @@
               Messages &messages);
 
     bool isHub() const { return this->mode == Mode::Hub; }
+    /// Whether the agent follows a hub, or is one that hears all ranks.
+    bool isSettled(Instant now) const;
 
     /// Ranks without a report although one was due, during a change of map. Only the hub acts for
     /// them.
--- a/Source/Relay/EntryTable.h
+++ b/Source/Relay/EntryTable.h
@@ -2,7 +2,10 @@
 
 #include "Core/Time.h"
 #include "Relay/EntryReport.h"
+#include "Relay/LoadExchange.h"
+#include "Relay/LoadSum.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -22,6 +25,8 @@
         std::string peerAddress;
         std::optional<EntryReport> report;
         Instant lastSeenAt;
+        /// The load of the report is part of the sum of all.
+        bool isSummed = false;
     };
 
     /// Rules that tests turn off to show which failure each one prevents.
@@ -82,6 +87,17 @@
     /// The others learn changes from them, so the load of the store does not grow with the entries.
     bool watchesStore(const std::string &name, const std::string &domain, Instant now) const;
 
+    /// Peer addresses of the two relays of a failure domain, this entry included.
+    std::vector<std::string> relaysOf(const std::string &domain, Instant now) const;
+    /// Failure domains of this entry and of the live ones.
+    std::vector<std::string> domains(Instant now) const;
+    /// Reports of other entries of a failure domain whose load is recent enough to count.
+    std::vector<const EntryReport *> recentReports(const std::string &domain, Instant now) const;
+
+    /// Facts of this entry, for the selection of relays.
+    void setOwn(const EntryReport &facts);
+    LoadExchange &loads() { return this->loadExchange; }
+
     void tick(Instant now);
 
     /// Called before decisions that depend on the other entries. After a pause of this process
@@ -93,6 +109,9 @@
 
 private:
     bool isLive(const Row &row, Instant now) const;
+    std::chrono::milliseconds livenessTimeout() const;
+    std::chrono::milliseconds maxLoadAge() const;
+    void dropOldLoads(Instant now) const;
     bool countsForLimits(const Row &row, Instant now) const;
 
     Switches switches;
@@ -101,7 +120,12 @@
     Instant pausedAt;
     Instant resumedAt;
     /// By peer address.
-    std::map<std::string, Row> rows;
+    mutable std::map<std::string, Row> rows;
+    EntryReport own;
+    LoadExchange loadExchange;
+    /// Loads of the other entries by their reports, and when the first of these is too old.
+    mutable LoadSum reportedLoads;
+    mutable Instant loadsValidUntil = NoDeadline;
 };
 
 } // namespace Nutmegrill
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -564,6 +564,11 @@
     this->quarantine.fillReports(now, report.crashes);
     this->fillLimits(now, report.limits);
     this->fillLeaving(report.leaving);
+    this->fillLoad(report);
+}
+
+void RelayNode::fillLoad(EntryReport &report) const
+{
     for (const auto &[backend, use] : this->backendUses) {
         if (use.running > 0)
             report.running[backend] = use.running;
@@ -574,4 +579,13 @@
     }
 }
 
+LoadSum RelayNode::ownLoad() const
+{
+    EntryReport report;
+    this->fillLoad(report);
+    LoadSum load;
+    load.add(report);
+    return load;
+}
+
 } // namespace Nutmegrill
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -116,6 +116,8 @@
     /// Adds the running and waiting requests and the news about crashes to this entry's report to
     /// the other entries.
     void fillReport(Instant now, EntryReport &report);
+    /// Load of this entry's requests, for the sums of all entries.
+    LoadSum ownLoad() const;
 
 private:
     using Exchanges = std::map<CallerId, Exchange>;
@@ -210,6 +212,7 @@
     bool recordLeaving(const std::string &backend, std::uint64_t incarnation, const char *source,
                        Commands &commands);
     void fillLeaving(std::vector<std::string> &leaving);
+    void fillLoad(EntryReport &report) const;
     bool hasLimitCapacity(Instant now, const std::string &backend, BackendUse &use,
                           std::uint32_t entries) const;
     double coldRateOf(const ServiceDeclaration *service, bool isCold, Instant now) const;
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -25,6 +25,8 @@
 /// The list of agents changes only with the instances. It is read with serializable reads, which
 /// may be stale and are cheap for the store.
 constexpr milliseconds PeersPeriod{4000};
+/// An agent that starts finds the others by itself.
+constexpr milliseconds SettledPeersPeriod{20000};
 constexpr milliseconds ProfilePeriod{1000};
 constexpr milliseconds TrafficLogPeriod{5000};
 constexpr milliseconds EngineTimeout{300};
@@ -206,7 +208,8 @@
         this->logTraffic();
     }
     if (now >= this->nextPeersAt) {
-        this->nextPeersAt = now + PeersPeriod;
+        this->nextPeersAt =
+                now + (this->exchange.isSettled(now) ? SettledPeersPeriod : PeersPeriod);
         this->readPeers();
     }
     if (this->owner == nullptr && now >= this->nextProfileAt) {
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -5,6 +5,7 @@
 #include "Net/EventLog.h"
 #include "Relay/RelayLog.h"
 #include "RelayShell/GroupQueryCodec.h"
+#include "RelayShell/LoadShareCodec.h"
 #include "RelayShell/PeerCodec.h"
 #include "RelayShell/RelayProtocol.h"
 
@@ -26,8 +27,10 @@
 /// Other entries select backend servers by loads of this age; shorter periods cost processor time.
 constexpr milliseconds ReportPeriod{100};
 /// The entry's key in the store expires after three missed renewals.
-constexpr milliseconds LeaseTime{9000};
-constexpr milliseconds RenewPeriod{3000};
+constexpr milliseconds LeaseTime{27000};
+constexpr milliseconds RenewPeriod{9000};
+/// A lost key is written again within this time.
+constexpr milliseconds AnnouncePeriod{3000};
 /// Other entries accept connections within a few milliseconds.
 constexpr milliseconds PeerConnectTimeout{300};
 /// A peer that takes longer is paused or cut off.
@@ -40,7 +43,7 @@
 /// Share of the grace time after which the process ends even if requests are open.
 constexpr int ExitPercent = 96;
 /// Other entries learn of the return of the store for this long.
-constexpr milliseconds StoreReturnReportTime{1000};
+constexpr milliseconds StoreReturnReportTime{3000};
 constexpr std::size_t MaxLoggedError = 200;
 constexpr std::string_view PeerUpdatePrefix = "/state?after=";
 constexpr std::string_view PeerUpdateGeneration = "&generation=";
@@ -151,7 +154,7 @@
     });
     this->tickTimer = loop.every(TickPeriod, [this] { this->tick(); });
     this->reportTimer = loop.every(ReportPeriod, [this] { this->sendReports(); });
-    this->announceTimer = loop.every(RenewPeriod, [this] { this->announce(); });
+    this->announceTimer = loop.every(AnnouncePeriod, [this] { this->announce(); });
     this->terminateSignal = loop.onSignal(SIGTERM, [this] { this->beginStop(); });
     this->announce();
     this->log(RelayLog::Started, LogRecord::Level::Info,
@@ -402,6 +405,10 @@
 {
     const std::optional<EntryReport> report = decodeReport(bytes);
     if (!report) {
+        if (const auto share = decodeLoadShare(bytes)) {
+            this->node.entries().loads().shareReceived(this->loop.now(), *share);
+            return;
+        }
         if (const auto membership = decodeGroupMembership(bytes)) {
             this->node.groupArrived(this->loop.now(), *membership);
             return;
@@ -441,10 +448,14 @@
         report.sinceStoreReturned =
                 std::chrono::duration_cast<milliseconds>(now - *this->storeReturnedAt);
     this->node.fillReport(now, report);
-    const std::string bytes = encodeReport(report);
-    for (const std::string &address : this->node.entries().peerAddresses())
-        if (!this->reportSocket.send(address, bytes))
-            this->metrics.add("nutmegrill_messages_unsent_total", {});
+    EntryTable &entries = this->node.entries();
+    entries.setOwn(report);
+    if (this->reportSchedule.prepare(now, entries.size() + 1, this->isWatchingStore, report)) {
+        const std::string bytes = encodeReport(report);
+        for (const std::string &address : entries.peerAddresses())
+            this->sendMessage(address, bytes);
+    }
+    this->sendLoads(now);
     this->isWatchingStore =
             this->node.entries().watchesStore(this->options.name, this->options.failureDomain, now);
     this->storeFeed.setWatching(this->isWatchingStore);
@@ -452,6 +463,28 @@
     this->askForGroups();
 }
 
+void RelayEntry::sendLoads(Instant now)
+{
+    EntryTable &entries = this->node.entries();
+    LoadExchange::Messages messages;
+    entries.loads().tick(now, this->node.ownLoad(), entries, messages);
+    std::shared_ptr<const LoadShare> encoded;
+    std::string bytes;
+    for (const auto &[address, share] : messages) {
+        if (share != encoded) {
+            encoded = share;
+            bytes = encodeLoadShare(*share);
+        }
+        this->sendMessage(address, bytes);
+    }
+}
+
+void RelayEntry::sendMessage(const std::string &address, const std::string &bytes)
+{
+    if (!this->reportSocket.send(address, bytes))
+        this->metrics.add("nutmegrill_messages_unsent_total", {});
+}
+
 void RelayEntry::askForGroups()
 {
     const auto portOf = [](const std::string &address) {
@@ -461,8 +494,7 @@
     const std::string port = portOf(this->options.peerAddress);
     for (const std::string &address : this->node.dueGroupQueries(this->loop.now())) {
         const std::string ip = address.substr(0, address.rfind(':'));
-        if (!this->reportSocket.send(ip + port, encodeGroupQuery(this->options.peerAddress)))
-            this->metrics.add("nutmegrill_messages_unsent_total", {});
+        this->sendMessage(ip + port, encodeGroupQuery(this->options.peerAddress));
     }
 }
 
@@ -510,8 +542,11 @@
 {
     if (this->isAnnouncing || this->stopAt != NoDeadline)
         return;
+    if (this->holdsLease() && this->loop.now() < this->renewAt)
+        return;
     this->isAnnouncing = true;
     if (this->holdsLease()) {
+        this->renewAt = this->loop.now() + RenewPeriod - AnnouncePeriod / 2;
         this->store.renewLease(this->lease, [this](const StateStore::Result &result) {
             this->isAnnouncing = false;
             const bool isLost = result.status == StateStore::Status::LeaseNotFound
@@ -531,6 +566,7 @@
         }
         this->lease = granted.lease;
         this->leaseGeneration = granted.generation;
+        this->renewAt = this->loop.now() + RenewPeriod - AnnouncePeriod / 2;
         const std::string key = this->decoder.entryKey(this->options.name + "-"
                                                        + std::to_string(this->options.incarnation));
         // The copy of a restored store may have the key under an earlier lease.
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -5,6 +5,7 @@
 #include "Net/Metrics.h"
 #include "Relay/PeerPull.h"
 #include "Relay/RelayNode.h"
+#include "Relay/ReportSchedule.h"
 #include "RelayShell/BackendAttempts.h"
 #include "RelayShell/DatagramSocket.h"
 #include "RelayShell/LoopLag.h"
@@ -79,6 +80,8 @@
     void applyChanges(const StoreMirror::Changes &changes);
     void handleReport(std::string_view bytes);
     void sendReports();
+    void sendLoads(Instant now);
+    void sendMessage(const std::string &address, const std::string &bytes);
     void askForGroups();
     void pullFromPeer();
     void storeReturned(std::chrono::milliseconds outage);
@@ -126,6 +129,9 @@
     std::unique_ptr<EventLoop::Timer> announceTimer;
     std::unique_ptr<EventLoop::Timer> terminateSignal;
     std::uint64_t reportSequence = 0;
+    ReportSchedule reportSchedule;
+    /// When the lease is renewed next.
+    Instant renewAt;
     std::uint64_t lease = 0;
     std::uint64_t leaseGeneration = 0;
     /// When the store last answered again after an outage.
--- a/Tests/Platform/EntryReportTest.cpp
+++ b/Tests/Platform/EntryReportTest.cpp
@@ -1,3 +1,4 @@
+#include "RelayShell/LoadShareCodec.h"
 #include "RelayShell/PeerCodec.h"
 
 #include <chrono>
@@ -32,6 +33,7 @@
     CPPUNIT_TEST(crashesAndLimitsAreLostInTheCodec);
     CPPUNIT_TEST(newsOfCrashesOutgrowAReport);
     CPPUNIT_TEST(limitsOutgrowAReport);
+    CPPUNIT_TEST(sharesOfTheLoadAreReadOnlyWhenWhole);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -85,6 +87,30 @@
         const std::size_t limits = encodeReport(report).size() - empty;
         CPPUNIT_ASSERT_MESSAGE(std::to_string(limits), limits <= 700);
     }
+
+    void sharesOfTheLoadAreReadOnlyWhenWhole()
+    {
+        LoadShare share;
+        share.scope = LoadShare::Scope::Domain;
+        share.sender = "10.0.0.1:7340";
+        share.failureDomain = "north";
+        share.incarnation = 1791239591083;
+        share.sequence = 70'000;
+        share.running = {{0x01020304, 3}, {0xfffefdfc, 70'000}};
+        share.waiting = {{"s", 4}};
+        const std::string bytes = encodeLoadShare(share);
+        const auto decoded = decodeLoadShare(bytes);
+        CPPUNIT_ASSERT(decoded && decoded->scope == share.scope && decoded->waiting == share.waiting
+                       && decoded->sequence == share.sequence && decoded->running.size() == 2);
+        CPPUNIT_ASSERT(decoded->running[0] == share.running[0]);
+        CPPUNIT_ASSERT_EQUAL(65'535U, decoded->running[1].requests);
+        CPPUNIT_ASSERT(!decodeReport(bytes) && !decodeLoadShare(encodeReport(EntryReport())));
+        for (std::size_t length = 0; length < bytes.size(); ++length)
+            CPPUNIT_ASSERT(!decodeLoadShare(std::string_view(bytes).substr(0, length)));
+        // A sum of 129 backend servers fits a packet.
+        share.running.assign(129, {0xfffefdfc, 12});
+        CPPUNIT_ASSERT(encodeLoadShare(share).size() <= 1'000);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryReportTest);
--- a/Tests/Platform/Fuzz/FuzzTargets.cpp
+++ b/Tests/Platform/Fuzz/FuzzTargets.cpp
@@ -7,6 +7,8 @@
 #include "Http/HttpParser.h"
 #include "Relay/RelayCommand.h"
 #include "RelayShell/EventStreamReader.h"
+#include "RelayShell/GroupQueryCodec.h"
+#include "RelayShell/LoadShareCodec.h"
 #include "RelayShell/PeerCodec.h"
 #include "platform/PlatformDecoder.h"
 #include "platform/PlatformEngine.h"
@@ -124,10 +126,15 @@
 
 std::string runPeers(std::string_view bytes)
 {
+    // Counts are rounded each time they are encoded.
+    static_cast<void>(decodeExpertCounts(bytes));
     for (const std::string &failure :
          {runCodec(bytes, decodeReport, encodeReport), runCodec(bytes, decodeUpdate, encodeUpdate),
           runCodec(bytes, decodeRankState, encodeRankState),
-          runCodec(bytes, decodeOwnerCommand, encodeOwnerCommand)}) {
+          runCodec(bytes, decodeOwnerCommand, encodeOwnerCommand),
+          runCodec(bytes, decodeLoadShare, encodeLoadShare),
+          runCodec(bytes, decodeGroupMembership, encodeGroupMembership),
+          runCodec(bytes, decodeGroupQuery, encodeGroupQuery)}) {
         if (!failure.empty())
             return failure;
     }
@@ -140,7 +147,9 @@
     for (const std::string key : {"op/config", "servers/i-1", "op/evacuate/north"}) {
         const auto meaning = decoder.decode({key, std::string(bytes), 1});
         if (const auto *record = std::get_if<BackendRecord>(&meaning);
-            record != nullptr && (record->slots == 0 || record->address.empty()))
+            record != nullptr
+            && (record->slots == 0 || record->slots > 100'000 || record->address.empty()
+                || record->coldLeft < std::chrono::milliseconds(0)))
             return "a backend server without slots or address is used";
         if (const auto *read = std::get_if<ConfigurationPtr>(&meaning); read != nullptr && !*read)
             return "neither a configuration nor an error";
@@ -207,6 +216,16 @@
     return {};
 }
 
+LoadShare share()
+{
+    LoadShare sample;
+    sample.sender = "10.0.0.1:7340";
+    sample.failureDomain = "north";
+    sample.running = {{7, 2}, {9, 1}};
+    sample.waiting = {{"service", 2}};
+    return sample;
+}
+
 EntryReport report()
 {
     EntryReport sample;
@@ -239,12 +258,18 @@
              {"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\ndata\n\n",
               "id: 99999999999\n\n"},
              runEvents},
-            {"peer-messages", {encodeReport(report()), encodeUpdate({})}, runPeers},
+            {"peer-messages",
+             {encodeReport(report()), encodeUpdate({}), encodeLoadShare(share()),
+              encodeGroupMembership({"10.0.0.9:80", "g"}), encodeGroupQuery("10.0.0.1:7340"),
+              encodeExpertCounts({"g", 3, 7, {1, 2, 300}})},
+             runPeers},
             {"stored-values",
              {R"({"version":7,"routes":[{"name":"r","hostname":"h","prefix":"/a/","kind":"streaming",
              "timeoutMs":8000,"service":"s"}],"services":[{"name":"s"}],"tenants":[{"name":"x",
              "apiKeys":["k"]}]})",
-              R"({"service":"s","address":"10.0.0.9:80","zone":"n","slots":1,"state":"ready"})"},
+              R"({"service":"s","address":"10.0.0.9:80","zone":"n","slots":1,"state":"ready"})",
+              R"({"service":"s","address":"10.0.0.9:70000","zone":"n","slots":4294967297,
+             "state":"ready","coldLeftMs":-1,"born":1e400,"x":[[[[[[[]]]]]]]})"},
              runStoredValues},
             {"published-configuration",
              {encodeConfiguration({}), R"({"version":3,"routes":[{"name":"r","timeout":5}]})"},
--- a/Tests/Relay/EntryCluster.cpp
+++ b/Tests/Relay/EntryCluster.cpp
@@ -105,6 +105,7 @@
     entry.node = std::make_unique<RelayNode>(settings);
     entry.mirror = {};
     entry.pull = {};
+    entry.reports = {};
     entry.silentCalls.clear();
     entry.noticedStore = true;
     this->clock += 10;
@@ -201,6 +202,10 @@
     report.isServing = entry.node->isConfigured();
     report.known = entry.mirror.position();
     entry.node->fillReport(this->now, report);
+    const bool watches =
+            entry.node->entries().watchesStore(nameOf(number), domainOf(number), this->now);
+    if (!entry.reports.prepare(this->now, entry.node->entries().size() + 1, watches, report))
+        return;
     for (const std::string &address : entry.node->entries().peerAddresses()) {
         for (std::size_t to = 0; to < this->count; ++to) {
             if (addressOf(to) != address || this->isPartitioned(number, to))
--- a/Tests/Relay/EntryCluster.h
+++ b/Tests/Relay/EntryCluster.h
@@ -4,6 +4,7 @@
 #include "PropertyCheck.h"
 #include "Relay/PeerPull.h"
 #include "Relay/RelayNode.h"
+#include "Relay/ReportSchedule.h"
 #include "Relay/StoreMirror.h"
 
 #include <chrono>
@@ -65,6 +66,7 @@
         bool noticedStore = true;
         Instant upAt;
         PeerPull pull;
+        ReportSchedule reports;
         /// Calls to peers that do not answer, and when they end.
         std::vector<std::pair<Instant, std::string>> silentCalls;
     };
--- a/Tests/Relay/MembershipPropertyTest.cpp
+++ b/Tests/Relay/MembershipPropertyTest.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint64_t Seeds = 60;
 /// More entries than a cold server takes requests a second, its tolerance included.
 constexpr std::size_t ManyEntries = 60;
+constexpr std::size_t LargeFleet = 148;
 constexpr std::uint64_t FewSeeds = 3;
 
 /// Runs one script per seed; returns the first failure.
@@ -54,6 +55,7 @@
     CPPUNIT_TEST(coldRateHoldsWithMoreEntriesThanItsRequests);
     CPPUNIT_TEST(withoutReplacingCutWatchersTheConfigurationIsMissing);
     CPPUNIT_TEST(lostWatcherKeepsItsDomainAtTheOldConfiguration);
+    CPPUNIT_TEST(largeFleetLearnsAConfigurationWithoutOneEntry);
     CPPUNIT_TEST(restoredStoreLeavesEntriesAtTheOldConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
@@ -119,6 +121,15 @@
         }
     }
 
+    // Guards against a change that is told with the reports of a large fleet, which come less
+    // often.
+    void largeFleetLearnsAConfigurationWithoutOneEntry()
+    {
+        for (std::size_t lost = 0; lost < LargeFleet; lost += 16)
+            CPPUNIT_ASSERT_EQUAL(std::string(),
+                                 EntryCluster({}, LargeFleet).runLossAfterReport(lost));
+    }
+
     // Guards against entries that take or pass on changes by revisions of before a restore.
     void restoredStoreLeavesEntriesAtTheOldConfiguration()
     {
