Tell a large fleet news in three reports again

Cause: news of crashes and leaving servers are told in three reports against lost datagrams. In a fleet of 15 entries and more the three were taken from the node at each tick and merged into the next report or two, and of more than 16 the rest was dropped.

Change: news are taken from the node only for a report that is sent (ReportSchedule::isDue).

--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -116,6 +116,8 @@
     /// Adds the running and waiting requests and the news about crashes to this entry's report to
     /// the other entries.
     void fillReport(Instant now, EntryReport &report);
+    /// Whether the report names crashes or leaving backend servers that were not told often enough.
+    bool hasNews() const { return !this->leavingNews.empty() || this->quarantine.hasNews(); }
     /// Load of this entry's requests, for the sums of all entries.
     LoadSum ownLoad() const;
 
--- a/Source/Relay/ReportSchedule.h
+++ b/Source/Relay/ReportSchedule.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Core/Time.h"
-#include "Relay/EntryReport.h"
+#include "Relay/StorePosition.h"
 
 #include <chrono>
 #include <cstddef>
@@ -20,26 +20,28 @@
     /// Period of reports without news, for that many entries.
     static std::chrono::milliseconds period(std::size_t entries);
 
-    /// Completes the report with the news that were not sent yet. Returns whether it is sent now;
-    /// otherwise its news are kept for the next one.
-    bool prepare(Instant now, std::size_t entries, bool watchesStore, EntryReport &report);
-
-private:
-    /// News that were not sent yet.
-    struct News
+    /// What makes a report urgent.
+    struct Facts
     {
-        std::vector<EntryReport::Limit> limits;
-        std::vector<std::string> leaving;
-        std::vector<CrashReport> crashes;
-        Instant keptAt;
+        bool isServing = false;
+        bool isLeaving = false;
+        /// The store answers again after an outage.
+        bool hasStoreReturned = false;
+        /// This entry watches the store for the others.
+        bool watchesStore = false;
+        StorePosition known;
+        /// Crashes or leaving backend servers that the others have to be told.
+        bool hasNews = false;
     };
 
-    void addKeptNews(Instant now, EntryReport &report);
-    bool isUrgent(const EntryReport &report, bool watchesStore) const;
+    /// Returns whether a report is due, which the caller then sends.
+    bool isDue(Instant now, std::size_t entries, const Facts &facts);
+
+private:
+    bool isUrgent(const Facts &facts) const;
 
-    News kept;
-    std::optional<EntryReport> sent;
-    /// When the next report is due, and when the next one with urgent news.
+    std::optional<Facts> sent;
+    /// When the next report is due, and when the next one with urgent facts.
     Instant nextAt;
     Instant nextUrgentAt;
 };
--- a/Source/Relay/RequestQuarantine.h
+++ b/Source/Relay/RequestQuarantine.h
@@ -65,6 +65,7 @@
     /// A request was sent. Returns whether it tests a quarantined trait.
     bool recordSent(Instant now, const Traits &traits);
 
+    bool hasNews() const { return !this->news.empty(); }
     /// Adds news, and now and then the record of a quarantined trait, for the other entries.
     void fillReports(Instant now, std::vector<CrashReport> &reports);
     void merge(Instant now, const CrashReport &report);
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -447,10 +447,13 @@
     if (this->storeReturnedAt && now < *this->storeReturnedAt + StoreReturnReportTime)
         report.sinceStoreReturned =
                 std::chrono::duration_cast<milliseconds>(now - *this->storeReturnedAt);
-    this->node.fillReport(now, report);
     EntryTable &entries = this->node.entries();
     entries.setOwn(report);
-    if (this->reportSchedule.prepare(now, entries.size() + 1, this->isWatchingStore, report)) {
+    if (this->reportSchedule.isDue(now, entries.size() + 1,
+                                   {report.isServing, report.isLeaving,
+                                    report.sinceStoreReturned.has_value(), this->isWatchingStore,
+                                    report.known, this->node.hasNews()})) {
+        this->node.fillReport(now, report);
         const std::string bytes = encodeReport(report);
         for (const std::string &address : entries.peerAddresses())
             this->sendMessage(address, bytes);
--- a/Tests/Relay/BackendNoticeTest.cpp
+++ b/Tests/Relay/BackendNoticeTest.cpp
@@ -1,4 +1,5 @@
 #include "Relay/AnswerHead.h"
+#include "Relay/ReportSchedule.h"
 #include "RelayNodeHarness.h"
 
 #include <chrono>
@@ -44,6 +45,7 @@
     CPPUNIT_TEST_SUITE(BackendNoticeTest);
     CPPUNIT_TEST(serverThatSaysItLeavesGetsNewRequests);
     CPPUNIT_TEST(otherEntriesDoNotLearnThatAServerLeaves);
+    CPPUNIT_TEST(largeFleetIsToldThreeTimesThatAServerLeaves);
     CPPUNIT_TEST(requestsWaitWhenAllServersLeave);
     CPPUNIT_TEST(pausingServerGetsRequests);
     CPPUNIT_TEST(requestsThatCanWaitAreRefusedDuringAPause);
@@ -97,6 +99,32 @@
         CPPUNIT_ASSERT(report.leaving.empty());
     }
 
+    // Guards against news that wait for the next report of a large fleet and then are told once, in
+    // a datagram that may get lost.
+    void largeFleetIsToldThreeTimesThatAServerLeaves()
+    {
+        RelayNodeHarness scene(1, 0);
+        const auto caller = scene.arrive("/stream/");
+        ReportSchedule schedule;
+        std::size_t told = 0;
+        std::size_t sent = 0;
+        for (int tick = 0; tick < 60; ++tick, scene.now += milliseconds(100)) {
+            if (tick == 3)
+                answer(scene, caller, leavingHead(500));
+            ReportSchedule::Facts facts;
+            facts.hasNews = scene.node.hasNews();
+            if (!schedule.isDue(scene.now, 148, facts))
+                continue;
+            EntryReport report;
+            scene.node.fillReport(scene.now, report);
+            ++sent;
+            told += report.leaving.empty() ? 0 : 1;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), told);
+        // About one a second, and the news.
+        CPPUNIT_ASSERT(sent <= 9);
+    }
+
     void requestsWaitWhenAllServersLeave()
     {
         RelayNodeHarness scene(2, 0);
--- a/Tests/Relay/EntryCluster.cpp
+++ b/Tests/Relay/EntryCluster.cpp
@@ -201,11 +201,13 @@
     report.sequence = ++entry.sequence;
     report.isServing = entry.node->isConfigured();
     report.known = entry.mirror.position();
-    entry.node->fillReport(this->now, report);
     const bool watches =
             entry.node->entries().watchesStore(nameOf(number), domainOf(number), this->now);
-    if (!entry.reports.prepare(this->now, entry.node->entries().size() + 1, watches, report))
+    if (!entry.reports.isDue(
+                this->now, entry.node->entries().size() + 1,
+                {report.isServing, false, false, watches, report.known, entry.node->hasNews()}))
         return;
+    entry.node->fillReport(this->now, report);
     for (const std::string &address : entry.node->entries().peerAddresses()) {
         for (std::size_t to = 0; to < this->count; ++to) {
             if (addressOf(to) != address || this->isPartitioned(number, to))
