End a request whose answer meets an unexpected error, and the phases of a stop by policy

Cause: an error while an answer was written, after the decision logic had let the request go, left its caller without an answer until it gave up. Errors in the periodic tick still left the event loop.

Change: each command is executed by itself, and an error ends the request that it is about, by 500 or by the end of its stream. StopAdmission decides when connections are closed and when the process ends. ListenerTest takes a free port; the worker of UnexpectedErrorTest stands once.

--- a/Source/Http/ServerConnection.h
+++ b/Source/Http/ServerConnection.h
@@ -60,6 +60,7 @@
 
     /// Closes the connection without ending the response, so that it is not taken for complete.
     void abort();
+    bool isStreaming() const { return this->streaming; }
 
     /// Closes the connection after the next response. An idle connection stays open, because the
     /// caller may be sending a request on it.
--- a/Source/Relay/StopAdmission.cpp
+++ b/Source/Relay/StopAdmission.cpp
@@ -15,6 +15,9 @@
 constexpr int MaxHoldTimes = 4;
 /// Longest wait for a slot and an answer as a multiple of the latency target.
 constexpr int MaxLatencyTargets = 3;
+constexpr int ClosePercent = 75;
+/// The rest of the grace time is for the end of the process itself.
+constexpr int ExitPercent = 96;
 /// Time for the answer to leave the process.
 constexpr milliseconds DeliveryTime{200};
 
@@ -35,6 +38,11 @@
 
 } // namespace
 
+StopAdmission::Phases StopAdmission::phasesOf(Instant now, milliseconds graceTime)
+{
+    return {now + graceTime * ClosePercent / 100, now + graceTime * ExitPercent / 100};
+}
+
 bool StopAdmission::endsInTime(const Input &input)
 {
     const Instant latestEnd = std::min(input.deadline, input.now + longestDuration(input));
--- a/Source/Relay/StopAdmission.h
+++ b/Source/Relay/StopAdmission.h
@@ -26,6 +26,18 @@
     std::chrono::microseconds meanHoldTime{0};
 };
 
+/// Moments of a planned stop.
+struct Phases
+{
+    /// Idle connections are closed and new ones refused from then on. Until then, callers with a
+    /// cached address lookup are still served.
+    Instant closeAt;
+    /// The process ends, even if requests are open.
+    Instant exitAt;
+};
+
+Phases phasesOf(Instant now, std::chrono::milliseconds graceTime);
+
 /// Whether the request is expected to end before the process does.
 bool endsInTime(const Input &input);
 
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -37,11 +37,6 @@
 constexpr milliseconds PeerAnswerTimeout{1000};
 /// The whole content of the store with 1,000 instances takes less.
 constexpr std::size_t MaxPeerAnswerBytes = 8U << 20U;
-/// Share of the grace time after which idle connections are closed. Until then, callers with a
-/// cached address lookup are still served.
-constexpr int IdleClosePercent = 75;
-/// Share of the grace time after which the process ends even if requests are open.
-constexpr int ExitPercent = 96;
 /// Other entries learn of the return of the store for this long.
 constexpr milliseconds StoreReturnReportTime{3000};
 constexpr std::size_t MaxLoggedError = 200;
@@ -87,25 +82,31 @@
       attempts(loop, protocol,
                {[this](auto attempt) { this->node.attemptConnected(this->loop.now(), attempt); },
                 [this](auto attempt, const AnswerHead &head) {
-                    this->runAttempt(attempt, [&](RelayNode::Commands &commands) {
-                        this->node.headArrived(this->loop.now(), attempt, head, commands);
-                    });
+                    this->decide("attempt=" + std::to_string(attempt),
+                                 [&](RelayNode::Commands &commands) {
+                                     this->node.headArrived(this->loop.now(), attempt, head,
+                                                            commands);
+                                 });
                 },
                 [this](auto attempt, StreamEvent event) {
-                    this->runAttempt(attempt, [&](RelayNode::Commands &commands) {
-                        this->node.eventArrived(this->loop.now(), attempt, std::move(event),
-                                                commands);
-                    });
+                    this->decide("attempt=" + std::to_string(attempt),
+                                 [&](RelayNode::Commands &commands) {
+                                     this->node.eventArrived(this->loop.now(), attempt,
+                                                             std::move(event), commands);
+                                 });
                 },
                 [this](auto attempt) {
-                    this->runAttempt(attempt, [&](RelayNode::Commands &commands) {
-                        this->node.answerEnded(this->loop.now(), attempt, commands);
-                    });
+                    this->decide("attempt=" + std::to_string(attempt),
+                                 [&](RelayNode::Commands &commands) {
+                                     this->node.answerEnded(this->loop.now(), attempt, commands);
+                                 });
                 },
                 [this](auto attempt, AttemptFailure failure) {
-                    this->runAttempt(attempt, [&](RelayNode::Commands &commands) {
-                        this->node.attemptFailed(this->loop.now(), attempt, failure, commands);
-                    });
+                    this->decide("attempt=" + std::to_string(attempt),
+                                 [&](RelayNode::Commands &commands) {
+                                     this->node.attemptFailed(this->loop.now(), attempt, failure,
+                                                              commands);
+                                 });
                 }}),
       storeFeed(loop, store,
                 {[this](const StoreMirror::Changes &changes) { this->applyChanges(changes); },
@@ -200,23 +201,19 @@
 
 bool RelayEntry::isServing() const
 {
-    return this->node.isConfigured() && this->stopAt == NoDeadline;
+    return this->node.isConfigured() && !this->stop;
 }
 
-void RelayEntry::runAttempt(RelayCommand::AttemptId attempt,
-                            const std::function<void(RelayNode::Commands &)> &step)
+void RelayEntry::decide(const std::string &subject,
+                        const std::function<void(RelayNode::Commands &)> &step)
 {
     RelayNode::Commands commands;
     try {
         step(commands);
-        this->execute(commands);
     } catch (const std::exception &error) {
-        this->logUnexpected("attempt=" + std::to_string(attempt), error);
-        // What became of the request is unknown.
-        RelayNode::Commands failed;
-        this->node.attemptFailed(this->loop.now(), attempt, AttemptFailure::Malformed, failed);
-        this->execute(failed);
+        this->logUnexpected(subject, error);
     }
+    this->execute(commands);
 }
 
 void RelayEntry::handleRequest(HttpListener::Request &&request)
@@ -226,12 +223,7 @@
         this->startRequest(std::move(request));
     } catch (const std::exception &error) {
         this->logUnexpected("request=" + std::to_string(id), error);
-        RelayNode::Commands commands;
-        this->node.callerDisconnected(this->loop.now(), id, commands);
-        this->requests.erase(id);
-        this->execute(commands);
-        if (auto *connection = this->callerListener.find(id))
-            connection->reply(500, {}, {}, {});
+        this->dropCaller(id);
     }
 }
 
@@ -440,7 +432,7 @@
     report.callerAddress = this->options.callerAddress;
     report.peerAddress = this->options.peerAddress;
     report.isServing = this->isServing();
-    report.isLeaving = this->stopAt != NoDeadline;
+    report.isLeaving = this->stop.has_value();
     report.known = this->storeFeed.mirror().position();
     report.reachesStore = this->storeFeed.isConnected();
     const Instant now = this->loop.now();
@@ -543,7 +535,7 @@
 
 void RelayEntry::announce()
 {
-    if (this->isAnnouncing || this->stopAt != NoDeadline)
+    if (this->isAnnouncing || this->stop)
         return;
     if (this->holdsLease() && this->loop.now() < this->renewAt)
         return;
@@ -591,9 +583,7 @@
     if (const auto lag = this->loopLag.tick(now, this->metrics))
         this->log(RelayLog::LoopLate, LogRecord::Level::Warning,
                   "lag_ms=" + std::to_string(lag->count()));
-    RelayNode::Commands commands;
-    this->node.tick(now, commands);
-    this->execute(commands);
+    this->decide("tick", [&](RelayNode::Commands &commands) { this->node.tick(now, commands); });
     this->attempts.tick(now);
     for (HttpListener *listener :
          {&this->callerListener, &this->readinessListener, &this->directoryListener,
@@ -605,28 +595,26 @@
                   "config=" + std::to_string(this->node.configurationVersion()) + " revision="
                           + std::to_string(this->storeFeed.mirror().position().revision));
     }
-    if (this->stopAt == NoDeadline)
+    if (!this->stop)
         return;
-    const milliseconds grace = this->options.graceTime;
-    const Instant closeIdleAt = this->stopAt - grace * (ExitPercent - IdleClosePercent) / 100;
-    if (now >= closeIdleAt) {
+    if (now >= this->stop->closeAt) {
         this->callerListener.stopAccepting();
         this->callerListener.closeIdle();
     }
-    if (now >= this->stopAt
-        || (now >= closeIdleAt && this->node.openRequests() == 0
+    if (now >= this->stop->exitAt
+        || (now >= this->stop->closeAt && this->node.openRequests() == 0
             && this->callerListener.connectionCount() == 0))
         this->loop.stop();
 }
 
 void RelayEntry::beginStop()
 {
-    if (this->stopAt != NoDeadline)
+    if (this->stop)
         return;
-    this->stopAt = this->loop.now() + this->options.graceTime * ExitPercent / 100;
+    this->stop = StopAdmission::phasesOf(this->loop.now(), this->options.graceTime);
     this->log(RelayLog::StopBegan, LogRecord::Level::Info,
               "open_requests=" + std::to_string(this->node.openRequests()));
-    this->node.beginStop(this->stopAt);
+    this->node.beginStop(this->stop->exitAt);
     this->callerListener.announceClose();
     if (this->holdsLease())
         this->store.revokeLease(this->lease);
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -6,6 +6,7 @@
 #include "Relay/PeerPull.h"
 #include "Relay/RelayNode.h"
 #include "Relay/ReportSchedule.h"
+#include "Relay/StopAdmission.h"
 #include "RelayShell/BackendAttempts.h"
 #include "RelayShell/DatagramSocket.h"
 #include "RelayShell/LoopLag.h"
@@ -17,6 +18,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Nutmegrill {
@@ -66,9 +68,10 @@
 
 private:
     /// Runs a step of the decision logic and the commands that it returns. An unexpected error ends
-    /// this attempt only.
-    void runAttempt(RelayCommand::AttemptId attempt,
-                    const std::function<void(RelayNode::Commands &)> &step);
+    /// the step, or the request of one command.
+    void decide(const std::string &subject, const std::function<void(RelayNode::Commands &)> &step);
+    /// Ends a request that met an unexpected error, which promises nothing about its run.
+    void dropCaller(RelayCommand::CallerId caller);
     void handleRequest(HttpListener::Request &&request);
     void startRequest(HttpListener::Request &&request);
     void logUnexpected(const std::string &where, const std::exception &error);
@@ -139,7 +142,7 @@
     bool isAnnouncing = false;
     bool isWatchingStore = true;
     bool wasServing = false;
-    Instant stopAt = NoDeadline;
+    std::optional<StopAdmission::Phases> stop;
 };
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -7,6 +7,9 @@
 #include "RelayShell/RelayProtocol.h"
 
 #include <chrono>
+#include <exception>
+#include <optional>
+#include <variant>
 
 namespace Nutmegrill {
 
@@ -18,10 +21,46 @@
 
 } // namespace
 
+namespace {
+
+/// The caller that a command is about.
+std::optional<RelayCommand::CallerId> callerOf(const RelayCommand::Any &command)
+{
+    return std::visit(
+            [](const auto &alternative) -> std::optional<RelayCommand::CallerId> {
+                if constexpr (requires { alternative.caller; })
+                    return alternative.caller;
+                else
+                    return std::nullopt;
+            },
+            command);
+}
+
+} // namespace
+
 void RelayEntry::execute(RelayNode::Commands &commands)
 {
-    for (const RelayCommand::Any &command : commands)
-        std::visit([this](const auto &alternative) { this->executeOne(alternative); }, command);
+    for (const RelayCommand::Any &command : commands) {
+        try {
+            std::visit([this](const auto &alternative) { this->executeOne(alternative); }, command);
+        } catch (const std::exception &error) {
+            const auto caller = callerOf(command);
+            this->logUnexpected(
+                    "request=" + (caller ? std::to_string(*caller) : std::string("none")), error);
+            if (caller)
+                this->dropCaller(*caller);
+        }
+    }
+}
+
+void RelayEntry::dropCaller(RelayCommand::CallerId caller)
+{
+    this->requests.erase(caller);
+    if (auto *connection = this->callerListener.find(caller))
+        connection->isStreaming() ? connection->abort() : connection->reply(500, {}, {}, {});
+    RelayNode::Commands commands;
+    this->node.callerDisconnected(this->loop.now(), caller, commands);
+    this->execute(commands);
 }
 
 void RelayEntry::executeOne(const RelayCommand::StartAttempt &command)
--- a/Tests/Http/ListenerTest.cpp
+++ b/Tests/Http/ListenerTest.cpp
@@ -1,9 +1,11 @@
+#include "FreeAddress.h"
 #include "Http/HttpListener.h"
+#include "Http/SocketOptions.h"
 #include "Net/EventLoop.h"
 
-#include <arpa/inet.h>
 #include <chrono>
 #include <memory>
+#include <netinet/in.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -30,7 +32,7 @@
     void setUp() override
     {
         this->listener = std::make_unique<HttpListener>(
-                this->loop, Address, 16, [this](HttpListener::Request &&request) {
+                this->loop, this->address, 16, [this](HttpListener::Request &&request) {
                     this->body = request.body;
                     this->listener->find(request.id)->reply(200, {}, {}, "ok");
                 });
@@ -113,15 +115,11 @@
     }
 
 private:
-    static constexpr const char *Address = "127.0.0.1:21871";
-
     sockaddr_in peer() const
     {
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        address.sin_port = htons(21871);
-        return address;
+        sockaddr_in parsed{};
+        CPPUNIT_ASSERT(parseSocketAddress(this->address, parsed));
+        return parsed;
     }
 
     void setIdleTime()
@@ -165,6 +163,7 @@
     }
 
     EventLoop loop;
+    std::string address = freeAddress();
     std::unique_ptr<HttpListener> listener;
     std::unique_ptr<EventLoop::Timer> tickTimer;
     std::string body;
--- a/Tests/Platform/UnexpectedErrorTest.cpp
+++ b/Tests/Platform/UnexpectedErrorTest.cpp
@@ -1,7 +1,12 @@
 #include "RelayEntryFixture.h"
 
+#include <chrono>
+#include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace Nutmegrill {
 
@@ -25,6 +30,18 @@
             throw std::runtime_error("attempt");
         return PlatformProtocol::writeRequest(head, body, command);
     }
+
+    std::vector<std::pair<std::string, std::string>>
+    ownHeaders(const std::string &requestId,
+               std::optional<std::chrono::milliseconds> retryAfter) const override
+    {
+        if (std::exchange(this->failsOwnHeaders, false))
+            throw std::runtime_error("headers");
+        return PlatformProtocol::ownHeaders(requestId, retryAfter);
+    }
+
+    /// The next answer of the entry's own cannot be written.
+    mutable bool failsOwnHeaders = false;
 };
 
 /// Fails on marked values of the store.
@@ -46,6 +63,7 @@
 {
     CPPUNIT_TEST_SUITE(UnexpectedErrorTest);
     CPPUNIT_TEST(errorEndsOneRequestOnly);
+    CPPUNIT_TEST(errorInAnAnswerEndsItsRequest);
     CPPUNIT_TEST(errorInOneValueLeavesTheOthers);
     CPPUNIT_TEST_SUITE_END();
 
@@ -56,18 +74,19 @@
         this->entry = std::make_unique<RelayEntry>(*this->loop, this->fresh(), this->failing,
                                                    this->failingDecoder, *this->store);
         CPPUNIT_ASSERT_EQUAL(std::string(), this->entry->startError());
+        this->worker = std::make_unique<HttpListener>(
+                *this->loop, this->workerAddress, 16,
+                [this](HttpListener::Request &&request) { this->serve(request); });
+    }
+
+    void tearDown() override
+    {
+        this->worker.reset();
+        RelayEntryFixture::tearDown();
     }
 
     void errorEndsOneRequestOnly()
     {
-        HttpListener worker(*this->loop, this->workerAddress, 16,
-                            [&worker](HttpListener::Request &&request) {
-                                worker.find(request.id)
-                                        ->reply(200, "OK",
-                                                {{"Attempt-Id", *request.head.find("Attempt-Id")},
-                                                 {"Response-Seal", "s"}},
-                                                "done");
-                            });
         this->store->put("servers/i-1", this->record());
         this->store->put("op/config", configuration(1, "k"));
         CPPUNIT_ASSERT_EQUAL(500, this->send("/r/fail-request", "k").status);
@@ -75,16 +94,17 @@
         CPPUNIT_ASSERT_EQUAL(200, this->send("/r/1", "k").status);
     }
 
+    // Guards against a caller that waits until its deadline for an answer that cannot be written.
+    void errorInAnAnswerEndsItsRequest()
+    {
+        this->store->put("servers/i-1", this->record());
+        this->store->put("op/config", configuration(1, "k"));
+        CPPUNIT_ASSERT_EQUAL(500, this->send("/r/break-off", "k").status);
+        CPPUNIT_ASSERT_EQUAL(200, this->send("/r/1", "k").status);
+    }
+
     void errorInOneValueLeavesTheOthers()
     {
-        HttpListener worker(*this->loop, this->workerAddress, 16,
-                            [&worker](HttpListener::Request &&request) {
-                                worker.find(request.id)
-                                        ->reply(200, "OK",
-                                                {{"Attempt-Id", *request.head.find("Attempt-Id")},
-                                                 {"Response-Seal", "s"}},
-                                                "done");
-                            });
         this->store->put("op/config", configuration(1, "k"));
         this->store->put("servers/i-0", "fail");
         this->store->put("servers/i-1", this->record());
@@ -93,6 +113,19 @@
     }
 
 private:
+    void serve(const HttpListener::Request &request)
+    {
+        auto *connection = this->worker->find(request.id);
+        if (request.path().find("break-off") != std::string_view::npos) {
+            this->failing.failsOwnHeaders = true;
+            connection->abort();
+            return;
+        }
+        connection->reply(
+                200, "OK",
+                {{"Attempt-Id", *request.head.find("Attempt-Id")}, {"Response-Seal", "s"}}, "done");
+    }
+
     RelayEntry::Options fresh()
     {
         this->entry.reset();
@@ -108,6 +141,7 @@
     FailingProtocol failing;
     FailingDecoder failingDecoder;
     std::string workerAddress = freeAddress();
+    std::unique_ptr<HttpListener> worker;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnexpectedErrorTest);
--- a/Tests/Relay/RelayNodeTest.cpp
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -1,4 +1,5 @@
 #include "Relay/RelayLog.h"
+#include "Relay/StopAdmission.h"
 #include "RelayNodeHarness.h"
 
 #include <chrono>
@@ -444,7 +445,7 @@
     void callIsRefusedShortlyBeforeAPlannedStop()
     {
         RelayNodeHarness scene;
-        scene.node.beginStop(scene.now + milliseconds(7680));
+        scene.node.beginStop(StopAdmission::phasesOf(scene.now, seconds(8)).exitAt);
         scene.advance(milliseconds(6600));
         CPPUNIT_ASSERT(scene.attemptOf(scene.arrive("/record/")) != nullptr);
         scene.advance(milliseconds(160));
