--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -2,8 +2,6 @@
 
 #include "Net/EventLog.h"
 #include "Relay/RelayLog.h"
-#include "RelayShell/GroupQueryCodec.h"
-#include "RelayShell/PeerCodec.h"
 
 #include <algorithm>
 #include <csignal>
@@ -36,8 +34,6 @@
 /// A planned stop waits for a map change in progress, which takes some tenths of a second.
 constexpr milliseconds StopTimeout{3000};
 constexpr std::size_t MaxMetricsConnections = 16;
-/// Other groups that an agent remembers as logged.
-constexpr std::size_t MaxLoggedGroups = 64;
 constexpr std::size_t MaxLoggedError = 200;
 /// A map change begins above StartSkew and is planned to reach TargetSkew. The requests of a single
 /// step vary by more than the difference, and every change slows the steps while it copies; see
@@ -422,36 +418,6 @@
                           });
 }
 
-void RankAgent::exchangeStates()
-{
-    const Instant now = this->loop.now();
-    if (!this->rankSwitch->engine())
-        return;
-    const std::optional<OwnerCommand> command = this->tickOwner();
-    if (command)
-        this->rankSwitch->ownerCommanded(*command);
-    this->rankSwitch->describe(this->state);
-    GroupExchange::Messages messages;
-    this->exchange.tick(now, this->state, command, messages);
-    for (const GroupExchange::Message &message : messages)
-        this->sendTo(message.address, this->encode(message.body));
-}
-
-std::string RankAgent::encode(const GroupExchange::Message::Body &body)
-{
-    if (const auto *state = std::get_if<std::shared_ptr<const RankState>>(&body))
-        return encodeRankState(**state);
-    if (const auto *counts = std::get_if<std::shared_ptr<const ExpertCounts>>(&body))
-        return encodeExpertCounts(**counts);
-    const auto &command = std::get<std::shared_ptr<const OwnerCommand>>(body);
-    auto &[encoded, bytes] = this->encodedCommands[command->delta.has_value() ? 1 : 0];
-    if (encoded != command) {
-        encoded = command;
-        bytes = encodeOwnerCommand(*command);
-    }
-    return bytes;
-}
-
 std::optional<OwnerCommand> RankAgent::tickOwner()
 {
     const Instant now = this->loop.now();
@@ -471,95 +437,4 @@
     return command;
 }
 
-void RankAgent::sendTo(const std::string &address, const std::string &bytes)
-{
-    ++this->traffic.sentMessages;
-    this->traffic.sentBytes += bytes.size();
-    if (!this->peerSocket.send(address, bytes))
-        ++this->traffic.unsentMessages;
-}
-
-void RankAgent::logTraffic()
-{
-    const PeerCounters &counters = this->traffic;
-    this->log(RelayLog::PeerTraffic,
-              "sent=" + std::to_string(counters.sentMessages)
-                      + " sent_bytes=" + std::to_string(counters.sentBytes)
-                      + " received=" + std::to_string(counters.receivedMessages)
-                      + " received_bytes=" + std::to_string(counters.receivedBytes)
-                      + " missed_states=" + std::to_string(counters.missedStates)
-                      + " unsent=" + std::to_string(counters.unsentMessages));
-    this->metrics.add("nutmegrill_messages_unsent_total", {},
-                      static_cast<double>(counters.unsentMessages));
-    this->metrics.add("nutmegrill_peer_bytes_total", {{"direction", "sent"}},
-                      static_cast<double>(counters.sentBytes));
-    this->metrics.add("nutmegrill_peer_bytes_total", {{"direction", "received"}},
-                      static_cast<double>(counters.receivedBytes));
-    this->metrics.add("nutmegrill_peer_states_missed_total", {},
-                      static_cast<double>(counters.missedStates));
-    this->traffic = {};
-}
-
-void RankAgent::handleDatagram(std::string_view bytes)
-{
-    ++this->traffic.receivedMessages;
-    this->traffic.receivedBytes += bytes.size();
-    const Instant now = this->loop.now();
-    if (const auto state = decodeRankState(bytes)) {
-        this->handleState(now, *state);
-        return;
-    }
-    if (const auto command = decodeOwnerCommand(bytes)) {
-        this->exchange.commandReceived(now, *command);
-        this->rankSwitch->ownerCommanded(*command);
-        this->sendNextCommand();
-        return;
-    }
-    if (const auto counts = decodeExpertCounts(bytes)) {
-        if (this->owner != nullptr)
-            this->owner->addCounts(*counts);
-        return;
-    }
-    if (const auto replyAddress = decodeGroupQuery(bytes)) {
-        if (const auto &known = this->rankSwitch->engine(); known && this->engineReachable)
-            this->sendTo(*replyAddress,
-                         encodeGroupMembership({this->options.engineAddress, known->group}));
-        return;
-    }
-    this->metrics.add("nutmegrill_reports_unreadable_total", {});
-}
-
-void RankAgent::handleState(Instant now, const RankState &state)
-{
-    const RankState *known = this->exchange.find(state.engine.rank);
-    const bool follows = known != nullptr && known->incarnation == state.incarnation
-                         && known->sequence < state.sequence;
-    const std::uint64_t missed = follows ? state.sequence - known->sequence - 1 : 0;
-    switch (this->exchange.stateReceived(now, state)) {
-    case GroupExchange::Receipt::Outdated:
-        return;
-    case GroupExchange::Receipt::Invalid:
-        this->logInvalidRank(state.engine, state.address);
-        return;
-    case GroupExchange::Receipt::OfOtherGroup:
-        if (this->loggedGroups.size() < MaxLoggedGroups
-            && this->loggedGroups
-                       .insert(state.engine.group + "/" + std::to_string(state.engine.ranks))
-                       .second)
-            this->log(RelayLog::OtherGroupHeard,
-                      "group=" + state.engine.group + " ranks=" + std::to_string(state.engine.ranks)
-                              + " from=" + state.address);
-        return;
-    case GroupExchange::Receipt::New:
-        break;
-    }
-    this->traffic.missedStates += missed;
-    this->rankSwitch->peerReported(state);
-    if (this->owner != nullptr)
-        this->owner->report(now, state);
-    // The next command is sent without waiting for the next tick: the shorter a step is held, the
-    // lower the risk that an agent pauses meanwhile.
-    this->sendNextCommand();
-}
-
 } // namespace Nutmegrill
