--- a/Tests/Relay/EntryCluster.cpp
+++ b/Tests/Relay/EntryCluster.cpp
@@ -353,31 +353,50 @@
     return {};
 }
 
-std::string EntryCluster::runLossAfterReport(std::size_t lost)
+void EntryCluster::settle()
 {
     constexpr int SettlingSteps = 20;
     for (int count = 0; count < SettlingSteps; ++count)
         this->step(0, false);
+}
+
+std::string EntryCluster::runLossAfterReport(const std::set<std::size_t> &lostEntries)
+{
+    this->settle();
     this->writeConfiguration();
     const Instant end = this->now + ApplyTime;
     this->step(0, false);
-    this->entries[lost].upAt = NoDeadline;
+    for (const std::size_t lost : lostEntries)
+        this->entries[lost].upAt = NoDeadline;
     while (this->now + Step <= end)
         this->step(0, false);
     for (std::size_t entry = 0; entry < this->count; ++entry) {
-        if (entry != lost && this->entries[entry].mirror.position().revision != this->revision)
-            return "without entry " + std::to_string(lost) + ", entry " + std::to_string(entry)
-                   + " does not know the last configuration";
+        if (lostEntries.count(entry) == 0
+            && this->entries[entry].mirror.position().revision != this->revision)
+            return "without entry " + std::to_string(*lostEntries.begin()) + ", entry "
+                   + std::to_string(entry) + " does not know the last configuration";
     }
     return {};
 }
 
+std::string EntryCluster::runLossOfWatchers()
+{
+    this->settle();
+    std::set<std::size_t> watchers;
+    for (std::size_t entry = 0; entry < this->count; ++entry) {
+        if (domainOf(entry) == domainOf(0)
+            && this->entries[entry].node->entries().watchesStore(nameOf(entry), domainOf(entry),
+                                                                 this->now))
+            watchers.insert(entry);
+    }
+    return watchers.size() == 2 ? this->runLossAfterReport(watchers)
+                                : std::to_string(watchers.size()) + " watchers";
+}
+
 std::string EntryCluster::runRestore()
 {
-    constexpr int SettlingSteps = 20;
     constexpr int Changes = 6;
-    for (int count = 0; count < SettlingSteps; ++count)
-        this->step(0, false);
+    this->settle();
     const auto copy = this->store;
     const std::uint64_t copiedRevision = this->revision;
     for (int count = 0; count < Changes; ++count) {
--- a/Tests/Relay/EntryCluster.h
+++ b/Tests/Relay/EntryCluster.h
@@ -43,9 +43,12 @@
     /// violated property, or an empty string.
     std::string run(ChoiceScript &script);
 
-    /// An entry loses power right after its report of a new configuration. Returns which other
+    /// Entries lose power right after their report of a new configuration. Returns which other
     /// entry does not have that configuration in time.
-    std::string runLossAfterReport(std::size_t entry);
+    std::string runLossAfterReport(const std::set<std::size_t> &lostEntries);
+
+    /// The same for those that watch the store for the failure domain of the first entry.
+    std::string runLossOfWatchers();
 
     /// The store comes back from a copy that lacks configurations and entries. The entries learn of
     /// it at different times: one reads the store, one restarts, late answers of before arrive.
@@ -77,6 +80,7 @@
         EntryReport report;
     };
 
+    void settle();
     void start(std::size_t entry, std::int64_t clockJump);
     bool isUp(std::size_t entry) const { return this->now >= this->entries[entry].upAt; }
     void injectFault(ChoiceScript &script);
--- a/Tests/Relay/MembershipPropertyTest.cpp
+++ b/Tests/Relay/MembershipPropertyTest.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(withoutReplacingCutWatchersTheConfigurationIsMissing);
     CPPUNIT_TEST(lostWatcherKeepsItsDomainAtTheOldConfiguration);
     CPPUNIT_TEST(largeFleetLearnsAConfigurationWithoutOneEntry);
+    CPPUNIT_TEST(domainThatLosesItsWatchersLearnsAConfiguration);
     CPPUNIT_TEST(restoredStoreLeavesEntriesAtTheOldConfiguration);
     CPPUNIT_TEST_SUITE_END();
 
@@ -117,17 +118,24 @@
         for (const std::size_t entries : {std::size_t(6), std::size_t(34)}) {
             for (std::size_t lost = 0; lost < entries; ++lost)
                 CPPUNIT_ASSERT_EQUAL(std::string(),
-                                     EntryCluster({}, entries).runLossAfterReport(lost));
+                                     EntryCluster({}, entries).runLossAfterReport({lost}));
         }
     }
 
+    // Guards against a failure domain whose changes hang on the two entries that watch the store.
+    void domainThatLosesItsWatchersLearnsAConfiguration()
+    {
+        for (const std::size_t entries : {std::size_t(34), LargeFleet})
+            CPPUNIT_ASSERT_EQUAL(std::string(), EntryCluster({}, entries).runLossOfWatchers());
+    }
+
     // Guards against a change that is told with the reports of a large fleet, which come less
     // often.
     void largeFleetLearnsAConfigurationWithoutOneEntry()
     {
         for (std::size_t lost = 0; lost < LargeFleet; lost += 16)
             CPPUNIT_ASSERT_EQUAL(std::string(),
-                                 EntryCluster({}, LargeFleet).runLossAfterReport(lost));
+                                 EntryCluster({}, LargeFleet).runLossAfterReport({lost}));
     }
 
     // Guards against entries that take or pass on changes by revisions of before a restore.
--- a/Tests/Relay/ModelGroupPlacingTest.cpp
+++ b/Tests/Relay/ModelGroupPlacingTest.cpp
@@ -87,13 +87,7 @@
     {
         RelayNodeHarness scene(2 * RanksOfGroup, 0);
         this->formGroups(scene);
-        std::vector<RelayCommand::CallerId> callers;
-        for (std::uint32_t number = 0; number < 2 * RanksOfGroup; ++number)
-            callers.push_back(scene.arrive("/stream/"));
-        for (const auto caller : callers) {
-            scene.streamHead(caller);
-            scene.event(caller, 1);
-        }
+        const std::vector<RelayCommand::CallerId> callers = this->openStreams(scene);
         // Group a stands still from now on.
         for (std::uint64_t id = 2; id < 10; ++id) {
             scene.advance(milliseconds(100));
@@ -110,13 +104,7 @@
     {
         RelayNodeHarness scene(2 * RanksOfGroup, 0);
         this->formGroups(scene);
-        std::vector<RelayCommand::CallerId> callers;
-        for (std::uint32_t number = 0; number < 2 * RanksOfGroup; ++number)
-            callers.push_back(scene.arrive("/stream/"));
-        for (const auto caller : callers) {
-            scene.streamHead(caller);
-            scene.event(caller, 1);
-        }
+        const std::vector<RelayCommand::CallerId> callers = this->openStreams(scene);
         // The steps of group a take longer than the target, those of group b a fifth of it.
         for (std::uint64_t id = 2; id < 300; ++id) {
             scene.advance(milliseconds(20));
@@ -181,6 +169,19 @@
                                      number < RanksOfGroup ? "a" : "b"});
     }
 
+    /// One stream at each server.
+    std::vector<RelayCommand::CallerId> openStreams(RelayNodeHarness &scene) const
+    {
+        std::vector<RelayCommand::CallerId> callers;
+        for (std::uint32_t number = 0; number < 2 * RanksOfGroup; ++number)
+            callers.push_back(scene.arrive("/stream/"));
+        for (const auto caller : callers) {
+            scene.streamHead(caller);
+            scene.event(caller, 1);
+        }
+        return callers;
+    }
+
     std::string groupOf(const RelayNodeHarness &scene, RelayCommand::CallerId caller) const
     {
         const auto *attempt = scene.attemptOf(caller);
