--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -25,7 +25,7 @@
 int main(int argc, char **argv)
 {
     const Arguments arguments = readArguments(argc, argv);
-    Store store("127.0.0.1:" + std::to_string(freePort("127.0.0.1")));
+    Store store(loopback(100) + ":" + std::to_string(freePort(loopback(100))));
     store.put("op/config",
               R"({"version":7,"routes":[{"name":"lookup","hostname":")" + Host
                       + R"(","prefix":"/rounds/","kind":"idempotent","timeoutMs":800,)"
@@ -41,7 +41,7 @@
     Worker::Options options;
     options.id = "i-7f3a91c2";
     options.service = "rounds-app";
-    options.address = "127.0.2.1:" + std::to_string(freePort("127.0.2.1"));
+    options.address = loopback(11) + ":" + std::to_string(freePort(loopback(11)));
     Worker worker(store, options, [&](const Message &request, Connection &connection) {
         sleepMs(40);
         const std::string body(800, 'b');
@@ -59,7 +59,7 @@
     });
 
     const Deployment deployment{arguments.folder, arguments.entryCommand};
-    const int internalPort = freePort("127.0.1.1");
+    const int internalPort = freePort(loopback(1));
     std::vector<std::unique_ptr<Entry>> entries;
     for (int number = 1; number <= 2; ++number)
         entries.push_back(makeEntry(deployment, number, "zone-1", store.address, internalPort));
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -44,7 +44,7 @@
 int main(int argc, char **argv)
 {
     const Arguments arguments = readArguments(argc, argv);
-    Store store("127.0.0.1:" + std::to_string(freePort("127.0.0.1")));
+    Store store(loopback(100) + ":" + std::to_string(freePort(loopback(100))));
     store.put("op/config",
               R"({"version":7,"routes":[{"name":"lookup","hostname":")" + Host
                       + R"(","prefix":"/rounds/","kind":"idempotent","timeoutMs":5000,)"
@@ -61,7 +61,7 @@
         Worker::Options options;
         options.id = "i-" + std::to_string(number);
         options.service = "rounds-app";
-        const std::string ip = "127.0.2." + std::to_string(number);
+        const std::string ip = loopback(10 + number);
         options.address = ip + ":" + std::to_string(freePort(ip));
         workers.push_back(std::make_unique<Worker>(
                 store, options, [&](const Message &request, Connection &connection) {
@@ -83,7 +83,7 @@
     }
 
     const Deployment deployment{arguments.folder, arguments.entryCommand, GraceMs / 1000};
-    const int internalPort = freePort("127.0.1.1");
+    const int internalPort = freePort(loopback(1));
     std::vector<std::unique_ptr<Entry>> entries;
     for (int number = 1; number <= 2; ++number)
         entries.push_back(makeEntry(deployment, number, "zone-1", store.address, internalPort));
--- a/review/common/Harness.cpp
+++ b/review/common/Harness.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 #include <arpa/inet.h>
@@ -153,7 +154,16 @@
     std::fflush(stdout);
 }
 
-int freePort(const std::string &ip)
+std::string loopback(int number)
+{
+    const auto process = static_cast<unsigned>(::getpid());
+    return "127." + std::to_string(16 + process / 256 % 200) + "." + std::to_string(process % 256)
+           + "." + std::to_string(number);
+}
+
+namespace {
+
+int bindFreePort(const std::string &ip)
 {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address = parse(ip + ":0");
@@ -166,6 +176,18 @@
     return port;
 }
 
+} // namespace
+
+int freePort(const std::string &ip)
+{
+    static std::set<int> given;
+    int port = 0;
+    do
+        port = bindFreePort(ip);
+    while (port != 0 && !given.insert(port).second);
+    return port;
+}
+
 const std::string *Message::find(const std::string &name) const
 {
     for (const auto &[key, value] : this->headers) {
@@ -570,7 +592,16 @@
     Message request;
     while (connection.readHead(request, nowMs() + 120000)
            && connection.readBody(request, nowMs() + 10000)) {
-        const auto [status, body] = this->answer(request);
+        const bool isLost = this->silent;
+        const auto [status, body] = isLost ? std::make_pair(0, std::string()) : this->answer(request);
+        if (isLost || this->silent) {
+            record("the store answers nothing to " + request.startLine);
+            while (connection.ended == 0) {
+                char bytes[1024];
+                connection.read(bytes, sizeof(bytes), nowMs() + 1000);
+            }
+            return;
+        }
         if (!connection.write("HTTP/1.1 " + std::to_string(status)
                               + " Answer\r\nContent-Type: application/json\r\nContent-Length: "
                               + std::to_string(body.size()) + "\r\n\r\n" + body))
@@ -590,6 +621,7 @@
     this->beats = std::thread([this] {
         for (int round = 1; !this->stopping; ++round) {
             sleepMs(100);
+            // The store's entry changes when more than `seq` does, so a beat is no event.
             if (round % 12 == 0)
                 this->beat();
         }
@@ -605,6 +637,8 @@
 
 void Worker::beat()
 {
+    if (++this->sequence > 1)
+        return;
     this->store.put("servers/" + this->options.id,
                     Json{{"service", this->options.service},
                          {"address", this->options.address},
@@ -613,7 +647,7 @@
                          {"slots", this->options.slots},
                          {"state", "ready"},
                          {"coldLeftMs", 0},
-                         {"seq", ++this->sequence},
+                         {"seq", this->sequence},
                          {"born", std::stoull(this->born)}}
                             .dump());
 }
@@ -763,7 +797,7 @@
                                  const std::string &storeAddress, int internalPort)
 {
     auto entry = std::make_unique<Entry>();
-    entry->ip = "127.0.1." + std::to_string(number);
+    entry->ip = loopback(number);
     const auto address = [&] { return entry->ip + ":" + std::to_string(freePort(entry->ip)); };
     entry->callers = address();
     entry->readiness = address();
--- a/review/common/Harness.h
+++ b/review/common/Harness.h
@@ -34,7 +34,10 @@
 /// Also printed.
 void say(const std::string &line);
 
-/// A free TCP port of an address of 127.0.0.0/8.
+/// One of 250 loopback addresses of this process, so that runs at the same time don't meet.
+std::string loopback(int number);
+
+/// A TCP port that is free at an address, and was not given out before.
 int freePort(const std::string &ip);
 
 /// Header names are kept as sent and compared without case.
@@ -117,6 +120,10 @@
     explicit Store(const std::string &address);
     void put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
+    /// While silent, the store takes calls and changes of the operator and answers no call. A call
+    /// that comes in this time, or whose answer falls into it, gets none later either, and its
+    /// connection returns nothing further.
+    void setSilent(bool isSilent) { this->silent = isSilent; }
     const std::string address;
 
 private:
@@ -146,6 +153,7 @@
     std::map<std::uint64_t, std::pair<double, double>> leases;
     std::uint64_t revision = 1;
     std::uint64_t nextLease = 100;
+    std::atomic<bool> silent{false};
     std::unique_ptr<Server> server;
 };
 
