--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,5 @@
 for source in review/[1-9]/case.cpp; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -Ireview/common review/common/Harness.cpp "$source" -o "target/review/case-$number"
+  g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -Ireview review/Harness.cpp "$source" -o "target/review/case-$number"
 done
