Number plans so that no two owners give one number to two maps

Cause: a version was one more than the highest that live agents and engines know. A prepare command in flight is known to none of them, so after all agents were killed the next owner gave the version of the late command to another map. The rank that executed the late command reported the version as prepared, and the owner took it for its own map.

Change: PlanNumbering gives versions and ballots. The lower bits are a random number of the agent's start, the upper ones begin at the time of the start. This works because every comparison of the protocol is by number, and a number now belongs to one owner; the order keeps late commands of earlier owners below the plans of later ones, where engines refuse them.

--- a/Source/Experts/SwitchOwner.cpp
+++ b/Source/Experts/SwitchOwner.cpp
@@ -35,14 +35,13 @@
 constexpr std::chrono::microseconds MinStepTime = milliseconds(10);
 /// Time span over which the step time is measured.
 constexpr milliseconds StepTimeWindow{1000};
-/// A ballot modulo this number is the rank of the owner, so that ballots of two ranks differ.
-constexpr std::uint64_t BallotStride = 1024;
 constexpr std::uint64_t MinObservations = 2;
 
 } // namespace
 
-SwitchOwner::SwitchOwner(const Settings &settings)
-    : settings(settings), planner(settings.planner), load(DemandHalfLife, TrendHalfLife)
+SwitchOwner::SwitchOwner(const Settings &settings, const PlanNumbering &numbering)
+    : settings(settings), numbering(numbering), planner(settings.planner),
+      load(DemandHalfLife, TrendHalfLife)
 {}
 
 std::string SwitchOwner::takeLogText()
@@ -77,7 +76,7 @@
 {
     if (this->group == identity)
         return;
-    *this = SwitchOwner(this->settings);
+    *this = SwitchOwner(this->settings, this->numbering);
     this->group = identity;
 }
 
@@ -244,11 +243,9 @@
             && std::all_of(this->ranks.begin(), this->ranks.end(), [&](const auto &entry) {
                    return entry.second.state.ballot == ballot && !entry.second.state.engine.armed;
                });
-    next.ballot = surveyed
-                          ? ballot
-                          : (ballot / BallotStride + 1) * BallotStride + this->ranks.begin()->first;
+    next.ballot = surveyed ? ballot : this->numbering.next(ballot);
     next.owner = this->ranks.begin()->first;
-    next.change.version = this->lastVersion = version + 1;
+    next.change.version = this->lastVersion = this->numbering.next(version);
     next.map = this->unpadded(plan->map).slots;
     if (const auto base = this->currentVersion())
         next.delta = MapDelta::between(*base, this->unpadded(*map).slots, next.map);
--- a/Source/Experts/SwitchOwner.h
+++ b/Source/Experts/SwitchOwner.h
@@ -4,6 +4,7 @@
 #include "Experts/ExpertCounts.h"
 #include "Experts/ExpertLoad.h"
 #include "Experts/PlacementPlanner.h"
+#include "Experts/PlanNumbering.h"
 #include "Experts/RankState.h"
 
 #include <chrono>
@@ -31,7 +32,7 @@
         std::uint32_t layers = 0;
     };
 
-    explicit SwitchOwner(const Settings &settings);
+    SwitchOwner(const Settings &settings, const PlanNumbering &numbering);
 
     /// Group of the own rank; a change of it drops what was known of the former one.
     void enterGroup(const GroupIdentity &identity);
@@ -79,6 +80,7 @@
     std::uint64_t chooseStep(Instant now) const;
 
     Settings settings;
+    PlanNumbering numbering;
     GroupIdentity group;
     PlacementPlanner planner;
     ExpertLoad load;
@@ -95,7 +97,7 @@
     ExpertLoad::Tokens reported;
     bool hasReported = false;
     std::uint64_t observations = 0;
-    /// Highest version of a change of this owner, so that no version names two maps.
+    /// Highest version of a change of this owner.
     std::uint64_t lastVersion = 0;
     /// When an agent last reported an engine command without an answer.
     std::optional<Instant> lostCommandAt;
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -161,7 +161,8 @@
             settings.planner.storeRate = experts.copyRate;
             settings.planner.loadsPerRank = experts.loadsPerChange;
             settings.planner.chains = false;
-            this->owner = std::make_unique<SwitchOwner>(settings);
+            this->owner = std::make_unique<SwitchOwner>(
+                    settings, PlanNumbering(this->options.startedAt, this->options.planTag));
             this->log(RelayLog::ConfigurationInForce,
                       "version=" + std::to_string((*configuration)->version)
                               + " layers=" + std::to_string(experts.layers)
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -14,6 +14,7 @@
 #include "RelayShell/StateStore.h"
 
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -39,6 +40,9 @@
         std::string engineAddress;
         std::string service;
         std::uint64_t incarnation = 0;
+        /// Time of day at the start, and a random number; see PlanNumbering.
+        std::chrono::system_clock::time_point startedAt;
+        std::uint64_t planTag = 0;
         /// Rate of the link of this instance.
         std::uint64_t linkBytesPerSecond = 0;
     };
--- a/Tests/Experts/ModelGroupsTest.cpp
+++ b/Tests/Experts/ModelGroupsTest.cpp
@@ -308,7 +308,7 @@
         settings.planner.minImprovement = 0.01;
         settings.planner.loadsPerRank = 2;
         settings.planner.chains = false;
-        SwitchOwner owner(settings);
+        SwitchOwner owner(settings, PlanNumbering({}, 1));
         owner.enterGroup({group, 2});
         return owner;
     }
--- a/Tests/Experts/RankSwitchTest.cpp
+++ b/Tests/Experts/RankSwitchTest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST_SUITE(RankSwitchTest);
     CPPUNIT_TEST(changesCompleteWithoutFaults);
     CPPUNIT_TEST(noStepBeginsWithTwoMaps);
+    CPPUNIT_TEST(lateCommandsOfKilledAgentsMixNoMaps);
     CPPUNIT_TEST(armingWithoutHoldIsDetected);
     CPPUNIT_TEST(earlyReleaseIsDetected);
     CPPUNIT_TEST(groupContinuesAfterFaultsEnd);
@@ -82,6 +83,23 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), violations(allFaults(), {}));
     }
 
+    // Guards against two owners that give one version to two maps: all agents are killed, and a
+    // rank executes a late prepare command of theirs when the next owner prepares its own map.
+    void lateCommandsOfKilledAgentsMixNoMaps()
+    {
+        constexpr std::uint64_t Runs = 200;
+        SwitchWorld::Faults faults;
+        faults.lateCommands = 0.6;
+        faults.restartsOfAll = 0.3;
+        SwitchWorld::Scale scale;
+        scale.copyTime = std::chrono::milliseconds(100);
+        for (std::uint64_t seed = 1; seed <= Runs; ++seed) {
+            SwitchWorld world(2, seed, faults, {}, scale);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), std::string(),
+                                         world.run(seconds(60)));
+        }
+    }
+
     void armingWithoutHoldIsDetected()
     {
         RankSwitch::SafetyRules rules;
--- a/Tests/Experts/SwitchWorld.cpp
+++ b/Tests/Experts/SwitchWorld.cpp
@@ -22,6 +22,7 @@
 /// Tokens of a rank in one step, and how many of them choose a hot expert of their layer.
 constexpr std::uint64_t TokensPerStep = 170;
 constexpr double HotShare = 0.35;
+constexpr std::uint64_t MaxPlanTag = 1U << 20U;
 
 } // namespace
 
@@ -126,7 +127,11 @@
     settings.planner.minImprovement = 0.01;
     settings.planner.loadsPerRank = this->scale.spares;
     settings.planner.chains = false;
-    agent.owner = std::make_unique<SwitchOwner>(settings);
+    const std::chrono::system_clock::time_point timeOfDay(
+            std::chrono::duration_cast<std::chrono::system_clock::duration>(
+                    this->now.time_since_epoch()));
+    agent.owner = std::make_unique<SwitchOwner>(
+            settings, PlanNumbering(timeOfDay, this->random.below(MaxPlanTag)));
     agent.state = {};
     agent.state.incarnation = ++this->incarnations;
     agent.state.address = std::to_string(server);
@@ -377,6 +382,16 @@
     }
 }
 
+void SwitchWorld::restartAllAgents()
+{
+    if (!std::exchange(this->restartsAll, false))
+        return;
+    for (std::uint32_t server = 0; server < this->agents.size(); ++server) {
+        this->startAgent(server);
+        this->agents[server].pausedUntil = this->now + milliseconds(300);
+    }
+}
+
 void SwitchWorld::runAgent(std::uint32_t server)
 {
     Agent &agent = this->agents[server];
@@ -399,6 +414,9 @@
         if (this->random.unit() < this->faults.lateCommands) {
             this->lateCommands.push_back({this->now + milliseconds(100 + this->random.below(6000)),
                                           server, *engineCommand});
+            if (this->faults.restartsOfAll > 0
+                && engineCommand->kind == EngineCommand::Kind::Prepare)
+                this->restartsAll = this->random.unit() < this->faults.restartsOfAll;
             agent.rankSwitch->commandAnswered(this->now, *engineCommand,
                                               EngineCommandResult::Unknown);
         } else {
@@ -415,6 +433,7 @@
     for (const Instant end = this->now + span; this->now < end; this->now += Tick) {
         this->deliver();
         this->finishLoading();
+        this->restartAllAgents();
         for (std::uint32_t server = 0; server < this->agents.size(); ++server)
             this->runAgent(server);
         for (Group &group : this->groups) {
--- a/Tests/Experts/SwitchWorld.h
+++ b/Tests/Experts/SwitchWorld.h
@@ -32,6 +32,9 @@
         /// Pauses of agents, a second on average at random moments.
         bool pauses = false;
         bool restarts = false;
+        /// Share of the late prepare commands after which all agents are killed and started again
+        /// at the same moment.
+        double restartsOfAll = 0;
     };
 
     struct Scale
@@ -143,6 +146,7 @@
     EngineCommandResult execute(std::uint32_t server, const EngineCommand &engineCommand);
     void formGroup(Group &group);
     void startAgent(std::uint32_t server);
+    void restartAllAgents();
     void runAgent(std::uint32_t server);
     void exchangeStates(std::uint32_t server);
     void sampleCounts(std::uint32_t server);
@@ -168,6 +172,7 @@
     std::vector<Engine> engines;
     std::vector<Agent> agents;
     std::vector<LateCommand> lateCommands;
+    bool restartsAll = false;
     std::multimap<Instant, Message> messages;
 };
 
