Find a watch that the store never answers within 2.5 s

Cause: a watch waits for 20 s, and one that was sent into the silence is lost without a sign, so it took 21.5 s to fail. All entries watch since the same change and lose their watches together.

This works because the wait for any lost call is now shorter than the 3 s after which an entry counts as undisturbed, whether or not another call shows the outage.

Related waits: reads, writes and leases (1.5 s each), PeerPull (0.3 s), the agents' lists (timers), StoreClient::watch of the product's own entries (no limit; suspected, not shown).

--- a/Source/RelayShell/StoreFeed.cpp
+++ b/Source/RelayShell/StoreFeed.cpp
@@ -11,9 +11,11 @@
 
 using std::chrono::milliseconds;
 
-/// A watch without changes is renewed after this time. TCP keep-alive probes detect dead
-/// connections earlier.
-constexpr milliseconds WatchTimeout{20000};
+/// A watch without changes is renewed after this time. A store that was away, or a connection that
+/// went silent, may never answer a watch, and nothing else shows it: all watches of a deployment
+/// can be lost at once. A configuration has to be in force 3 s after the store is back, so a lost
+/// watch must have failed and been sent again by then; see also the margin of StateStore::watch().
+constexpr milliseconds WatchTimeout{1500};
 /// Backoff between calls to a store that does not answer. Starts short, because a new entry cannot
 /// serve without a configuration; one call per second is little compared with the store's normal
 /// load.
@@ -33,6 +35,7 @@
 void StoreFeed::readAll()
 {
     this->isActive = true;
+    this->calledAt = this->loop.now();
     this->store.readAll([this, round = ++this->round](const StateStore::Result &result) {
         if (round != this->round)
             return;
@@ -92,6 +95,7 @@
     const std::uint64_t watchRound = ++this->round;
     if (!this->isActive)
         return;
+    this->calledAt = this->loop.now();
     this->store.watch(this->localMirror.position().revision, WatchTimeout,
                       [this, watchRound](const StateStore::Result &result) {
                           if (watchRound == this->round)
@@ -154,10 +158,14 @@
 void StoreFeed::scheduleRetry(const std::string &reason, void (StoreFeed::*retry)())
 {
     this->recordFailure(reason);
-    this->loop.after(this->retryBackoff, [this, retry, retryRound = this->round] {
-        if (retryRound == this->round)
-            (this->*retry)();
-    });
+    // A call that has timed out has already taken longer than the backoff.
+    const auto sinceCall =
+            std::chrono::duration_cast<milliseconds>(this->loop.now() - this->calledAt);
+    this->loop.after(std::max(MinRetryBackoff, this->retryBackoff - sinceCall),
+                     [this, retry, retryRound = this->round] {
+                         if (retryRound == this->round)
+                             (this->*retry)();
+                     });
     this->retryBackoff = std::min(this->retryBackoff * 2, MaxRetryBackoff);
 }
 
--- a/Source/RelayShell/StoreFeed.h
+++ b/Source/RelayShell/StoreFeed.h
@@ -69,6 +69,9 @@
     /// The history was gone since the last watch that succeeded.
     bool isCompacted = false;
     Instant lostAt;
+    /// When the last read or watch was sent.
+    Instant calledAt;
+    /// Least time between the starts of two calls while calls fail.
     std::chrono::milliseconds retryBackoff;
 };
 
--- a/Tests/Platform/StoreServer.cpp
+++ b/Tests/Platform/StoreServer.cpp
@@ -1,6 +1,7 @@
 #include "StoreServer.h"
 
 #include "Net/Base64.h"
+#include "Net/EventLoop.h"
 
 #include <utility>
 
@@ -32,8 +33,8 @@
 } // namespace
 
 StoreServer::StoreServer(EventLoop &loop, const std::string &address)
-    : listener(loop, address, MaxConnections,
-               [this](HttpListener::Request &&request) { this->serve(request); })
+    : loop(loop), listener(loop, address, MaxConnections,
+                           [this](HttpListener::Request &&request) { this->serve(request); })
 {
     this->listener.onCallerDisconnected(
             [this](HttpListener::RequestId id) { this->watches.erase(id); });
@@ -85,6 +86,8 @@
 
 void StoreServer::reply(HttpListener::RequestId id, int status, const std::string &body)
 {
+    if (this->isSilent)
+        return;
     if (auto *connection = this->listener.find(id))
         connection->reply(
                 status, "",
@@ -104,6 +107,9 @@
         this->answerRange(request);
     } else if (startsWith(target, "/kv-watch?")) {
         this->answerWatch(request.id, std::stoull(queryField(target, "after")));
+        if (this->watches.count(request.id) != 0)
+            this->limitWatch(request.id,
+                             std::chrono::milliseconds(std::stoull(queryField(target, "waitMs"))));
     } else if (target == "/kv-txn") {
         this->answerTransaction(request);
     } else if (target == "/kv-lease") {
@@ -171,6 +177,20 @@
     this->reply(id, 200, Json{{"events", array}, {"storeRevision", this->revision}}.dump());
 }
 
+void StoreServer::limitWatch(HttpListener::RequestId id, std::chrono::milliseconds timeout)
+{
+    const std::uint64_t timer = this->watchTimers[id] = this->nextTimer++;
+    this->loop.after(timeout, [this, id, timer, guard = std::weak_ptr<bool>(this->alive)] {
+        if (guard.expired() || this->watchTimers[id] != timer)
+            return;
+        this->watchTimers.erase(id);
+        if (this->watches.erase(id) == 0)
+            return;
+        this->reply(id, 200,
+                    Json{{"events", Json::array()}, {"storeRevision", this->revision}}.dump());
+    });
+}
+
 void StoreServer::answerTransaction(const HttpListener::Request &request)
 {
     const Json body = Json::parse(request.body);
--- a/Tests/Platform/StoreServer.h
+++ b/Tests/Platform/StoreServer.h
@@ -2,6 +2,7 @@
 
 #include "Http/HttpListener.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -41,7 +42,8 @@
     std::size_t pageSize = 500;
     /// Status of every answer; 0: calls are processed normally.
     int failureStatus = 0;
-    /// Calls are received but never answered.
+    /// Calls are received but never answered, neither those that come meanwhile nor waiting
+    /// watches.
     bool isSilent = false;
     /// The body of every answer is truncated to half its length.
     bool isMalformed = false;
@@ -64,12 +66,20 @@
     void reply(HttpListener::RequestId id, int status, const std::string &body);
     void answerRange(const HttpListener::Request &request);
     void answerWatch(HttpListener::RequestId id, std::uint64_t after);
+    /// Ends a watch without changes when its time is over.
+    void limitWatch(HttpListener::RequestId id, std::chrono::milliseconds timeout);
     void answerTransaction(const HttpListener::Request &request);
     void notifyWatches();
 
+    EventLoop &loop;
     HttpListener listener;
     std::map<std::string, Item> items;
     std::map<HttpListener::RequestId, std::uint64_t> watches;
+    /// Numbers of the timers of the waiting watches; a later watch has another one.
+    std::map<HttpListener::RequestId, std::uint64_t> watchTimers;
+    std::uint64_t nextTimer = 1;
+    /// Expires with this object.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::uint64_t revision = 10;
     std::uint64_t oldestRevision = 0;
     std::uint64_t era = 1;
