Note an error answer for the caller only when it is complete

Cause: the attempt was noted as the answer to relay at its head. Given up as silent, it was cancelled with its bytes and stayed noted; at the deadline the entry relayed nothing and forgot the request.

Evidence: RelayNodeTest::errorAnswerThatBreaksOffLeavesTheCallerWithoutAnswer fails on the code before ("expected 0, actual 1" relayed answers).

Change: the note is made at the end of the answer. This works because an attempt that has ended cannot be given up. The first of two error answers is released, which errorAnswerOfAnEarlierAttemptIsKeptForEver shows to have been kept.

--- a/Source/Relay/Attempt.h
+++ b/Source/Relay/Attempt.h
@@ -28,6 +28,8 @@
     bool hasEvent = false;
     /// The answer has a status of success.
     bool isSuccess = false;
+    /// The answer has a status of failure of the backend server.
+    bool isFailure = false;
     /// The end of the answer is marked, not only that of the connection.
     bool isFramed = true;
     /// The backend server has written for long enough to show that the request does not crash it.
--- a/Source/Relay/RelayNodeAttempts.cpp
+++ b/Source/Relay/RelayNodeAttempts.cpp
@@ -67,6 +67,7 @@
     running.lastActivityAt = now;
     this->units[running.unit].recordActivity(now);
     running.isSuccess = head.status / 100 == 2;
+    running.isFailure = head.status >= 500;
     running.isFramed = head.isFramed;
     this->quarantine.recordAlive(this->incarnationOf(running.backend), running.sentAt);
     if (BackendRoster::Row *row = this->backends.find(running.backend)) {
@@ -91,10 +92,7 @@
             row->health.recordFailure(now);
         this->dropAttempt(*exchange, commands);
         this->retryOrAbandon(now, *exchange, "status " + std::to_string(head.status), commands);
-        return;
     }
-    if (head.status >= 500)
-        exchange->failureAnswer = attempt;
 }
 
 void RelayNode::handleRejection(Instant now, Exchange &exchange, const AnswerHead &head,
@@ -164,7 +162,7 @@
         this->placeWaiting(now, commands);
         return;
     }
-    const bool failed = exchange->failureAnswer == attempt;
+    const bool failed = running.isFailure;
     if (BackendRoster::Row *row = this->backends.find(running.backend)) {
         row->lastReceivedAt = now;
         failed ? row->health.recordFailure(now) : row->health.recordSuccess(now);
@@ -189,6 +187,9 @@
                && exchange->deadline - now
                           > RelayLimits::MinAttemptTime
                                     + this->waitEstimatorOf(*exchange).meanHoldTime()) {
+        if (exchange->failureAnswer)
+            commands.push_back(RelayCommand::CancelAttempt{*exchange->failureAnswer});
+        exchange->failureAnswer = attempt;
         exchange->failedOn.insert(running.backend);
         exchange->waitingSince = now;
         if (!this->tryPlace(now, *exchange, commands))
@@ -223,8 +224,6 @@
     else if (failure == AttemptFailure::Refused)
         this->recordEnd(now, this->incarnationOf(backend), commands);
     exchange->failedOn.insert(backend);
-    if (exchange->failureAnswer == attempt)
-        exchange->failureAnswer.reset();
     this->dropAttempt(*exchange, commands);
     this->retryOrAbandon(now, *exchange, describe(failure), commands);
     this->placeWaiting(now, commands);
@@ -269,8 +268,7 @@
                 makeRecord(RelayLog::StreamCut, LogRecord::Level::Warning, text.str())});
         this->dropAttempt(exchange, commands);
         this->exchanges.erase(exchange.caller);
-    } else if (exchange.failureAnswer
-               && (!exchange.attempt || exchange.attempt->id != *exchange.failureAnswer)) {
+    } else if (exchange.failureAnswer) {
         // The error answer of a backend server is more specific than one of this entry.
         this->dropAttempt(exchange, commands);
         commands.push_back(RelayCommand::RelayAnswer{exchange.caller, *exchange.failureAnswer});
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -115,8 +115,15 @@
     if (found == this->requests.end())
         return;
     const BackendAttempts::Answer *answer = this->attempts.answer(command.attempt);
-    auto *connection = this->callerListener.find(command.caller);
-    if (connection != nullptr && answer != nullptr)
+    if (answer == nullptr) {
+        // The caller gets a final answer in any case.
+        this->log(RelayLog::UnexpectedError, LogRecord::Level::Error,
+                  "request=" + found->second.requestId + " error=\"no answer of attempt "
+                          + std::to_string(command.attempt) + "\"");
+        this->executeOne(RelayCommand::Refuse{command.caller, 502, std::nullopt, {}});
+        return;
+    }
+    if (auto *connection = this->callerListener.find(command.caller))
         connection->reply(answer->head->status, answer->head->reason,
                           endToEndHeaders(*answer->head), answer->body);
     this->metrics.add("nutmegrill_answers_total", {{"kind", "whole"}});
--- a/Tests/Relay/RelayNodeTest.cpp
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -50,6 +50,8 @@
     CPPUNIT_TEST(brokenStreamIsResumedElsewhere);
     CPPUNIT_TEST(streamThatCannotBeResumedIsAborted);
     CPPUNIT_TEST(errorAnswerIsRelayedWhenTheRetryFails);
+    CPPUNIT_TEST(errorAnswerThatBreaksOffLeavesTheCallerWithoutAnswer);
+    CPPUNIT_TEST(errorAnswerOfAnEarlierAttemptIsKeptForEver);
     CPPUNIT_TEST(silentStreamIsResumedElsewhere);
     CPPUNIT_TEST(silentGroupKeepsItsStreams);
     CPPUNIT_TEST(routeTimeoutEndsTheRequest);
@@ -207,6 +209,44 @@
         }
     }
 
+    // Guards against a request that is never answered: the head of an error answer arrives, the
+    // rest does not, the attempt is given up as silent, and no other one succeeds.
+    void errorAnswerThatBreaksOffLeavesTheCallerWithoutAnswer()
+    {
+        for (const std::uint32_t servers : {1U, 2U}) {
+            RelayNodeHarness scene(0, servers);
+            const auto caller = scene.arrive("/lookup/");
+            scene.head(caller, 500);
+            scene.advance(milliseconds(700));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(servers), scene.attemptsOf(caller));
+            if (servers > 1)
+                scene.fail(caller, AttemptFailure::Broken);
+            scene.advance(milliseconds(1500));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), scene.count<RelayCommand::RelayAnswer>());
+            CPPUNIT_ASSERT(scene.refusalOf(caller) != nullptr);
+            CPPUNIT_ASSERT(scene.refusalOf(caller)->status == 502
+                           || scene.refusalOf(caller)->status == 504);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0), scene.node.openRequests());
+        }
+    }
+
+    // Guards against the memory of the first of two error answers, of which one is relayed.
+    void errorAnswerOfAnEarlierAttemptIsKeptForEver()
+    {
+        RelayNodeHarness scene;
+        const auto caller = scene.arrive("/lookup/");
+        const auto first = scene.attemptOf(caller)->attempt;
+        for (int attempt = 0; attempt < 2; ++attempt) {
+            scene.head(caller, 500);
+            scene.end(caller);
+        }
+        const auto isRelease = [first](const RelayCommand::Any &command) {
+            const auto *cancelled = std::get_if<RelayCommand::CancelAttempt>(&command);
+            return cancelled != nullptr && cancelled->attempt == first;
+        };
+        CPPUNIT_ASSERT(std::any_of(scene.commands.begin(), scene.commands.end(), isRelease));
+    }
+
     // One backend server accepts requests but sends no event, while the others do.
     void silentStreamIsResumedElsewhere()
     {
