Take a request in a planned stop only if its deadline ends in time

Cause: an idempotent request, and a stream that cannot be resumed, was taken in a planned stop if its expected duration ended before the process, whatever its deadline; one that takes longer was cut.

Evidence: RelayNodeTest::requestThatMayOutliveTheProcessIsTakenInAPlannedStop fails on the code before ("/lookup/": expected 0 attempts, actual 1).

Requests that are open shortly before the end get a final answer instead of a closed connection: 503 if they have not run, otherwise the error answer of a backend server or 502. This works because a request whose deadline is over has its answer.

--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -112,8 +112,8 @@
     exchange.waitingSince = now;
     exchange.targetAt = now + route->latencyTarget;
     exchange.deadline = now + std::min(request.timeLeft.value_or(DefaultDeadline), route->timeout);
-    if (!StopAdmission::endsInTime({now, this->stopAt, exchange.deadline, route->kind,
-                                    route->latencyTarget,
+    const bool isResumableStream = route->kind == Route::Kind::Stream && route->mayRunAgain();
+    if (!StopAdmission::endsInTime({now, this->stopAt, exchange.deadline, isResumableStream,
                                     this->waitEstimatorOf(exchange).meanHoldTime()})) {
         this->refuseUntracked(caller, request.id, 503, RelayLimits::MinRetryAfter, "planned stop",
                               commands);
@@ -190,6 +190,12 @@
     });
 }
 
+void RelayNode::endOpenRequests(Instant now, Commands &commands)
+{
+    while (!this->exchanges.empty())
+        this->abandon(now, this->exchanges.begin()->second, "planned stop", commands);
+}
+
 void RelayNode::checkDeadlines(Instant now, Commands &commands)
 {
     std::vector<CallerId> due;
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -82,6 +82,8 @@
 
     /// A planned stop has begun; the process ends at \a end at the latest.
     void beginStop(Instant end) { this->stopAt = end; }
+    /// Gives each open request its final answer, because the process is about to end.
+    void endOpenRequests(Instant now, Commands &commands);
 
     BackendRoster &roster() { return this->backends; }
     EntryTable &entries() { return this->peers; }
--- a/Source/Relay/StopAdmission.cpp
+++ b/Source/Relay/StopAdmission.cpp
@@ -13,9 +13,9 @@
 constexpr milliseconds MaxStreamDuration{4500};
 /// Longest expected duration of requests as a multiple of their mean.
 constexpr int MaxHoldTimes = 4;
-/// Longest wait for a slot and an answer as a multiple of the latency target.
-constexpr int MaxLatencyTargets = 3;
 constexpr int ClosePercent = 75;
+/// Leaves time for the last answers to be sent.
+constexpr int AnswerPercent = 95;
 /// The rest of the grace time is for the end of the process itself.
 constexpr int ExitPercent = 96;
 /// Time for the answer to leave the process.
@@ -23,16 +23,8 @@
 
 microseconds longestDuration(const StopAdmission::Input &input)
 {
-    const microseconds held = input.meanHoldTime * MaxHoldTimes;
-    switch (input.kind) {
-    case Route::Kind::Stream:
-        return std::max<microseconds>(held, MaxStreamDuration);
-    case Route::Kind::Idempotent:
-        return std::max<microseconds>(held, input.latencyTarget * MaxLatencyTargets);
-    case Route::Kind::NonIdempotent:
-        // Only its deadline is certain to end it.
-        break;
-    }
+    if (input.isResumableStream)
+        return std::max<microseconds>(input.meanHoldTime * MaxHoldTimes, MaxStreamDuration);
     return input.deadline - input.now;
 }
 
@@ -40,7 +32,8 @@
 
 StopAdmission::Phases StopAdmission::phasesOf(Instant now, milliseconds graceTime)
 {
-    return {now + graceTime * ClosePercent / 100, now + graceTime * ExitPercent / 100};
+    return {now + graceTime * ClosePercent / 100, now + graceTime * AnswerPercent / 100,
+            now + graceTime * ExitPercent / 100};
 }
 
 bool StopAdmission::endsInTime(const Input &input)
--- a/Source/Relay/StopAdmission.h
+++ b/Source/Relay/StopAdmission.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "Config/Route.h"
 #include "Core/Time.h"
 
 #include <chrono>
@@ -20,8 +19,8 @@
     Instant stopAt;
     /// The caller's deadline or the route's timeout, whichever is earlier.
     Instant deadline;
-    Route::Kind kind = Route::Kind::NonIdempotent;
-    std::chrono::milliseconds latencyTarget{0};
+    /// The caller can let a stream that is cut go on at another entry.
+    bool isResumableStream = false;
     /// Mean time for which requests of the service hold their slot.
     std::chrono::microseconds meanHoldTime{0};
 };
@@ -32,13 +31,16 @@
     /// Idle connections are closed and new ones refused from then on. Until then, callers with a
     /// cached address lookup are still served.
     Instant closeAt;
-    /// The process ends, even if requests are open.
+    /// Requests that are still open get their final answer.
+    Instant answerAt;
+    /// The process ends.
     Instant exitAt;
 };
 
 Phases phasesOf(Instant now, std::chrono::milliseconds graceTime);
 
-/// Whether the request is expected to end before the process does.
+/// Whether the request ends before the process does. Only its deadline makes that certain; a
+/// resumable stream is taken if it is expected to.
 bool endsInTime(const Input &input);
 
 } // namespace StopAdmission
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -407,6 +407,10 @@
         this->callerListener.stopAccepting();
         this->callerListener.closeIdle();
     }
+    if (now >= this->stop->answerAt)
+        this->decide("planned stop", [&](RelayNode::Commands &commands) {
+            this->node.endOpenRequests(now, commands);
+        });
     if (now >= this->stop->exitAt
         || (now >= this->stop->closeAt && this->node.openRequests() == 0
             && this->callerListener.connectionCount() == 0))
--- a/Tests/Relay/RelayNodeTest.cpp
+++ b/Tests/Relay/RelayNodeTest.cpp
@@ -1,6 +1,7 @@
 #include "Relay/RelayLog.h"
 #include "Relay/StopAdmission.h"
 #include "RelayNodeHarness.h"
+#include "RouteFixture.h"
 
 #include <chrono>
 #include <set>
@@ -67,6 +68,8 @@
     CPPUNIT_TEST(openCircuitLimitsRepeats);
     CPPUNIT_TEST(streamIsRefusedShortlyBeforeAPlannedStop);
     CPPUNIT_TEST(callIsRefusedShortlyBeforeAPlannedStop);
+    CPPUNIT_TEST(requestThatMayOutliveTheProcessIsTakenInAPlannedStop);
+    CPPUNIT_TEST(openRequestGetsNoAnswerAtTheEndOfAPlannedStop);
     CPPUNIT_TEST(excessRequestsAreRefusedAtOnce);
     CPPUNIT_TEST(smallAccountIsServedBesideALargeOne);
     CPPUNIT_TEST(failedRequestsAreTraceableInTheLog);
@@ -502,6 +505,50 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), scene.node.openRequests());
     }
 
+    // Guards against requests of any kind that are taken in a planned stop, because requests
+    // usually are short, and cut off at its end. Only a resumable stream goes on at another entry.
+    void requestThatMayOutliveTheProcessIsTakenInAPlannedStop()
+    {
+        RelayNodeHarness scene;
+        auto longer = std::make_shared<Configuration>(*scene.node.configuration());
+        longer->version = 2;
+        for (Route &route : longer->routes)
+            route.timeout = milliseconds(8000);
+        longer->routes.push_back(makeRoute("/once/", Route::Kind::Stream, "model"));
+        longer->routes.back().isResumable = false;
+        scene.node.configure(longer, scene.commands);
+        scene.node.beginStop(scene.now + milliseconds(5150));
+        RelayCommand::CallerId caller = 1000;
+        for (const std::string path : {"/lookup/", "/record/", "/once/", "/stream/"}) {
+            RelayRequest request;
+            request.id = path;
+            request.host = "host.example";
+            request.path = path;
+            request.key = "key-1";
+            request.timeLeft = milliseconds(5000);
+            scene.node.requestArrived(scene.now, ++caller, request, scene.commands);
+            const bool isResumable = path == "/stream/";
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(path, isResumable, scene.attemptOf(caller) != nullptr);
+            if (!isResumable)
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(path, 503, scene.refusalOf(caller)->status);
+        }
+    }
+
+    // Guards against connections that close without an answer when the process ends: what runs has
+    // an unknown outcome, and what waits has not run.
+    void openRequestGetsNoAnswerAtTheEndOfAPlannedStop()
+    {
+        RelayNodeHarness scene(0, 1);
+        std::vector<RelayCommand::CallerId> callers;
+        while (callers.empty() || scene.attemptOf(callers.back()) != nullptr)
+            callers.push_back(scene.arrive("/lookup/"));
+        CPPUNIT_ASSERT(scene.refusalOf(callers.back()) == nullptr);
+        scene.node.endOpenRequests(scene.now, scene.commands);
+        CPPUNIT_ASSERT_EQUAL(502, scene.refusalOf(callers.front())->status);
+        CPPUNIT_ASSERT_EQUAL(503, scene.refusalOf(callers.back())->status);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), scene.node.openRequests());
+    }
+
     // Many more simultaneous requests than slots: those that cannot get a slot in time are refused
     // at once, with different Retry-After times.
     void excessRequestsAreRefusedAtOnce()
