Bound what the product's HTTP client keeps of an answer without end

Operators of other systems reported a faulty worker that sent bytes without end, in a head or a body; the machine that had called it kept them all and ran out of memory.

Cause here: evhttp had no limit for a head, BackendCaller kept an event that never ended, fetch() a whole body, and a watch of the store a line. The platform's programs have limits for each (see the tests below).

Change: limits for heads, bodies that are read whole, events and lines, and one for what evhttp holds back in all calls of a client together, where the call that holds most ends. This works because every byte that arrives is now passed on, counted or ends its call.

Also: a call that is cancelled in its data handler no longer reads its id from the destroyed handler.

--- a/Source/Net/HttpClient.cpp
+++ b/Source/Net/HttpClient.cpp
@@ -17,6 +17,11 @@
 
 namespace {
 
+/// Answers of the known services have a few headers.
+constexpr ev_ssize_t MaxHeadBytes = 64 << 10;
+/// Bytes that evhttp holds back in all calls of a client, such as unfinished lines and chunks.
+constexpr std::size_t MaxHeldBytes = 48U << 20U;
+
 evhttp_cmd_type evhttpCommand(const std::string &method)
 {
     static const std::map<std::string, evhttp_cmd_type> commands = {
@@ -62,6 +67,18 @@
             static_cast<Call *>(argument)->written = true;
     }
 
+    static void inputChanged(evbuffer *, const evbuffer_cb_info *info, void *argument)
+    {
+        if (info->n_added > 0)
+            static_cast<Call *>(argument)->client->limitHeldBytes();
+    }
+
+    std::size_t heldBytes() const
+    {
+        return evbuffer_get_length(
+                bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection)));
+    }
+
     static int head(evhttp_request *request, void *argument)
     {
         auto *call = static_cast<Call *>(argument);
@@ -128,8 +145,10 @@
     call->connection = evhttp_connection_base_bufferevent_new(this->loop.base(), nullptr, nullptr,
                                                               host.c_str(), port);
     evhttp_connection_set_timeout(call->connection, static_cast<int>(request.idleTimeout.count()));
-    evbuffer_add_cb(bufferevent_get_output(evhttp_connection_get_bufferevent(call->connection)),
-                    &Call::outputChanged, call.get());
+    evhttp_connection_set_max_headers_size(call->connection, MaxHeadBytes);
+    bufferevent *stream = evhttp_connection_get_bufferevent(call->connection);
+    evbuffer_add_cb(bufferevent_get_output(stream), &Call::outputChanged, call.get());
+    evbuffer_add_cb(bufferevent_get_input(stream), &Call::inputChanged, call.get());
 
     evhttp_request *raw = evhttp_request_new(&Call::done, call.get());
     evhttp_request_set_header_cb(raw, &Call::head);
@@ -161,16 +180,49 @@
 {
     struct Result
     {
+        CallId call = 0;
         int status = 0;
         std::string body;
     };
     auto result = std::make_shared<Result>();
     Handlers handlers;
     handlers.onHead = [result](int status, const Headers &) { result->status = status; };
-    handlers.onData = [result](std::string_view data) { result->body.append(data); };
+    handlers.onData = [this, result, limit = request.maxBodyBytes](std::string_view data) {
+        if (result->body.size() + data.size() <= limit)
+            result->body.append(data);
+        else
+            this->failOversized(result->call);
+    };
     handlers.onEnd = [result, done] { done(result->status, std::move(result->body)); };
     handlers.onFailure = [done](Failure) { done(0, {}); };
-    this->call(address, request, std::move(handlers));
+    result->call = this->call(address, request, std::move(handlers));
+}
+
+void HttpClient::limitHeldBytes()
+{
+    std::size_t held = 0;
+    const Call *largest = nullptr;
+    for (const auto &[id, call] : this->calls) {
+        held += call->heldBytes();
+        if (largest == nullptr || call->heldBytes() > largest->heldBytes())
+            largest = call.get();
+    }
+    if (held <= MaxHeldBytes)
+        return;
+    // Deferred, because evhttp may be inside a callback of this connection.
+    this->loop.after(std::chrono::milliseconds(0),
+                     [this, call = largest->id] { this->failOversized(call); });
+}
+
+void HttpClient::failOversized(CallId call)
+{
+    const auto found = this->calls.find(call);
+    if (found == this->calls.end())
+        return;
+    const Handlers handlers = std::move(found->second->handlers);
+    this->remove(call);
+    if (handlers.onFailure)
+        handlers.onFailure(Failure::Broken);
 }
 
 void HttpClient::cancel(CallId call)
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -17,7 +18,8 @@
 
 class EventLoop;
 
-/// HTTP/1.1 client based on evhttp. Each call uses its own connection.
+/// HTTP/1.1 client based on evhttp. Each call uses its own connection. A server that sends bytes
+/// without end, in a head or anywhere else, fails its call: what is kept of one call is bounded.
 class HttpClient
 {
 public:
@@ -32,6 +34,8 @@
         std::string body;
         /// Idle timeout of the connection.
         std::chrono::seconds idleTimeout{30};
+        /// Longest body that fetch() collects, in bytes.
+        std::size_t maxBodyBytes = 8U << 20U;
     };
 
     enum class Failure {
@@ -71,6 +75,10 @@
     struct Call;
 
     void remove(CallId call);
+    /// Ends the call that holds most if all together hold too much.
+    void limitHeldBytes();
+    /// Ends a call whose answer exceeds a limit.
+    void failOversized(CallId call);
 
     EventLoop &loop;
     std::map<CallId, std::unique_ptr<Call>> calls;
--- a/Source/Net/StoreClient.cpp
+++ b/Source/Net/StoreClient.cpp
@@ -16,6 +16,8 @@
 
 // A watch receives nothing while its key does not change.
 constexpr std::chrono::hours WatchIdleTimeout(24);
+/// The store limits a value to 1.5 MB, which base64 and JSON make longer.
+constexpr std::size_t MaxLineBytes = 4U << 20U;
 
 Json encodeTransaction(const StoreTransaction &transaction);
 
@@ -143,7 +145,8 @@
     std::function<void()> onBroken;
     std::string buffer;
 
-    void receive(std::string_view data)
+    /// Returns false if a line is too long.
+    bool receive(std::string_view data)
     {
         this->buffer.append(data);
         for (std::size_t end = this->buffer.find('\n'); end != std::string::npos;
@@ -152,6 +155,7 @@
             this->buffer.erase(0, end + 1);
             this->readLine(line);
         }
+        return this->buffer.size() <= MaxLineBytes;
     }
 
     void readLine(const std::string &line)
@@ -293,10 +297,16 @@
     request.headers = {{"Content-Type", "application/json"}};
     request.idleTimeout = WatchIdleTimeout;
     HttpClient::Handlers handlers;
-    handlers.onData = [watch](std::string_view data) { watch->receive(data); };
+    const auto call = std::make_shared<HttpClient::CallId>(0);
+    handlers.onData = [this, watch, call](std::string_view data) {
+        if (watch->receive(data))
+            return;
+        this->http->cancel(*call);
+        watch->onBroken();
+    };
     handlers.onEnd = [watch] { watch->onBroken(); };
     handlers.onFailure = [watch](HttpClient::Failure) { watch->onBroken(); };
-    this->http->call(this->address, request, std::move(handlers));
+    *call = this->http->call(this->address, request, std::move(handlers));
 }
 
 } // namespace Nutmegrill
--- a/Source/Programs/BackendCaller.cpp
+++ b/Source/Programs/BackendCaller.cpp
@@ -16,6 +16,8 @@
 // budgets. The entry copies it into a buffer of libevent, whose sizes are powers of two with a
 // header of their own.
 constexpr std::size_t MaxPartBytes = (16U << 10U) - 128;
+/// Longest event of a stream; an event holds a few tokens.
+constexpr std::size_t MaxEventBytes = 256U << 10U;
 constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view EventStreamType = "text/event-stream";
 
@@ -73,7 +75,11 @@
         }
         this->onEvent(AgentEvent::BackendHead{id, head});
     };
-    handlers.onData = [this, id](std::string_view data) { this->receive(id, data); };
+    handlers.onData = [this, id](std::string_view data) {
+        // Cancelling the call destroys this handler with its id.
+        const std::string copiedId = id;
+        this->receive(copiedId, data);
+    };
     handlers.onEnd = [this, id] {
         if (const auto found = this->calls.find(id);
             found != this->calls.end() && !found->second.buffer.empty())
@@ -109,8 +115,11 @@
             return;
         std::string &buffer = current->second.buffer;
         const std::size_t end = buffer.find(EventEnd);
-        if (end == std::string::npos)
+        if (end == std::string::npos) {
+            if (buffer.size() > MaxEventBytes)
+                this->failOversized(requestId);
             return;
+        }
         std::string event = buffer.substr(0, end + EventEnd.size());
         buffer.erase(0, event.size());
         this->onEvent(AgentEvent::BackendData{requestId, std::move(event), 1});
@@ -123,6 +132,13 @@
         this->onEvent(event);
 }
 
+void BackendCaller::failOversized(const std::string &requestId)
+{
+    this->http.cancel(this->calls.at(requestId).id);
+    this->finish(requestId,
+                 AgentEvent::BackendFailed{requestId, AgentEvent::BackendFailed::Kind::Broken});
+}
+
 void BackendCaller::cancel(const std::string &requestId)
 {
     const auto found = this->calls.find(requestId);
--- a/Source/Programs/BackendCaller.h
+++ b/Source/Programs/BackendCaller.h
@@ -40,6 +40,8 @@
 
     void receive(const std::string &requestId, std::string_view data);
     void finish(const std::string &requestId, const AgentEvent::Any &event);
+    /// Ends the call of a backend server that sends an event without end.
+    void failOversized(const std::string &requestId);
 
     std::string address;
     EventHandler onEvent;
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -1,3 +1,4 @@
+#include "Net/EndlessServer.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
@@ -21,6 +22,8 @@
 using namespace std::chrono_literals;
 
 constexpr const char *Address = "127.0.0.1:21160";
+/// What a call may take: a quarter of the memory of a node, 256 MB.
+constexpr std::size_t MaxTakenBytes = 64U << 20U;
 
 } // namespace
 
@@ -35,6 +38,7 @@
     CPPUNIT_TEST(pausedCallAppliesBackpressure);
     CPPUNIT_TEST(oversizedBodyIsRejected);
     CPPUNIT_TEST(rejectionOfAnOversizedBodyIsLost);
+    CPPUNIT_TEST(answerWithoutEndFillsTheMemory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -204,6 +208,32 @@
         CPPUNIT_ASSERT(this->requests.empty());
     }
 
+    // Guards against a client that keeps all bytes of a faulty server which never ends a head, a
+    // body, a chunk or the trailers.
+    void answerWithoutEndFillsTheMemory()
+    {
+        const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::vector<std::pair<std::string, std::string>> answers = {
+                {"HTTP/1.1 200 OK\r\nX: ", "a"},
+                {"HTTP/1.1 200 OK\r\n", "X: a\r\n"},
+                {"no", " answer "},
+                {"HTTP/1.1 200 OK\r\n\r\n", "no answer "},
+                {chunked + "7fffffff\r\n", "no answer "},
+                {chunked + "0\r\n", "X: a\r\n"}};
+        for (const auto &[begin, text] : answers) {
+            const EndlessServer endless(*this->loop, begin, text);
+            int status = -1;
+            this->client->fetch(endless.address, HttpClient::Request(),
+                                [&](int code, const std::string &) { status = code; });
+            this->loop->runUntil(
+                    [&] { return status >= 0 || endless.sentBytes > 2 * MaxTakenBytes; }, 5000ms);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(begin, 0, status);
+            this->loop->runUntil([&] { return endless.openConnections() == 0; }, 1000ms);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(begin, std::size_t(0), endless.openConnections());
+            CPPUNIT_ASSERT_MESSAGE(begin, endless.sentBytes < MaxTakenBytes);
+        }
+    }
+
 private:
     /// Starts a call; the server sends "one ", the first chunk of a streamed response.
     HttpClient::CallId beginStream(std::string &body, bool &ended)
--- a/Tests/Platform/RelayEntryTest.cpp
+++ b/Tests/Platform/RelayEntryTest.cpp
@@ -1,4 +1,5 @@
 #include "RelayShell/RelayEntry.h"
+#include "Net/EndlessServer.h"
 #include "RawWorker.h"
 #include "RelayEntryFixture.h"
 
@@ -133,6 +134,7 @@
     CPPUNIT_TEST(nonStreamAnswerIsRelayedUnchanged);
     CPPUNIT_TEST(brokenStreamIsResumedWithinOneAnswer);
     CPPUNIT_TEST(answersWithoutEndAreGivenUp);
+    CPPUNIT_TEST(headsWithoutEndAreGivenUp);
     CPPUNIT_TEST(answerThatEndsWithItsConnectionIsLost);
     CPPUNIT_TEST(resetAnswerWithoutLengthPassesForComplete);
     CPPUNIT_TEST(streamThatEndsInsideAnEventPassesForComplete);
@@ -208,6 +210,28 @@
         CPPUNIT_ASSERT(plain.open.empty() && plain.sentBytes < MaxEndlessBytes);
     }
 
+    // The same for a head, before and after the status line.
+    void headsWithoutEndAreGivenUp()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        int start = 0;
+        for (const auto &[begin, text] :
+             {std::pair("no", " answer "), std::pair("HTTP/1.1 200 OK\r\nX: ", "a"),
+              std::pair("HTTP/1.1 200 OK\r\n", "X: a\r\n")}) {
+            const EndlessServer endless(*this->loop, begin, text);
+            this->store->put("servers/i-1",
+                             R"({"service":"p","address":")" + endless.address
+                                     + R"(","zone":"n","slots":4,"state":"ready","coldLeftMs":0,)"
+                                       R"("born":)"
+                                     + std::to_string(++start) + "}");
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(begin, 502, this->send("/r/1", "k").status);
+            CPPUNIT_ASSERT_MESSAGE(
+                    begin, this->loop->runUntil([&] { return endless.openConnections() == 0; },
+                                                TestTimeout));
+            CPPUNIT_ASSERT_MESSAGE(begin, endless.sentBytes < MaxEndlessBytes);
+        }
+    }
+
     // An answer, also a stream, without a length and without chunks.
     void answerThatEndsWithItsConnectionIsLost()
     {
