Hold what a cancelled call's handler still needs without a plain copy

The copies of the id and of the watch were right, but the lint cannot see that cancelling the call destroys the originals. The id is now taken from the table of calls, and the watch's callback is moved out first.

--- a/Source/Net/StoreClient.cpp
+++ b/Source/Net/StoreClient.cpp
@@ -299,12 +299,12 @@
     HttpClient::Handlers handlers;
     const auto call = std::make_shared<HttpClient::CallId>(0);
     handlers.onData = [this, watch, call](std::string_view data) {
-        // Cancelling the call destroys this handler with what it holds.
-        const std::shared_ptr<Watch> current = watch;
-        if (current->receive(data))
+        if (watch->receive(data))
             return;
+        // Cancelling the call destroys this handler with the watch.
+        const std::function<void()> ended = std::exchange(watch->onBroken, nullptr);
         this->http->cancel(*call);
-        current->onBroken();
+        ended();
     };
     handlers.onEnd = [watch] { watch->onBroken(); };
     handlers.onFailure = [watch](HttpClient::Failure) { watch->onBroken(); };
--- a/Source/Programs/BackendCaller.cpp
+++ b/Source/Programs/BackendCaller.cpp
@@ -75,11 +75,7 @@
         }
         this->onEvent(AgentEvent::BackendHead{id, head});
     };
-    handlers.onData = [this, id](std::string_view data) {
-        // Cancelling the call destroys this handler with its id.
-        const std::string copiedId = id;
-        this->receive(copiedId, data);
-    };
+    handlers.onData = [this, id](std::string_view data) { this->receive(id, data); };
     handlers.onEnd = [this, id] {
         if (const auto found = this->calls.find(id);
             found != this->calls.end() && !found->second.buffer.empty())
@@ -101,28 +97,29 @@
     const auto found = this->calls.find(requestId);
     if (found == this->calls.end())
         return;
+    // The event handler may cancel the call, which destroys the caller's copy of the id.
+    const std::string id = found->first;
     if (!found->second.isEventStream) {
         for (std::size_t offset = 0; offset < data.size(); offset += MaxPartBytes)
-            this->onEvent(AgentEvent::BackendData{
-                    requestId, std::string(data.substr(offset, MaxPartBytes)), 0});
+            this->onEvent(
+                    AgentEvent::BackendData{id, std::string(data.substr(offset, MaxPartBytes)), 0});
         return;
     }
     found->second.buffer.append(data);
     for (;;) {
-        // The event handler may have cancelled the call.
-        const auto current = this->calls.find(requestId);
+        const auto current = this->calls.find(id);
         if (current == this->calls.end())
             return;
         std::string &buffer = current->second.buffer;
         const std::size_t end = buffer.find(EventEnd);
         if (end == std::string::npos) {
             if (buffer.size() > MaxEventBytes)
-                this->failOversized(requestId);
+                this->failOversized(id);
             return;
         }
         std::string event = buffer.substr(0, end + EventEnd.size());
         buffer.erase(0, event.size());
-        this->onEvent(AgentEvent::BackendData{requestId, std::move(event), 1});
+        this->onEvent(AgentEvent::BackendData{id, std::move(event), 1});
     }
 }
 
