Give up preparing a map only when no further rank makes progress

Cause: the owner had 4 s for all ranks to prepare a map. Its link carries one whole map after the other, and with 129 ranks that takes 3.7 to 4 s.

Evidence: the owner's log (event 5037): six plans of six abandoned for "prepare", all ranks accepting the command (event 5036, status 202) at an even rate until the limit. The test mapOfLargeGroupIsGivenUpWhileItIsSent fails without the change.

Change: each further rank that has prepared the map extends the deadline. This works because the limit now covers what one rank takes, whatever the size of the group; a rank that never prepares still ends the change.

--- a/Source/Experts/SwitchOwner.cpp
+++ b/Source/Experts/SwitchOwner.cpp
@@ -21,7 +21,9 @@
 /// A change takes about a second from plan to step.
 constexpr milliseconds MinPlanInterval{600};
 constexpr milliseconds SurveyTimeout{1500};
-/// Copying three experts a layer takes half a second; late commands are repeated meanwhile.
+/// Time until the first rank, or a further one, has prepared the map. Copying three experts a layer
+/// takes half a second; late commands are repeated meanwhile. How long all ranks take depends on
+/// their number: the owner's link carries one map after the other.
 constexpr milliseconds PrepareTimeout{4000};
 constexpr milliseconds SwitchTimeout{15000};
 /// Time from the owner's command to the step of the change. Commands and reports of a dozen agents
@@ -268,6 +270,19 @@
     this->command->phase = next;
     this->phaseStart = now;
     this->phaseDeadline = now + limit;
+    this->preparedRanks = 0;
+}
+
+void SwitchOwner::notePreparedRanks(Instant now)
+{
+    const auto count = static_cast<std::size_t>(
+            std::count_if(this->ranks.begin(), this->ranks.end(), [this](const auto &entry) {
+                return entry.second.state.engine.preparedVersion == this->command->change.version;
+            }));
+    if (count <= this->preparedRanks)
+        return;
+    this->preparedRanks = count;
+    this->phaseDeadline = now + PrepareTimeout;
 }
 
 void SwitchOwner::abandon(Instant now, const std::string &why)
@@ -331,6 +346,7 @@
             this->enter(OwnerCommand::Phase::Prepare, now, PrepareTimeout);
         break;
     case OwnerCommand::Phase::Prepare:
+        this->notePreparedRanks(now);
         if (all([&](const RankState &state) { return state.engine.preparedVersion == version; })) {
             this->command->change.step = this->chooseStep(now);
             this->enter(OwnerCommand::Phase::Switch, now, SwitchTimeout);
--- a/Source/Experts/SwitchOwner.h
+++ b/Source/Experts/SwitchOwner.h
@@ -8,6 +8,7 @@
 #include "Experts/RankState.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -78,6 +79,8 @@
     void enter(OwnerCommand::Phase next, Instant now, std::chrono::milliseconds limit);
     void abandon(Instant now, const std::string &why);
     std::uint64_t chooseStep(Instant now) const;
+    /// Extends the deadline when further ranks have prepared the map.
+    void notePreparedRanks(Instant now);
 
     Settings settings;
     PlanNumbering numbering;
@@ -88,6 +91,8 @@
     std::optional<OwnerCommand> command;
     Instant phaseDeadline = NoDeadline;
     Instant phaseStart;
+    /// Ranks that have prepared the map of the command.
+    std::size_t preparedRanks = 0;
     Instant nextPlanAt;
     Instant nextObservationAt;
     std::uint64_t epoch = 0;
--- a/Tests/Experts/RankSwitchTest.cpp
+++ b/Tests/Experts/RankSwitchTest.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST(lowerBallotIsIgnored);
     CPPUNIT_TEST(pausedArmedAgentDoesNotBlockGroup);
     CPPUNIT_TEST(largeGroupChangesMapsOverNarrowLinks);
+    CPPUNIT_TEST(mapOfLargeGroupIsGivenUpWhileItIsSent);
     CPPUNIT_TEST(controlOfTargetGroupStaysWithinItsBudget);
     CPPUNIT_TEST(mapOfTargetGroupFitsDatagram);
     CPPUNIT_TEST(rankWithoutBaseGetsWholeMap);
@@ -225,6 +226,22 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), world.links().dropped());
     }
 
+    // Guards against changes that are all given up because the owner's link takes longer for the
+    // maps of all ranks than one rank may take.
+    void mapOfLargeGroupIsGivenUpWhileItIsSent()
+    {
+        SwitchWorld::Scale scale;
+        scale.layers = 8;
+        scale.experts = 252;
+        scale.placements = 5;
+        scale.copyTime = std::chrono::milliseconds(300);
+        scale.stepsPerShift = 400;
+        scale.links = {110000, 64U << 10U};
+        SwitchWorld world(63, 1, {}, {}, scale);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.run(seconds(40)));
+        CPPUNIT_ASSERT(world.completedChanges() >= 1);
+    }
+
     // Guards against traffic of each rank that grows with the group: 128 ranks may spend 12 KB/s.
     void controlOfTargetGroupStaysWithinItsBudget()
     {
