Write each plan number once in a message between agents

Cause: a number of a plan has nine bytes since it names its owner, and a state holds up to ten of them; the states of all ranks arrive at the hub.

Change: a message has a table of its numbers and names them by place; numbers of one owner are written as their distance, and what is equal in a settled group is left out. The type of the messages is new, so agents of the earlier release ignore them instead of misreading a place as a version. The simulation starts at a date of this decade, so that its numbers are as long as on real machines.

--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "Core/Cbor.h"
 #include "Experts/PackedMap.h"
+#include "RelayShell/PlanNumberTable.h"
 
 #include <algorithm>
 #include <utility>
@@ -172,16 +173,16 @@
 
 namespace {
 
-Json switchToJson(const std::optional<MapSwitch> &mapSwitch)
+Json switchToJson(const std::optional<MapSwitch> &mapSwitch, PlanNumberTable &numbers)
 {
-    return mapSwitch ? Json{mapSwitch->version, mapSwitch->step} : Json();
+    return mapSwitch ? Json{numbers.place(mapSwitch->version), mapSwitch->step} : Json();
 }
 
-std::optional<MapSwitch> switchFromJson(const Json &json)
+std::optional<MapSwitch> switchFromJson(const Json &json, const PlanNumberTable &numbers)
 {
     if (json.is_null())
         return std::nullopt;
-    return MapSwitch{json.at(0).get<std::uint64_t>(), json.at(1).get<std::uint64_t>()};
+    return MapSwitch{numbers.at(json.at(0).get<std::size_t>()), json.at(1).get<std::uint64_t>()};
 }
 
 Json optionalToJson(const std::optional<std::uint64_t> &number)
@@ -201,40 +202,50 @@
 std::string encodeRankState(const RankState &state)
 {
     const EngineState &engine = state.engine;
-    Json json = {{"type", "rank"},
+    PlanNumberTable numbers;
+    const std::size_t map = numbers.place(engine.mapVersion);
+    Json json = {{"type", "rank-2"},
                  {"g", engine.group},
                  {"e", engine.epoch},
                  {"r", engine.rank},
                  {"n", engine.ranks},
                  {"o", engine.isOpen},
                  {"s", engine.step},
-                 {"m", engine.mapVersion},
+                 {"m", map},
                  {"a", state.address},
                  {"x", state.engineAddress},
                  {"i", state.incarnation},
                  {"q", state.sequence},
-                 {"b", state.ballot},
-                 {"hv", state.highestVersion},
-                 {"rv", state.refusedVersion},
-                 {"cv", state.receivedVersion},
-                 {"kv", state.knownVersion},
-                 {"l", state.lostCommands}};
+                 {"b", numbers.place(state.ballot)}};
+    if (state.lostCommands > 0)
+        json["l"] = state.lostCommands;
+    if (state.refusedVersion > 0)
+        json["rv"] = numbers.place(state.refusedVersion);
+    // These are that of the map in use unless a change is in progress.
+    const std::pair<const char *, std::uint64_t> versions[] = {{"hv", state.highestVersion},
+                                                               {"cv", state.receivedVersion},
+                                                               {"kv", state.knownVersion}};
+    for (const auto &[name, version] : versions) {
+        if (version != engine.mapVersion)
+            json[name] = numbers.place(version);
+    }
     if (state.isHub)
         json["hub"] = {state.wantsExperts, state.countsPeriod.count()};
     const std::pair<const char *, Json> optionals[] = {
-            {"p", optionalToJson(engine.preparedVersion)},
-            {"ar", switchToJson(engine.armed)},
+            {"p", engine.preparedVersion ? Json(numbers.place(*engine.preparedVersion)) : Json()},
+            {"ar", switchToJson(engine.armed, numbers)},
             {"h", optionalToJson(engine.heldStep)},
-            {"sw", switchToJson(state.switching)},
-            {"gs", switchToJson(state.groupSwitch)},
+            {"sw", switchToJson(state.switching, numbers)},
+            {"gs", switchToJson(state.groupSwitch, numbers)},
             {"gh", optionalToJson(state.groupHeldStep)},
-            {"ga", switchToJson(state.allArmed)}};
+            {"ga", switchToJson(state.allArmed, numbers)}};
     for (const auto &[name, value] : optionals) {
         if (!value.is_null())
             json[name] = value;
     }
     if (!state.experts.empty())
         json["ex"] = Json::binary(packMap({state.experts}));
+    json["v"] = numbers.toJson();
     return toBytes(json);
 }
 
@@ -242,35 +253,40 @@
 {
     const Json json = parseCbor(bytes);
     try {
-        if (!json.is_object() || json.at("type") != "rank")
+        if (!json.is_object() || json.at("type") != "rank-2")
             return std::nullopt;
         RankState state;
         EngineState &engine = state.engine;
         const auto optional = [&json](const char *name) { return json.value(name, Json()); };
+        const PlanNumberTable numbers = PlanNumberTable::fromJson(json.at("v"));
+        const auto number = [&json, &numbers](const char *name, std::uint64_t absent) {
+            return json.contains(name) ? numbers.at(json.at(name).get<std::size_t>()) : absent;
+        };
         json.at("g").get_to(engine.group);
         json.at("e").get_to(engine.epoch);
         json.at("r").get_to(engine.rank);
         json.at("n").get_to(engine.ranks);
         json.at("o").get_to(engine.isOpen);
         json.at("s").get_to(engine.step);
-        json.at("m").get_to(engine.mapVersion);
-        engine.preparedVersion = optionalFromJson(optional("p"));
-        engine.armed = switchFromJson(optional("ar"));
+        engine.mapVersion = numbers.at(json.at("m").get<std::size_t>());
+        if (json.contains("p"))
+            engine.preparedVersion = number("p", 0);
+        engine.armed = switchFromJson(optional("ar"), numbers);
         engine.heldStep = optionalFromJson(optional("h"));
         json.at("a").get_to(state.address);
         json.at("x").get_to(state.engineAddress);
         json.at("i").get_to(state.incarnation);
         json.at("q").get_to(state.sequence);
-        json.at("b").get_to(state.ballot);
-        state.switching = switchFromJson(optional("sw"));
-        json.at("hv").get_to(state.highestVersion);
-        json.at("rv").get_to(state.refusedVersion);
-        json.at("cv").get_to(state.receivedVersion);
-        json.at("kv").get_to(state.knownVersion);
-        json.at("l").get_to(state.lostCommands);
-        state.groupSwitch = switchFromJson(optional("gs"));
+        state.ballot = numbers.at(json.at("b").get<std::size_t>());
+        state.switching = switchFromJson(optional("sw"), numbers);
+        state.highestVersion = number("hv", engine.mapVersion);
+        state.refusedVersion = number("rv", 0);
+        state.receivedVersion = number("cv", engine.mapVersion);
+        state.knownVersion = number("kv", engine.mapVersion);
+        state.lostCommands = json.value("l", std::uint64_t(0));
+        state.groupSwitch = switchFromJson(optional("gs"), numbers);
         state.groupHeldStep = optionalFromJson(optional("gh"));
-        state.allArmed = switchFromJson(optional("ga"));
+        state.allArmed = switchFromJson(optional("ga"), numbers);
         if (const Json hub = optional("hub"); !hub.is_null()) {
             state.isHub = true;
             state.wantsExperts = hub.at(0).get<bool>();
@@ -290,21 +306,23 @@
 
 std::string encodeOwnerCommand(const OwnerCommand &command)
 {
-    Json json = {{"type", "order"},
+    PlanNumberTable numbers;
+    Json json = {{"type", "order-2"},
                  {"g", command.group},
                  {"e", command.epoch},
                  {"r", command.owner},
-                 {"b", command.ballot},
+                 {"b", numbers.place(command.ballot)},
                  {"p", static_cast<int>(command.phase)},
-                 {"c", switchToJson(command.change)}};
+                 {"c", switchToJson(command.change, numbers)}};
     if (command.phase == OwnerCommand::Phase::Prepare && command.delta) {
         Json entries = Json::array();
         for (const auto &[layer, rank, experts] : command.delta->entries)
             entries.push_back({layer, rank, experts});
-        json["d"] = {command.delta->base, std::move(entries)};
+        json["d"] = {numbers.place(command.delta->base), std::move(entries)};
     } else if (command.phase == OwnerCommand::Phase::Prepare) {
         json["m"] = Json::binary(packMap(command.map));
     }
+    json["v"] = numbers.toJson();
     return toBytes(json);
 }
 
@@ -312,21 +330,22 @@
 {
     const Json json = parseCbor(bytes);
     try {
-        if (!json.is_object() || json.at("type") != "order")
+        if (!json.is_object() || json.at("type") != "order-2")
             return std::nullopt;
         OwnerCommand command;
         json.at("g").get_to(command.group);
         json.at("e").get_to(command.epoch);
         json.at("r").get_to(command.owner);
-        json.at("b").get_to(command.ballot);
+        const PlanNumberTable numbers = PlanNumberTable::fromJson(json.at("v"));
+        command.ballot = numbers.at(json.at("b").get<std::size_t>());
         const int phase = json.at("p").get<int>();
         if (phase < 0 || phase > static_cast<int>(OwnerCommand::Phase::Switch))
             return std::nullopt;
         command.phase = static_cast<OwnerCommand::Phase>(phase);
-        command.change = switchFromJson(json.at("c")).value_or(MapSwitch());
+        command.change = switchFromJson(json.at("c"), numbers).value_or(MapSwitch());
         if (json.contains("d")) {
             MapDelta &delta = command.delta.emplace();
-            json.at("d").at(0).get_to(delta.base);
+            delta.base = numbers.at(json.at("d").at(0).get<std::size_t>());
             for (const Json &entry : json.at("d").at(1))
                 delta.entries.push_back({entry.at(0).get<std::uint32_t>(),
                                          entry.at(1).get<std::uint32_t>(),
--- a/Tests/Experts/SwitchWorld.cpp
+++ b/Tests/Experts/SwitchWorld.cpp
@@ -23,6 +23,8 @@
 constexpr std::uint64_t TokensPerStep = 170;
 constexpr double HotShare = 0.35;
 constexpr std::uint64_t MaxPlanTag = 1U << 20U;
+/// Of this decade, so that numbers are as long as on real machines.
+constexpr std::chrono::system_clock::time_point StartOfDay{std::chrono::seconds(1800000000)};
 
 } // namespace
 
@@ -127,9 +129,10 @@
     settings.planner.minImprovement = 0.01;
     settings.planner.loadsPerRank = this->scale.spares;
     settings.planner.chains = false;
-    const std::chrono::system_clock::time_point timeOfDay(
-            std::chrono::duration_cast<std::chrono::system_clock::duration>(
-                    this->now.time_since_epoch()));
+    const std::chrono::system_clock::time_point timeOfDay =
+            StartOfDay
+            + std::chrono::duration_cast<std::chrono::system_clock::duration>(
+                    this->now.time_since_epoch());
     agent.owner = std::make_unique<SwitchOwner>(
             settings, PlanNumbering(timeOfDay, this->random.below(MaxPlanTag)));
     agent.state = {};
