Find a change that a watch of the product's own entries misses

Evidence: ConfigurationReaderTest::changeThatTheWatchMissesIsLearnedNever fails on the code before (1 head read instead of 2).

Change: while it watches, the reader reads the head every 5 s, and takes one whose revision is higher. This works because the read does not depend on the watch. 18 relays make 3.6 reads a second more.

Result: the test passes.

--- a/Source/Programs/ConfigurationReader.cpp
+++ b/Source/Programs/ConfigurationReader.cpp
@@ -3,6 +3,7 @@
 #include "Config/ConfigurationHead.h"
 #include "Net/StoreClient.h"
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <optional>
@@ -11,6 +12,14 @@
 
 namespace Nutmegrill {
 
+namespace {
+
+/// A configuration has to be in force within 11 s at the size to design for. 18 relays make four
+/// of these reads a second.
+constexpr std::chrono::seconds HeadCheckPeriod(5);
+
+} // namespace
+
 void ConfigurationReader::read(const Done &done)
 {
     this->store.read(std::string(ConfigurationHead::Key), [this, done](const StoreResult &result) {
@@ -31,21 +40,38 @@
             done(nullptr);
             return;
         }
-        if (!result.keyValues.empty())
-            this->readChunks(result.keyValues.front().value, done);
+        this->headRevision = 0;
+        this->headChanged(result, done);
         this->store.watch(
                 std::string(ConfigurationHead::Key), result.revision,
-                [this, done](const StoreResult &change) {
-                    if (change.isOk() && !change.keyValues.empty())
-                        this->readChunks(change.keyValues.front().value, done);
-                },
+                [this, done](const StoreResult &change) { this->headChanged(change, done); },
                 [this, done] {
                     this->watching = false;
+                    this->checkTimer.reset();
                     done(nullptr);
                 });
+        this->checkTimer =
+                this->loop.every(HeadCheckPeriod, [this, done] { this->checkHead(done); });
     });
 }
 
+void ConfigurationReader::checkHead(const Done &done)
+{
+    this->store.read(std::string(ConfigurationHead::Key), [this, done](const StoreResult &result) {
+        if (this->watching)
+            this->headChanged(result, done);
+    });
+}
+
+void ConfigurationReader::headChanged(const StoreResult &result, const Done &done)
+{
+    if (!result.isOk() || result.keyValues.empty()
+        || result.keyValues.front().modRevision <= this->headRevision)
+        return;
+    this->headRevision = result.keyValues.front().modRevision;
+    this->readChunks(result.keyValues.front().value, done);
+}
+
 void ConfigurationReader::readChunks(const std::string &head, const Done &done)
 {
     struct Progress
--- a/Source/Programs/ConfigurationReader.h
+++ b/Source/Programs/ConfigurationReader.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Config/Configuration.h"
+#include "Net/EventLoop.h"
+#include "Net/StoreResult.h"
 
 #include <cstdint>
 #include <functional>
@@ -8,7 +10,6 @@
 
 namespace Nutmegrill {
 
-class EventLoop;
 class StoreClient;
 
 /// Reads the published configuration from the store: the head, then its chunks.
@@ -23,17 +24,24 @@
     void read(const Done &done);
 
     /// Reads the configuration now and after each change of the head. When the watch breaks,
-    /// \a done is called once with null.
+    /// \a done is called once with null. A change that the watch does not report, because the store
+    /// never received it, is found within seconds.
     void watch(const Done &done);
 
     bool isWatching() const { return this->watching; }
 
 private:
     void readChunks(const std::string &head, const Done &done);
+    void checkHead(const Done &done);
+    /// Reads the chunks of a head unless it is known.
+    void headChanged(const StoreResult &result, const Done &done);
 
     EventLoop &loop;
     StoreClient &store;
     bool watching = false;
+    /// Revision of the head that was read last.
+    std::int64_t headRevision = 0;
+    std::unique_ptr<EventLoop::Timer> checkTimer;
 };
 
 } // namespace Nutmegrill
