Spread the calls that entries repeat after the store did not answer

Cause: the calls of all entries fail together, because the store fails for all, and came back after the same backoff; since a call that has timed out is repeated at once, they came back within the same milliseconds.

Evidence: StoreFeedTest::entriesRepeatTheirCallsTogether fails without the change: 40 entries call in the same moment.

Change: half of the delay to one and a half of it, by the seed of the entry. A lost watch is sent again after 2.65 s at the latest, still within the 3 s.

--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -79,7 +79,8 @@
                                                this->storeFeed.mirror().position().revision));
                  },
                  [this](milliseconds outage) { this->storeReturned(outage); },
-                 [this](StorePosition before) { this->storeRestored(before); }}),
+                 [this](StorePosition before) { this->storeRestored(before); }},
+                options.incarnation),
       callerListener(
               loop, options.callerAddress, options.maxConnections,
               [this](HttpListener::Request &&request) { this->handleRequest(std::move(request)); }),
--- a/Source/RelayShell/StoreFeed.cpp
+++ b/Source/RelayShell/StoreFeed.cpp
@@ -11,10 +11,9 @@
 
 using std::chrono::milliseconds;
 
-/// A watch without changes is renewed after this time. A store that was away, or a connection that
-/// went silent, may never answer a watch, and nothing else shows it: all watches of a deployment
-/// can be lost at once. A configuration has to be in force 3 s after the store is back, so a lost
-/// watch must have failed and been sent again by then; see also the margin of StateStore::watch().
+/// A watch without changes is renewed after this time, because a lost watch looks like one without
+/// changes. A configuration has to be in force 3 s after the store is back: by then a lost watch
+/// has failed, a second later, and was sent again.
 constexpr milliseconds WatchTimeout{1500};
 /// Backoff between calls to a store that does not answer. Starts short, because a new entry cannot
 /// serve without a configuration; one call per second is little compared with the store's normal
@@ -26,8 +25,9 @@
 
 } // namespace
 
-StoreFeed::StoreFeed(EventLoop &loop, StateStore &store, Observer observer)
-    : loop(loop), store(store), observer(std::move(observer)), retryBackoff(MinRetryBackoff)
+StoreFeed::StoreFeed(EventLoop &loop, StateStore &store, Observer observer, std::uint64_t seed)
+    : loop(loop), store(store), observer(std::move(observer)), random(seed),
+      retryBackoff(MinRetryBackoff)
 {
     this->readAll();
 }
@@ -161,11 +161,13 @@
     // A call that has timed out has already taken longer than the backoff.
     const auto sinceCall =
             std::chrono::duration_cast<milliseconds>(this->loop.now() - this->calledAt);
-    this->loop.after(std::max(MinRetryBackoff, this->retryBackoff - sinceCall),
-                     [this, retry, retryRound = this->round] {
-                         if (retryRound == this->round)
-                             (this->*retry)();
-                     });
+    const milliseconds delay = std::max(MinRetryBackoff, this->retryBackoff - sinceCall);
+    // The calls of all entries fail together, and must not come back together.
+    const milliseconds jitter(this->random.below(static_cast<std::uint64_t>(delay.count())));
+    this->loop.after(delay / 2 + jitter, [this, retry, retryRound = this->round] {
+        if (retryRound == this->round)
+            (this->*retry)();
+    });
     this->retryBackoff = std::min(this->retryBackoff * 2, MaxRetryBackoff);
 }
 
--- a/Source/RelayShell/StoreFeed.h
+++ b/Source/RelayShell/StoreFeed.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Core/RandomSource.h"
 #include "Core/Time.h"
 #include "Relay/StoreMirror.h"
 #include "RelayShell/StateStore.h"
@@ -28,7 +29,8 @@
         std::function<void(StorePosition before)> onRestored;
     };
 
-    StoreFeed(EventLoop &loop, StateStore &store, Observer observer);
+    /// \a seed differs between entries.
+    StoreFeed(EventLoop &loop, StateStore &store, Observer observer, std::uint64_t seed);
 
     const StoreMirror &mirror() const { return this->localMirror; }
     bool isComplete() const { return this->complete; }
@@ -58,6 +60,7 @@
     EventLoop &loop;
     StateStore &store;
     Observer observer;
+    RandomSource random;
     StoreMirror localMirror;
     bool complete = false;
     bool connected = false;
--- a/Tests/Platform/FakeStateStore.h
+++ b/Tests/Platform/FakeStateStore.h
@@ -28,6 +28,7 @@
 
     void readAll(Callback callback) override
     {
+        ++this->reads;
         Result result;
         result.status = this->isUnavailable ? Status::Failed : Status::Ok;
         for (const auto &[key, item] : this->items)
@@ -59,6 +60,7 @@
     void revokeLease(std::uint64_t lease) override { this->revokedLease = lease; }
 
     bool isUnavailable = false;
+    std::size_t reads = 0;
     std::uint64_t revokedLease = 0;
 
 private:
--- a/Tests/Platform/RestoredStoreTest.cpp
+++ b/Tests/Platform/RestoredStoreTest.cpp
@@ -155,7 +155,7 @@
         observer.onLost = [](const std::string &) {};
         observer.onRegained = [](milliseconds) {};
         observer.onRestored = [](StorePosition) {};
-        this->feed = std::make_unique<StoreFeed>(*this->loop, *this->store, observer);
+        this->feed = std::make_unique<StoreFeed>(*this->loop, *this->store, observer, 1);
     }
 
     std::string value(const std::string &key) const
--- a/Tests/Platform/StoreFeedTest.cpp
+++ b/Tests/Platform/StoreFeedTest.cpp
@@ -1,4 +1,5 @@
 #include "RelayShell/StoreFeed.h"
+#include "FakeStateStore.h"
 #include "FreeAddress.h"
 #include "Net/EventLoop.h"
 #include "StoreServer.h"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -34,6 +36,7 @@
     CPPUNIT_TEST(repeatedWatchIsLostToo);
     CPPUNIT_TEST(answerOfAWatchIsLost);
     CPPUNIT_TEST(silentStoreIsCalledRarely);
+    CPPUNIT_TEST(entriesRepeatTheirCallsTogether);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -52,7 +55,7 @@
         observer.onLost = [](const std::string &) {};
         observer.onRegained = [](milliseconds) {};
         observer.onRestored = [](StorePosition) {};
-        this->feed = std::make_unique<StoreFeed>(*this->loop, *this->store, observer);
+        this->feed = std::make_unique<StoreFeed>(*this->loop, *this->store, observer, 1);
         this->loop->runUntil([&] { return this->watches() == 1; }, TestTimeout);
         CPPUNIT_ASSERT_EQUAL(std::string("first"), this->value);
     }
@@ -107,6 +110,27 @@
         CPPUNIT_ASSERT(this->server->targets.size() - before <= 4);
     }
 
+    // Guards against a rush at the store when the calls of all entries have failed at once.
+    void entriesRepeatTheirCallsTogether()
+    {
+        constexpr std::uint64_t Entries = 40;
+        constexpr milliseconds MinSpread{300};
+        FakeStateStore down;
+        down.isUnavailable = true;
+        const StoreFeed::Observer observer{[](const StoreMirror::Changes &) {},
+                                           [](const std::string &) {}, [](milliseconds) {},
+                                           [](StorePosition) {}};
+        std::vector<std::unique_ptr<StoreFeed>> feeds;
+        for (std::uint64_t entry = 1; entry <= Entries; ++entry)
+            feeds.push_back(std::make_unique<StoreFeed>(*this->loop, down, observer, entry));
+        // At the longest backoff of a second, the calls of a second spread over most of it.
+        this->wait(milliseconds(3000));
+        const std::size_t before = down.reads;
+        this->wait(MinSpread);
+        const std::size_t made = down.reads - before;
+        CPPUNIT_ASSERT(made > 0 && made < Entries);
+    }
+
 private:
     void endSilence()
     {
