--- a/Tests/Programs/BackendCallerTest.cpp
+++ b/Tests/Programs/BackendCallerTest.cpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <variant>
 
 #include <cppunit/TestFixture.h>
@@ -23,6 +24,7 @@
 {
     CPPUNIT_TEST_SUITE(BackendCallerTest);
     CPPUNIT_TEST(eventWithoutEndFillsTheMemory);
+    CPPUNIT_TEST(callThatIsCancelledByItsEventGoesOn);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -54,6 +56,41 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.openConnections());
         CPPUNIT_ASSERT(server.sentBytes < MaxTakenBytes);
     }
+
+    // Guards against a handler that goes on with the id of a call which its event has cancelled,
+    // and which is destroyed then.
+    void callThatIsCancelledByItsEventGoesOn()
+    {
+        EventLoop loop;
+        const EndlessServer server(
+                loop, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", "data: x\n\n");
+        // Longer than what a string holds within itself.
+        const std::string id = "request-with-a-long-id-0123456789";
+        std::size_t parts = 0;
+        bool isOver = false;
+        BackendCaller *calling = nullptr;
+        BackendCaller caller(loop, server.address, [&](const AgentEvent::Any &event) {
+            isOver = isOver || std::holds_alternative<AgentEvent::BackendEnd>(event)
+                     || std::holds_alternative<AgentEvent::BackendFailed>(event);
+            const auto *part = std::get_if<AgentEvent::BackendData>(&event);
+            if (part == nullptr)
+                return;
+            ++parts;
+            CPPUNIT_ASSERT_EQUAL(id, part->requestId);
+            calling->cancel(id);
+        });
+        calling = &caller;
+        WorkMessage::Request request;
+        request.requestId = id;
+        request.method = "POST";
+        request.path = "/v1/completions";
+        caller.call(request);
+        loop.runUntil([&] { return parts > 0 && server.openConnections() == 0; },
+                      std::chrono::milliseconds(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), parts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.openConnections());
+        CPPUNIT_ASSERT(!isOver);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackendCallerTest);
