Log which attempts are reset, and leaving callers that were noticed late

The logs could not tell when an entry learned that a caller had left, when it told the backend server, and on which kind of connection: 5015 names the request only. 5015 now names the sends and the backend server, 5047 each reset of an open attempt with the state of its connection, and 5048 a close that may have waited for 100 ms or more before the entry noticed it.

--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -113,6 +113,13 @@
     bufferevent_write(this->connection, request.data(), request.size());
 }
 
+std::size_t ClientConnection::unsentBytes() const
+{
+    return this->connection == nullptr
+                   ? 0
+                   : evbuffer_get_length(bufferevent_get_output(this->connection));
+}
+
 void ClientConnection::close()
 {
     this->reusable = false;
--- a/Source/Http/ClientConnection.h
+++ b/Source/Http/ClientConnection.h
@@ -5,6 +5,7 @@
 #include "Http/HttpParser.h"
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -60,6 +61,9 @@
     void pauseReading(bool paused);
 
     bool isOpen() const { return this->connection != nullptr; }
+    bool isConnected() const { return this->isOpen() && this->connected; }
+    /// Bytes of the request that the socket has not taken yet.
+    std::size_t unsentBytes() const;
     bool isBusy() const { return this->busy; }
     /// The connection is idle and the peer keeps it open.
     bool isReusable() const { return this->isOpen() && !this->busy && this->reusable; }
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -48,6 +48,8 @@
 inline constexpr std::uint32_t OtherGroupHeard = 5044;
 inline constexpr std::uint32_t RankStateInvalid = 5045;
 inline constexpr std::uint32_t UnexpectedError = 5046;
+inline constexpr std::uint32_t AttemptReset = 5047;
+inline constexpr std::uint32_t LeaveNoticedLate = 5048;
 
 } // namespace RelayLog
 
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -150,7 +150,9 @@
     std::ostringstream text;
     text << "request=" << exchange.request.id
          << " after_ms=" << toMilliseconds(now - exchange.arrivedAt).count()
-         << " state=" << (exchange.isWaiting() ? "waiting" : "running");
+         << " state=" << (exchange.isWaiting() ? "waiting" : "running")
+         << " sends=" << exchange.sends
+         << " backend=" << (exchange.attempt ? exchange.attempt->backend : std::string("none"));
     commands.push_back(RelayCommand::Log{
             makeRecord(RelayLog::CallerLeft, LogRecord::Level::Info, text.str())});
     this->dropAttempt(exchange, commands);
--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -32,6 +32,8 @@
     std::size_t unnumberedBytes = 0;
     bool hasEvents = false;
     bool isOver = false;
+    bool isReused = false;
+    bool isPaused = false;
 };
 
 BackendAttempts::BackendAttempts(EventLoop &loop, const RelayProtocol &protocol, Observer observer)
@@ -49,6 +51,8 @@
     openAttempt->connection =
             this->pool.acquire(command.backend, command.address, command.maxConnections, requestId);
     openAttempt->backend = command.backend;
+    openAttempt->isReused =
+            openAttempt->connection != nullptr && openAttempt->connection->isConnected();
     OpenAttempt &stored =
             *this->openAttempts.insert_or_assign(attempt, std::move(openAttempt)).first->second;
     if (stored.connection == nullptr) {
@@ -213,8 +217,32 @@
 void BackendAttempts::pause(AttemptId attempt, bool paused)
 {
     if (const auto found = this->openAttempts.find(attempt);
-        found != this->openAttempts.end() && found->second->connection != nullptr)
+        found != this->openAttempts.end() && found->second->connection != nullptr) {
+        found->second->isPaused = paused;
         found->second->connection->pauseReading(paused);
+    }
+}
+
+std::string BackendAttempts::describeOpen(AttemptId attempt) const
+{
+    const auto found = this->openAttempts.find(attempt);
+    if (found == this->openAttempts.end() || found->second->isOver
+        || found->second->connection == nullptr)
+        return {};
+    const OpenAttempt &row = *found->second;
+    const std::size_t unsent = row.connection->unsentBytes();
+    const char *progress = "sent";
+    if (!row.connection->isConnected())
+        progress = "connecting";
+    else if (unsent > 0)
+        progress = "sending";
+    else if (row.isPaused)
+        progress = "paused";
+    else if (row.answer.head != nullptr)
+        progress = "answering";
+    return "request=" + row.requestId + " backend=" + row.backend
+           + " connection=" + (row.isReused ? "reused" : "new") + " progress=" + progress
+           + " unsent_bytes=" + std::to_string(unsent);
 }
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/BackendAttempts.h
+++ b/Source/RelayShell/BackendAttempts.h
@@ -51,6 +51,9 @@
     /// Null if the attempt is unknown or no answer head has arrived.
     const Answer *answer(AttemptId attempt) const;
     void pause(AttemptId attempt, bool paused);
+    /// Backend server, connection and progress of an attempt for the log; empty if the attempt has
+    /// ended, so that cancel() resets no connection.
+    std::string describeOpen(AttemptId attempt) const;
     /// Finds out whether anything listens at the address, by a connection without a request.
     void check(const std::string &address, std::function<void(BackendCheck)> onResult);
     void tick(Instant now) { this->pool.tick(now); }
--- a/Source/RelayShell/LoopLag.cpp
+++ b/Source/RelayShell/LoopLag.cpp
@@ -30,4 +30,9 @@
     return lag >= LoggedLag ? std::optional(lag) : std::nullopt;
 }
 
+milliseconds LoopLag::sinceTick(Instant now) const
+{
+    return std::chrono::duration_cast<milliseconds>(now - this->lastTickAt.value_or(now));
+}
+
 } // namespace Nutmegrill
--- a/Source/RelayShell/LoopLag.h
+++ b/Source/RelayShell/LoopLag.h
@@ -20,6 +20,9 @@
     /// if it is worth a log line.
     std::optional<std::chrono::milliseconds> tick(Instant now, Metrics &metrics);
 
+    /// Time since the last tick: what happened longer ago has been noticed before.
+    std::chrono::milliseconds sinceTick(Instant now) const;
+
 private:
     std::chrono::milliseconds tickPeriod;
     std::optional<Instant> lastTickAt;
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -28,6 +28,9 @@
 /// A lost key is written again within this time.
 constexpr milliseconds AnnouncePeriod{3000};
 constexpr std::size_t MaxLoggedError = 200;
+/// Backend servers should be free half a second after a caller has left; a fifth of that is logged.
+constexpr milliseconds LateNotice{100};
+
 RelayNode::Settings nodeSettings(const RelayEntry::Options &options)
 {
     RelayNode::Settings settings = options.node;
@@ -103,12 +106,8 @@
                    [this](std::string_view bytes) { this->handleDatagram(bytes); }),
       loopLag(TickPeriod)
 {
-    this->callerListener.onCallerDisconnected([this](HttpListener::RequestId id) {
-        this->requests.erase(id);
-        RelayNode::Commands commands;
-        this->node.callerDisconnected(this->loop.now(), id, commands);
-        this->execute(commands);
-    });
+    this->callerListener.onCallerDisconnected(
+            [this](HttpListener::RequestId id) { this->callerDisconnected(id); });
     this->callerListener.onDrained([this](HttpListener::RequestId id) {
         const auto found = this->requests.find(id);
         if (found == this->requests.end() || !found->second.isPaused)
@@ -214,6 +213,21 @@
     this->execute(commands);
 }
 
+void RelayEntry::callerDisconnected(HttpListener::RequestId id)
+{
+    const Instant now = this->loop.now();
+    if (const auto found = this->requests.find(id); found != this->requests.end()) {
+        if (const milliseconds within = this->loopLag.sinceTick(now); within >= LateNotice)
+            this->log(RelayLog::LeaveNoticedLate, LogRecord::Level::Warning,
+                      "request=" + found->second.requestId
+                              + " within_ms=" + std::to_string(within.count()));
+        this->requests.erase(found);
+    }
+    RelayNode::Commands commands;
+    this->node.callerDisconnected(now, id, commands);
+    this->execute(commands);
+}
+
 void RelayEntry::answerReadiness(const HttpListener::Request &request)
 {
     const bool isReadinessPath = request.path() == this->protocol.readinessPath();
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -74,6 +74,7 @@
     void dropCaller(RelayCommand::CallerId caller);
     void handleRequest(HttpListener::Request &&request);
     void startRequest(HttpListener::Request &&request);
+    void callerDisconnected(HttpListener::RequestId id);
     void logUnexpected(const std::string &where, const std::exception &error);
     StateDecoder::DecodedChange decode(const StoreChange &change);
     void handleDatagram(std::string_view bytes);
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -77,6 +77,8 @@
 
 void RelayEntry::executeOne(const RelayCommand::CancelAttempt &command)
 {
+    if (const std::string open = this->attempts.describeOpen(command.attempt); !open.empty())
+        this->log(RelayLog::AttemptReset, LogRecord::Level::Info, open);
     this->attempts.cancel(command.attempt);
 }
 
