Send no request whose caller has already left

Callers saw nothing: they had closed or reset their connection before the entry read their request. The entry still placed the request and sent it; the backend server dropped it only when the reset arrived.

Cause: the end of a connection is a separate event behind the bytes of the request. The request was parsed and sent in one turn of the event loop, and the end was read in the next one, after the bytes had gone out. A late entry does that for every request that waited in its sockets. The same holds for a pipelined request.

Fix: right before an attempt is started, the entry asks the socket of the caller (MSG_PEEK, and POLLRDHUP behind unread bytes). This is the one place that all attempts pass: the first, repeated and resumed ones. A caller that has left is treated as if its end had been read.

ListenerTest::silentCallersAreProbed covers callers that fall silent, which loopback cannot produce.

--- a/Source/Http/ServerConnection.cpp
+++ b/Source/Http/ServerConnection.cpp
@@ -273,6 +273,13 @@
         this->closeAndNotify();
 }
 
+bool ServerConnection::closeIfCallerLeft()
+{
+    if (this->connection != nullptr && isClosedByPeer(bufferevent_getfd(this->connection)))
+        this->closeAndNotify();
+    return this->connection == nullptr;
+}
+
 void ServerConnection::closeIfIdle()
 {
     if (!this->requestOpen && !this->lingering && this->parser.state() == HttpParser::State::Idle
--- a/Source/Http/ServerConnection.h
+++ b/Source/Http/ServerConnection.h
@@ -62,6 +62,11 @@
     void abort();
     bool isStreaming() const { return this->streaming; }
 
+    /// Closes the connection, as if its end had been read, if the caller has closed or reset it.
+    /// Asks the socket, because the end of a connection can wait behind other events. Returns
+    /// whether the connection is closed.
+    bool closeIfCallerLeft();
+
     /// Closes the connection after the next response. An idle connection stays open, because the
     /// caller may be sending a request on it.
     void announceClose() { this->closing = true; }
--- a/Source/Http/SocketOptions.cpp
+++ b/Source/Http/SocketOptions.cpp
@@ -1,6 +1,8 @@
 #include "Http/SocketOptions.h"
 
+#include <cerrno>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <event2/bufferevent.h>
@@ -39,6 +41,18 @@
     setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs, sizeof(UserTimeoutMs));
 }
 
+bool isClosedByPeer(int socket)
+{
+    char byte = 0;
+    const ssize_t size = recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size == 0)
+        return true;
+    if (size < 0)
+        return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+    pollfd state{socket, POLLRDHUP, 0};
+    return poll(&state, 1, 0) == 1 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool parseSocketAddress(const std::string &text, sockaddr_in &address)
 {
     int length = sizeof(address);
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -68,6 +68,10 @@
     const auto found = this->requests.find(command.caller);
     if (found == this->requests.end())
         return;
+    // The caller may have left while its request was unread or waiting, without an event for it.
+    if (auto *connection = this->callerListener.find(command.caller);
+        connection != nullptr && connection->closeIfCallerLeft())
+        return;
     OpenRequest &open = found->second;
     open.attempt = command.attempt;
     open.isPaused = false;
--- a/Tests/Http/ListenerTest.cpp
+++ b/Tests/Http/ListenerTest.cpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <memory>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -26,6 +27,7 @@
     CPPUNIT_TEST(connectionsAreRefusedAfterTheEndOfAccepting);
     CPPUNIT_TEST(slowButSteadyBodyIsRead);
     CPPUNIT_TEST(dribblingBodyIsRejected);
+    CPPUNIT_TEST(silentCallersAreProbed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -114,7 +116,46 @@
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 408"), this->received().substr(0, 12));
     }
 
+    // Guards against a caller that falls silent and is never found to have left.
+    void silentCallersAreProbed()
+    {
+        this->connectClient();
+        const int accepted = this->acceptedSocket();
+        CPPUNIT_ASSERT_EQUAL(1, option(accepted, SOL_SOCKET, SO_KEEPALIVE));
+        const int silence = option(accepted, IPPROTO_TCP, TCP_KEEPIDLE)
+                            + option(accepted, IPPROTO_TCP, TCP_KEEPINTVL)
+                                      * option(accepted, IPPROTO_TCP, TCP_KEEPCNT);
+        // The shortest time after which the platform expects an instance to be back to normal.
+        CPPUNIT_ASSERT(silence <= 3);
+        const int unacknowledgedMs = option(accepted, IPPROTO_TCP, TCP_USER_TIMEOUT);
+        CPPUNIT_ASSERT(unacknowledgedMs > 0 && unacknowledgedMs <= 3000);
+    }
+
 private:
+    static int option(int socket, int level, int name)
+    {
+        int value = 0;
+        socklen_t size = sizeof(value);
+        getsockopt(socket, level, name, &value, &size);
+        return value;
+    }
+
+    /// The listener's end of the connection of the client.
+    int acceptedSocket() const
+    {
+        sockaddr_in own{};
+        socklen_t size = sizeof(own);
+        getsockname(this->client, reinterpret_cast<sockaddr *>(&own), &size);
+        for (int candidate = 0; candidate < 1024; ++candidate) {
+            sockaddr_in far{};
+            size = sizeof(far);
+            if (getpeername(candidate, reinterpret_cast<sockaddr *>(&far), &size) == 0
+                && far.sin_port == own.sin_port)
+                return candidate;
+        }
+        return -1;
+    }
+
     sockaddr_in peer() const
     {
         sockaddr_in parsed{};
