--- a/Tests/Experts/RankSwitchTest.cpp
+++ b/Tests/Experts/RankSwitchTest.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(lateHoldIsReleased);
     CPPUNIT_TEST(lowerBallotIsIgnored);
     CPPUNIT_TEST(pausedArmedAgentDoesNotBlockGroup);
+    CPPUNIT_TEST(pausedHolderStopsItsGroup);
     CPPUNIT_TEST(largeGroupChangesMapsOverNarrowLinks);
     CPPUNIT_TEST(mapOfLargeGroupIsGivenUpWhileItIsSent);
     CPPUNIT_TEST(controlOfTargetGroupStaysWithinItsBudget);
@@ -195,6 +196,20 @@
                        && engineCommand->kind == EngineCommand::Kind::Release);
     }
 
+    // Guards against a group that stands still, until its callers leave, because the machine of its
+    // holder pauses right after the hold.
+    void pausedHolderStopsItsGroup()
+    {
+        // Callers leave after two seconds without an event; half a second of it is for serving
+        // them.
+        constexpr std::chrono::milliseconds MaxStandstill{1500};
+        SwitchWorld::Faults faults;
+        faults.pauseAfterHold = seconds(4);
+        SwitchWorld world(Ranks, 1, faults);
+        CPPUNIT_ASSERT_EQUAL(std::string(), world.run(seconds(30)));
+        CPPUNIT_ASSERT(world.longestStandstill() <= MaxStandstill);
+    }
+
     // Guards against an owner that resumes after a pause and continues with an outdated plan.
     void lowerBallotIsIgnored()
     {
--- a/Tests/Experts/SwitchWorld.cpp
+++ b/Tests/Experts/SwitchWorld.cpp
@@ -173,6 +173,8 @@
         if (engineCommand.change.step <= currentStep)
             return EngineCommandResult::Refused;
         state.heldStep = engineCommand.change.step;
+        if (this->faults.pauseAfterHold > milliseconds(0))
+            this->agents[server].pausedUntil = this->now + this->faults.pauseAfterHold;
         return EngineCommandResult::Accepted;
     case EngineCommand::Kind::Arm:
         if (state.preparedVersion != engineCommand.change.version
@@ -211,6 +213,10 @@
     if (isHeld)
         return {};
     group.nextStepAt = this->now + StepTime;
+    group.longestStandstill =
+            std::max(group.longestStandstill,
+                     std::chrono::duration_cast<milliseconds>(this->now - group.lastStepAt));
+    group.lastStepAt = this->now;
     group.step = next;
     const std::uint64_t before = this->lowestMap(index);
     for (const std::uint32_t server : group.members) {
--- a/Tests/Experts/SwitchWorld.h
+++ b/Tests/Experts/SwitchWorld.h
@@ -35,6 +35,8 @@
         /// Share of the late prepare commands after which all agents are killed and started again
         /// at the same moment.
         double restartsOfAll = 0;
+        /// Time for which the machine of an agent stands still right after its hold command.
+        std::chrono::milliseconds pauseAfterHold{0};
     };
 
     struct Scale
@@ -81,6 +83,11 @@
         return this->groups[group].changes;
     }
     const SimulatedLinks &links() const { return this->network; }
+    /// Longest time so far between the begins of two steps.
+    std::chrono::milliseconds longestStandstill(std::uint32_t group = 0) const
+    {
+        return this->groups[group].longestStandstill;
+    }
     /// Mean over the steps so far of the most loaded rank over the mean of all ranks.
     double meanSkew(std::uint32_t group = 0) const;
 
@@ -108,6 +115,8 @@
         std::uint64_t epoch = 1;
         std::uint64_t step = 0;
         Instant nextStepAt{std::chrono::seconds(10)};
+        Instant lastStepAt{std::chrono::seconds(10)};
+        std::chrono::milliseconds longestStandstill{0};
         std::uint64_t changes = 0;
         /// Share of the tokens that choose each expert, by layer.
         std::vector<std::vector<double>> demand;
