Give up a change of map when a machine pauses after the hold

Callers of a model group got no event for as long as one machine stood still, and left after two seconds.

Cause: the agent of the holder held the step of a change of map in its own engine. If its machine paused right then, no other process reached that engine, and the group stood still until the machine went on. A pause of any other rank before it was armed did the same. Class: one process whose pause stops all others.

Fix: the agent of another rank gives the hold, and the holder is armed, as the first rank, once all agents have acknowledged the hold after they saw it in the report of the holder. Otherwise the holder prepares the same map under a substitute number, an odd one. Its engine refuses that if it is armed, and refuses to be armed for the change afterwards. So the engine decides between the two outcomes once, whatever late commands, stand-ins and restarted agents do, and no memory of an agent is needed. Other ranks are armed only after the holder. Plans get even numbers.

Tests that gave the holder's own agent the hold expect the new order, with even version numbers; they check the same claims.

--- a/Source/Experts/GroupExchange.cpp
+++ b/Source/Experts/GroupExchange.cpp
@@ -51,7 +51,8 @@
     };
     return facts(before) != facts(after) || before.engine.armed != after.engine.armed
            || before.switching != after.switching || before.groupSwitch != after.groupSwitch
-           || before.allArmed != after.allArmed;
+           || before.allArmed != after.allArmed || before.holderArmed != after.holderArmed
+           || before.acknowledgedStep != after.acknowledgedStep;
 }
 
 /// Whether the agent with this state needs the command no more.
--- a/Source/Experts/PlanNumbering.cpp
+++ b/Source/Experts/PlanNumbering.cpp
@@ -7,7 +7,7 @@
 PlanNumbering::PlanNumbering(std::chrono::system_clock::time_point startedAt, std::uint64_t tag)
     : firstOrder(static_cast<std::uint64_t>(
             std::max<std::int64_t>(startedAt.time_since_epoch() / Unit, 1))),
-      tag(tag % Step)
+      tag(tag * 2 % Step)
 {}
 
 std::uint64_t PlanNumbering::next(std::uint64_t highestKnown) const
--- a/Source/Experts/PlanNumbering.h
+++ b/Source/Experts/PlanNumbering.h
@@ -17,12 +17,16 @@
     static constexpr std::uint64_t Step = std::uint64_t(1) << 20U;
 
     /// \a startedAt is the time of day at the start of the agent, \a tag a random number of which
-    /// the part below Step counts.
+    /// the part below Step / 2 counts. Plans get even numbers.
     PlanNumbering(std::chrono::system_clock::time_point startedAt, std::uint64_t tag);
 
     /// A number of this owner that is higher than \a highestKnown.
     std::uint64_t next(std::uint64_t highestKnown) const;
 
+    /// Number of a map that is prepared only to give a plan up. No rank is ever armed for it.
+    static std::uint64_t substituteFor(std::uint64_t plan) { return plan | 1U; }
+    static bool isSubstitute(std::uint64_t number) { return number % 2 == 1; }
+
 private:
     /// Shorter than the interval between two plans, so that the order of a number does not overtake
     /// the clock, and an owner that starts later begins above all earlier ones.
--- a/Source/Experts/RankState.h
+++ b/Source/Experts/RankState.h
@@ -61,6 +61,8 @@
     std::uint64_t ballot = 0;
     /// Change that the agent is completing; it is no longer abandoned.
     std::optional<MapSwitch> switching;
+    /// Step of the change whose hold the agent knows of.
+    std::optional<std::uint64_t> acknowledgedStep;
     /// Highest version that the rank is known to have had, or that it has refused.
     std::uint64_t highestVersion = 0;
     /// Version that the engine has refused to prepare.
@@ -78,6 +80,8 @@
     /// that the holder holds, and a change for which all ranks are armed.
     std::optional<MapSwitch> groupSwitch;
     std::optional<std::uint64_t> groupHeldStep;
+    /// The change for which the holder is armed.
+    std::optional<MapSwitch> holderArmed;
     std::optional<MapSwitch> allArmed;
 
     /// The other agents report to this one alone; see GroupExchange.
--- a/Source/Experts/RankSwitch.cpp
+++ b/Source/Experts/RankSwitch.cpp
@@ -1,5 +1,7 @@
 #include "Experts/RankSwitch.h"
 
+#include "Experts/PlanNumbering.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -10,24 +12,36 @@
 /// Delay before a command is retried. The engine is on the same machine and answers within a few
 /// milliseconds; its report shows the effect of a command.
 constexpr std::chrono::milliseconds CommandRetryDelay{20};
+/// Time for all agents to acknowledge a hold. States during a change are sent every 60 ms; a lost
+/// one is repeated in time. Held steps lie about as far ahead, so the group hardly waits.
+constexpr std::chrono::milliseconds MaxAcknowledgeTime{400};
 
 } // namespace
 
 void RankSwitch::beginEpoch()
 {
     this->toPrepare.reset();
-    this->target.reset();
-    this->armSent = false;
+    this->endSwitch();
     this->refusedVersion = 0;
     this->highestVersion = 0;
     this->armedPeers.clear();
     this->switchingPeers.clear();
+    this->acknowledgedSteps.clear();
     this->holderHolds.reset();
+    this->holdAcceptedFor.reset();
+    this->holderArmed.reset();
     this->allArmedReported.reset();
     this->receivedVersion = 0;
     this->receivedMaps.clear();
 }
 
+void RankSwitch::endSwitch()
+{
+    this->target.reset();
+    this->armSent = false;
+    this->giveUpAt.reset();
+}
+
 void RankSwitch::engineReported(const EngineState &engine)
 {
     if (!this->state || this->state->epoch != engine.epoch || this->state->group != engine.group
@@ -40,17 +54,14 @@
     if (engine.armed)
         this->highestVersion = std::max(this->highestVersion, engine.armed->version);
 
-    if (this->target && engine.step >= this->target->step
-        && engine.heldStep != this->target->step) {
-        this->target.reset();
-        this->armSent = false;
-    }
+    if (this->target && engine.step >= this->target->step && engine.heldStep != this->target->step)
+        this->endSwitch();
     // The rank is held or armed, but this agent has no change in progress: the agent has restarted,
     // or the engine executed an earlier command late.
     if (!this->target && engine.armed && engine.armed->step > engine.step)
         this->target = engine.armed;
     else if (!this->target && engine.heldStep && *engine.heldStep > engine.step
-             && engine.preparedVersion)
+             && engine.preparedVersion && !PlanNumbering::isSubstitute(*engine.preparedVersion))
         this->target = MapSwitch{*engine.preparedVersion, *engine.heldStep};
     this->receivedMaps.erase(this->receivedMaps.begin(),
                              this->receivedMaps.lower_bound(engine.mapVersion));
@@ -116,6 +127,12 @@
         this->holderHolds = peer.engine.heldStep;
     else if (peer.groupHeldStep)
         this->holderHolds = peer.groupHeldStep;
+    if (peer.engine.rank == Holder && peer.engine.armed)
+        this->holderArmed = peer.engine.armed;
+    else if (peer.holderArmed)
+        this->holderArmed = peer.holderArmed;
+    if (peer.acknowledgedStep)
+        this->acknowledgedSteps[peer.engine.rank] = *peer.acknowledgedStep;
     if (peer.switching)
         this->switchingPeers[peer.engine.rank] = *peer.switching;
     else if (peer.groupSwitch)
@@ -142,12 +159,55 @@
     return this->state->armed == this->target;
 }
 
-bool RankSwitch::isStepHeld() const
+bool RankSwitch::holdsOwnStep() const
+{
+    return this->state->heldStep == this->target->step;
+}
+
+bool RankSwitch::isHolderArmed() const
+{
+    return !this->rules.holdBeforeArm || this->holderArmed == this->target;
+}
+
+bool RankSwitch::isHoldAcknowledged() const
+{
+    for (std::uint32_t rank = 0; rank < this->state->ranks; ++rank) {
+        if (rank == this->state->rank)
+            continue;
+        const auto armed = this->armedPeers.find(rank);
+        const auto acknowledged = this->acknowledgedSteps.find(rank);
+        const bool isArmed = armed != this->armedPeers.end() && armed->second == *this->target;
+        if (!isArmed
+            && (acknowledged == this->acknowledgedSteps.end()
+                || acknowledged->second != this->target->step))
+            return false;
+    }
+    return true;
+}
+
+bool RankSwitch::isGivenUp() const
+{
+    return !this->isArmedHere() && this->state->preparedVersion.value_or(0) > this->target->version;
+}
+
+std::optional<EngineCommand::Kind> RankSwitch::nextHolderCommand(Instant now)
 {
+    if (this->isArmedHere())
+        return std::nullopt;
     if (!this->rules.holdBeforeArm)
-        return true;
-    return this->state->rank == Holder ? this->state->heldStep == this->target->step
-                                       : this->holderHolds == this->target->step;
+        return EngineCommand::Kind::Arm;
+    if (!this->holdsOwnStep())
+        return this->state->ranks > HoldGiver ? std::nullopt
+                                              : std::optional(EngineCommand::Kind::Hold);
+    if (this->isGivenUp())
+        return EngineCommand::Kind::Release;
+    if (this->isHoldAcknowledged())
+        return EngineCommand::Kind::Arm;
+    if (!this->giveUpAt)
+        this->giveUpAt = now + MaxAcknowledgeTime;
+    const bool isMapKnown = this->receivedMaps.count(this->target->version) != 0;
+    return now >= *this->giveUpAt && isMapKnown ? std::optional(EngineCommand::Kind::Prepare)
+                                                : std::nullopt;
 }
 
 bool RankSwitch::allArmed() const
@@ -175,23 +235,27 @@
     command.epoch = this->state->epoch;
     if (this->target) {
         command.change = *this->target;
-        const bool isHeld = this->state->heldStep == this->target->step;
         if (this->allArmed()) {
-            if (!isHeld)
+            if (!this->holdsOwnStep())
                 return std::nullopt;
             command.kind = EngineCommand::Kind::Release;
-        } else if (!this->isStepHeld()) {
-            if (this->state->rank != Holder)
+        } else if (this->state->rank == Holder) {
+            const auto kind = this->nextHolderCommand(now);
+            if (!kind)
                 return std::nullopt;
-            command.kind = EngineCommand::Kind::Hold;
-        } else if (!this->isArmedHere()) {
+            command.kind = *kind;
+            if (*kind == EngineCommand::Kind::Prepare) {
+                command.map = this->receivedMaps.at(this->target->version);
+                command.change = {PlanNumbering::substituteFor(this->target->version), 0};
+            }
+        } else if (this->isHolderArmed() && !this->isArmedHere()) {
             command.kind = EngineCommand::Kind::Arm;
-            this->armSent = true;
         } else {
             return std::nullopt;
         }
+        this->armSent = this->armSent || command.kind == EngineCommand::Kind::Arm;
     } else if (this->state->heldStep && *this->state->heldStep > this->state->step) {
-        // The step is held but no map is prepared, so no change can be armed for it.
+        // The step is held, but no map is prepared that the rank could be armed for.
         command.kind = EngineCommand::Kind::Release;
         command.change.step = *this->state->heldStep;
     } else if (this->toPrepare) {
@@ -215,7 +279,10 @@
         return;
     switch (command.kind) {
     case EngineCommand::Kind::Prepare:
-        if (answer == EngineCommandResult::Accepted) {
+        if (PlanNumbering::isSubstitute(command.change.version)) {
+            // The report shows whether the engine has given the change up.
+            this->nextCommandAt = now + CommandRetryDelay;
+        } else if (answer == EngineCommandResult::Accepted) {
             // Loading takes longer than the call, and the engine refuses a repeated command
             // meanwhile. Its report shows the completion.
             this->nextCommandAt = now + 10 * CommandRetryDelay;
@@ -234,7 +301,7 @@
         else if (answer == EngineCommandResult::Refused && !this->armSent
                  && this->target == command.change)
             // The step has begun, so no rank is armed for it.
-            this->target.reset();
+            this->endSwitch();
         return;
     case EngineCommand::Kind::Arm:
         if (answer == EngineCommandResult::Accepted)
@@ -247,6 +314,36 @@
     }
 }
 
+std::optional<EngineCommand> RankSwitch::nextHold(Instant now)
+{
+    if (this->holdOutstanding || now < this->nextHoldAt || !this->state || !this->state->isOpen
+        || !this->target || this->state->rank != HoldGiver || this->armSent
+        || this->holderHolds == this->target->step || this->holdAcceptedFor == this->target->step
+        || this->state->step >= this->target->step || !this->rules.holdBeforeArm)
+        return std::nullopt;
+    EngineCommand command;
+    command.kind = EngineCommand::Kind::Hold;
+    command.epoch = this->state->epoch;
+    command.change = *this->target;
+    this->holdOutstanding = true;
+    return command;
+}
+
+void RankSwitch::holdAnswered(Instant now, const EngineCommand &command, EngineCommandResult answer)
+{
+    this->holdOutstanding = false;
+    this->nextHoldAt = now + CommandRetryDelay;
+    this->lostCommands += answer == EngineCommandResult::Unknown ? 1 : 0;
+    if (!this->state || command.epoch != this->state->epoch || this->target != command.change)
+        return;
+    // Only the report of the holder counts as known hold: it shows that this agent has not paused.
+    if (answer == EngineCommandResult::Accepted)
+        this->holdAcceptedFor = command.change.step;
+    else if (answer == EngineCommandResult::Refused && !this->armSent)
+        // The step has begun, so no rank is armed for it.
+        this->endSwitch();
+}
+
 std::optional<MapSwitch> RankSwitch::knownGroupSwitch() const
 {
     if (this->target || !this->state)
@@ -267,6 +364,12 @@
     description.groupSwitch = this->knownGroupSwitch();
     description.groupHeldStep =
             this->state && this->state->rank == Holder ? this->state->heldStep : this->holderHolds;
+    description.holderArmed =
+            this->state && this->state->rank == Holder ? this->state->armed : this->holderArmed;
+    if (this->target && this->state->rank != Holder && this->holderHolds == this->target->step)
+        description.acknowledgedStep = this->target->step;
+    else
+        description.acknowledgedStep.reset();
     description.allArmed = this->target && this->allArmed() ? this->target : std::nullopt;
     description.receivedVersion = this->receivedVersion;
     description.knownVersion = this->state && this->receivedMaps.count(this->state->mapVersion) != 0
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -238,7 +238,9 @@
             {"sw", switchToJson(state.switching, numbers)},
             {"gs", switchToJson(state.groupSwitch, numbers)},
             {"gh", optionalToJson(state.groupHeldStep)},
-            {"ga", switchToJson(state.allArmed, numbers)}};
+            {"ga", switchToJson(state.allArmed, numbers)},
+            {"ha", switchToJson(state.holderArmed, numbers)},
+            {"ak", optionalToJson(state.acknowledgedStep)}};
     for (const auto &[name, value] : optionals) {
         if (!value.is_null())
             json[name] = value;
@@ -287,6 +289,8 @@
         state.groupSwitch = switchFromJson(optional("gs"), numbers);
         state.groupHeldStep = optionalFromJson(optional("gh"));
         state.allArmed = switchFromJson(optional("ga"), numbers);
+        state.holderArmed = switchFromJson(optional("ha"), numbers);
+        state.acknowledgedStep = optionalFromJson(optional("ak"));
         if (const Json hub = optional("hub"); !hub.is_null()) {
             state.isHub = true;
             state.wantsExperts = hub.at(0).get<bool>();
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -221,6 +221,7 @@
         this->readCounts();
     if (!this->engine.isBusy() && !this->expertsKnown && this->engineReachable)
         this->readExperts();
+    this->giveHold();
     this->takeOverSilentRanks();
     this->exchangeStates();
     this->metricsListener.tick(now);
@@ -339,6 +340,30 @@
                       });
 }
 
+void RankAgent::giveHold()
+{
+    const RankState *holder = this->exchange.find(RankSwitch::Holder);
+    if (holder == nullptr || holder->engineAddress.empty())
+        return;
+    if (this->holderEngine == nullptr || this->holderEngine->address() != holder->engineAddress) {
+        if (this->holderEngine != nullptr && this->holderEngine->isBusy())
+            return;
+        this->holderEngine = std::make_unique<EngineLink>(this->loop, holder->engineAddress);
+    }
+    if (this->holderEngine->isBusy())
+        return;
+    const auto command = this->rankSwitch->nextHold(this->loop.now());
+    if (!command)
+        return;
+    this->holderEngine->call(this->protocol.commandRequest(*command), CommandTimeout,
+                             [this, command](int status, const std::string &) {
+                                 this->logCommand(*command, RankSwitch::Holder, status);
+                                 this->rankSwitch->holdAnswered(
+                                         this->loop.now(), *command,
+                                         this->protocol.readCommandResult(status));
+                             });
+}
+
 void RankAgent::logCommand(const EngineCommand &command, std::uint32_t rank, int status)
 {
     this->log(RelayLog::EngineOrdered,
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -93,6 +93,8 @@
     void readCounts();
     void readExperts();
     void sendNextCommand();
+    /// Gives the hold of a change to the engine of the holder, if that is this agent's part.
+    void giveHold();
     void takeOverSilentRanks();
     void driveTakeover(std::uint32_t rank, Takeover &takeover);
     void logInvalidRank(const EngineState &engine, const std::string &from);
@@ -121,6 +123,8 @@
     /// bytes: a map goes to many ranks.
     std::array<std::pair<std::shared_ptr<const OwnerCommand>, std::string>, 2> encodedCommands;
     EngineLink engine;
+    /// Link to the engine of the holder.
+    std::unique_ptr<EngineLink> holderEngine;
     std::map<std::uint32_t, Takeover> takeovers;
     std::unique_ptr<RankSwitch> rankSwitch;
     std::unique_ptr<SwitchOwner> owner;
--- a/Tests/Experts/PlanNumberTableTest.cpp
+++ b/Tests/Experts/PlanNumberTableTest.cpp
@@ -38,8 +38,12 @@
             state.refusedVersion = 1;
             state.highestVersion = state.refusedVersion + 1;
             state.engine.armed = MapSwitch{this->owner.next(map), 9};
+            state.holderArmed = MapSwitch{other.next(map), 9};
+            state.acknowledgedStep = 9;
             const auto read = decodeRankState(encodeRankState(state));
             CPPUNIT_ASSERT(read && read->engine == state.engine);
+            CPPUNIT_ASSERT(read->holderArmed == state.holderArmed);
+            CPPUNIT_ASSERT(read->acknowledgedStep == state.acknowledgedStep);
             CPPUNIT_ASSERT_EQUAL(state.ballot, read->ballot);
             CPPUNIT_ASSERT_EQUAL(state.refusedVersion, read->refusedVersion);
             CPPUNIT_ASSERT_EQUAL(state.highestVersion, read->highestVersion);
--- a/Tests/Experts/RankSwitchTest.cpp
+++ b/Tests/Experts/RankSwitchTest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST_SUITE(RankSwitchTest);
     CPPUNIT_TEST(changesCompleteWithoutFaults);
     CPPUNIT_TEST(noStepBeginsWithTwoMaps);
+    CPPUNIT_TEST(changesThatAreGivenUpMixNoMaps);
     CPPUNIT_TEST(lateCommandsOfKilledAgentsMixNoMaps);
     CPPUNIT_TEST(armingWithoutHoldIsDetected);
     CPPUNIT_TEST(earlyReleaseIsDetected);
@@ -57,7 +58,7 @@
     CPPUNIT_TEST(lateHoldIsReleased);
     CPPUNIT_TEST(lowerBallotIsIgnored);
     CPPUNIT_TEST(pausedArmedAgentDoesNotBlockGroup);
-    CPPUNIT_TEST(pausedHolderStopsItsGroup);
+    CPPUNIT_TEST(pausedGiverOfHoldStopsItsGroup);
     CPPUNIT_TEST(largeGroupChangesMapsOverNarrowLinks);
     CPPUNIT_TEST(mapOfLargeGroupIsGivenUpWhileItIsSent);
     CPPUNIT_TEST(controlOfTargetGroupStaysWithinItsBudget);
@@ -85,6 +86,18 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), violations(allFaults(), {}));
     }
 
+    // Guards against a change that one agent gives up and another one, or a late command,
+    // completes.
+    void changesThatAreGivenUpMixNoMaps()
+    {
+        for (const bool restartsAll : {false, true}) {
+            SwitchWorld::Faults faults = allFaults();
+            faults.pauseAfterHold = seconds(restartsAll ? 1 : 2);
+            faults.restartsOfAll = restartsAll ? 0.3 : 0;
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), violations(faults, {}));
+        }
+    }
+
     // Guards against two owners that give one version to two maps: all agents are killed, and a
     // rank executes a late prepare command of theirs when the next owner prepares its own map.
     void lateCommandsOfKilledAgentsMixNoMaps()
@@ -135,16 +148,22 @@
     {
         RankSwitch rank;
         EngineState engine = this->openEngine();
-        engine.preparedVersion = 3;
+        engine.preparedVersion = 4;
         rank.engineReported(engine);
-        rank.ownerCommanded(this->command(OwnerCommand::Phase::Switch, 1, {3, 20}));
-        // Only the agent of the holder holds the step; this one arms after the holder reports it.
+        rank.ownerCommanded(this->command(OwnerCommand::Phase::Switch, 1, {4, 20}));
+        // This agent arms its rank only after the holder, whose step is held, is armed.
         CPPUNIT_ASSERT(!rank.nextCommand(Instant()).has_value());
         RankState holder;
         holder.engine = engine;
         holder.engine.rank = RankSwitch::Holder;
         holder.engine.heldStep = 20;
         rank.peerReported(holder);
+        CPPUNIT_ASSERT(!rank.nextCommand(Instant()).has_value());
+        RankState own;
+        rank.describe(own);
+        CPPUNIT_ASSERT(own.acknowledgedStep == std::uint64_t(20));
+        holder.engine.armed = MapSwitch{4, 20};
+        rank.peerReported(holder);
         const auto engineCommand = rank.nextCommand(Instant());
         CPPUNIT_ASSERT(engineCommand.has_value());
         CPPUNIT_ASSERT(engineCommand->kind == EngineCommand::Kind::Arm);
@@ -176,19 +195,23 @@
         RankSwitch holder;
         EngineState engine = this->openEngine();
         engine.rank = RankSwitch::Holder;
-        engine.preparedVersion = 3;
+        engine.preparedVersion = 4;
+        engine.heldStep = 20;
         holder.engineReported(engine);
-        holder.ownerCommanded(this->command(OwnerCommand::Phase::Switch, 1, {3, 20}));
-        for (const auto kind : {EngineCommand::Kind::Hold, EngineCommand::Kind::Arm}) {
-            const auto engineCommand = holder.nextCommand(Instant());
-            CPPUNIT_ASSERT(engineCommand.has_value() && engineCommand->kind == kind);
-            holder.commandAnswered(Instant(), *engineCommand, EngineCommandResult::Accepted);
-        }
+        holder.ownerCommanded(this->command(OwnerCommand::Phase::Switch, 1, {4, 20}));
+        CPPUNIT_ASSERT(!holder.nextCommand(Instant()).has_value());
+        RankState acknowledging;
+        acknowledging.engine = this->openEngine();
+        acknowledging.acknowledgedStep = 20;
+        holder.peerReported(acknowledging);
+        const auto arm = holder.nextCommand(Instant());
+        CPPUNIT_ASSERT(arm.has_value() && arm->kind == EngineCommand::Kind::Arm);
+        holder.commandAnswered(Instant(), *arm, EngineCommandResult::Accepted);
         CPPUNIT_ASSERT(!holder.nextCommand(Instant()).has_value());
         // The last report of the other agent before its pause.
         RankState other;
         other.engine = this->openEngine();
-        other.engine.armed = MapSwitch{3, 20};
+        other.engine.armed = MapSwitch{4, 20};
         CPPUNIT_ASSERT(!other.engine.heldStep.has_value());
         holder.peerReported(other);
         const auto engineCommand = holder.nextCommand(Instant());
@@ -196,9 +219,9 @@
                        && engineCommand->kind == EngineCommand::Kind::Release);
     }
 
-    // Guards against a group that stands still, until its callers leave, because the machine of its
-    // holder pauses right after the hold.
-    void pausedHolderStopsItsGroup()
+    // Guards against a group that stands still, until its callers leave, because the machine that
+    // gave the hold of a change pauses right after it.
+    void pausedGiverOfHoldStopsItsGroup()
     {
         // Callers leave after two seconds without an event; half a second of it is for serving
         // them.
@@ -215,12 +238,12 @@
     {
         RankSwitch rank;
         EngineState engine = this->openEngine();
-        engine.preparedVersion = 3;
+        engine.preparedVersion = 4;
         rank.engineReported(engine);
-        rank.ownerCommanded(this->command(OwnerCommand::Phase::Survey, 9, {4, 0}));
-        rank.ownerCommanded(this->command(OwnerCommand::Phase::Switch, 8, {3, 20}));
+        rank.ownerCommanded(this->command(OwnerCommand::Phase::Survey, 9, {6, 0}));
+        rank.ownerCommanded(this->command(OwnerCommand::Phase::Switch, 8, {4, 20}));
         CPPUNIT_ASSERT(!rank.isSwitching());
-        rank.ownerCommanded(this->command(OwnerCommand::Phase::Switch, 9, {3, 20}));
+        rank.ownerCommanded(this->command(OwnerCommand::Phase::Switch, 9, {4, 20}));
         CPPUNIT_ASSERT(rank.isSwitching());
     }
 
--- a/Tests/Experts/SwitchWorld.cpp
+++ b/Tests/Experts/SwitchWorld.cpp
@@ -173,8 +173,6 @@
         if (engineCommand.change.step <= currentStep)
             return EngineCommandResult::Refused;
         state.heldStep = engineCommand.change.step;
-        if (this->faults.pauseAfterHold > milliseconds(0))
-            this->agents[server].pausedUntil = this->now + this->faults.pauseAfterHold;
         return EngineCommandResult::Accepted;
     case EngineCommand::Kind::Arm:
         if (state.preparedVersion != engineCommand.change.version
@@ -433,10 +431,29 @@
                                               this->execute(server, *engineCommand));
         }
     }
+    this->giveHold(server);
     this->sampleCounts(server);
     this->exchangeStates(server);
 }
 
+void SwitchWorld::giveHold(std::uint32_t server)
+{
+    Agent &agent = this->agents[server];
+    const auto hold = agent.rankSwitch->nextHold(this->now);
+    if (!hold)
+        return;
+    const std::uint32_t holder = this->groupOf(server).members[RankSwitch::Holder];
+    if (this->random.unit() < this->faults.lateCommands) {
+        this->lateCommands.push_back(
+                {this->now + milliseconds(100 + this->random.below(6000)), holder, *hold});
+        agent.rankSwitch->holdAnswered(this->now, *hold, EngineCommandResult::Unknown);
+        return;
+    }
+    agent.rankSwitch->holdAnswered(this->now, *hold, this->execute(holder, *hold));
+    if (this->faults.pauseAfterHold > milliseconds(0))
+        agent.pausedUntil = this->now + this->faults.pauseAfterHold;
+}
+
 std::string SwitchWorld::run(milliseconds span)
 {
     for (const Instant end = this->now + span; this->now < end; this->now += Tick) {
--- a/Tests/Experts/SwitchWorld.h
+++ b/Tests/Experts/SwitchWorld.h
@@ -157,6 +157,7 @@
     void startAgent(std::uint32_t server);
     void restartAllAgents();
     void runAgent(std::uint32_t server);
+    void giveHold(std::uint32_t server);
     void exchangeStates(std::uint32_t server);
     void sampleCounts(std::uint32_t server);
     void post(std::uint32_t from, const GroupExchange::Message &message);
