--- a/Source/Experts/RankSwitch.h
+++ b/Source/Experts/RankSwitch.h
@@ -117,7 +117,7 @@
     std::optional<std::uint64_t> holderHolds;
     /// Change for which the holder is known to be armed.
     std::optional<MapSwitch> holderArmed;
-    /// The holder's agent gives the change up from then on if the hold is not acknowledged.
+    /// When the holder's agent gives the change up unless the hold is acknowledged before.
     std::optional<Instant> giveUpAt;
     /// Change for which another agent knows all ranks to be armed.
     std::optional<MapSwitch> allArmedReported;
@@ -128,6 +128,7 @@
     bool commandOutstanding = false;
     Instant nextCommandAt;
     bool holdOutstanding = false;
+    /// Step for which the engine of the holder has accepted a hold of this agent.
     std::optional<std::uint64_t> holdAcceptedFor;
     Instant nextHoldAt;
 };
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -343,7 +343,7 @@
 void RankAgent::giveHold()
 {
     const RankState *holder = this->exchange.find(RankSwitch::Holder);
-    if (holder == nullptr || holder->engineAddress.empty())
+    if (this->rank() != RankSwitch::HoldGiver || holder == nullptr || holder->engineAddress.empty())
         return;
     if (this->holderEngine == nullptr || this->holderEngine->address() != holder->engineAddress) {
         if (this->holderEngine != nullptr && this->holderEngine->isBusy())
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -123,7 +123,7 @@
     /// bytes: a map goes to many ranks.
     std::array<std::pair<std::shared_ptr<const OwnerCommand>, std::string>, 2> encodedCommands;
     EngineLink engine;
-    /// Link to the engine of the holder.
+    /// Link to the engine of the holder; only at the rank that gives holds.
     std::unique_ptr<EngineLink> holderEngine;
     std::map<std::uint32_t, Takeover> takeovers;
     std::unique_ptr<RankSwitch> rankSwitch;
