Give states of ranks a new type

Agents of the previous version arm their ranks as soon as a step is held, which one of this version may give up. With another type the two ignore each other, and no map changes until all agents of a group are replaced.

--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -204,7 +204,7 @@
     const EngineState &engine = state.engine;
     PlanNumberTable numbers;
     const std::size_t map = numbers.place(engine.mapVersion);
-    Json json = {{"type", "rank-2"},
+    Json json = {{"type", "rank-3"},
                  {"g", engine.group},
                  {"e", engine.epoch},
                  {"r", engine.rank},
@@ -255,7 +255,7 @@
 {
     const Json json = parseCbor(bytes);
     try {
-        if (!json.is_object() || json.at("type") != "rank-2")
+        if (!json.is_object() || json.at("type") != "rank-3")
             return std::nullopt;
         RankState state;
         EngineState &engine = state.engine;
