Read the engine's report at once when a change of map begins

A change waited up to 250 ms, the period of an idle engine's report, until the agent of the holder saw that its step was held; it gave no hold itself any more, which had ended this wait.

The lint finding in CallerLeavesTest is fixed.

--- a/Source/Experts/RankSwitch.cpp
+++ b/Source/Experts/RankSwitch.cpp
@@ -12,9 +12,9 @@
 /// Delay before a command is retried. The engine is on the same machine and answers within a few
 /// milliseconds; its report shows the effect of a command.
 constexpr std::chrono::milliseconds CommandRetryDelay{20};
-/// Time for all agents to acknowledge a hold. States during a change are sent every 60 ms; a lost
-/// one is repeated in time. Held steps lie about as far ahead, so the group hardly waits.
-constexpr std::chrono::milliseconds MaxAcknowledgeTime{400};
+/// Time for all agents to acknowledge a hold. States during a change are sent every 60 ms, so that
+/// several may get lost. Steps are held 400 ms ahead, and callers leave after 2 s without an event.
+constexpr std::chrono::milliseconds MaxAcknowledgeTime{600};
 
 } // namespace
 
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -213,6 +213,9 @@
         this->nextProfileAt = now + ProfilePeriod;
         this->readEngineProfile();
     }
+    // The reports of an idle engine are far apart; the agent has to see a hold in time.
+    if (this->rankSwitch->isBusy())
+        this->nextReportAt = std::min(this->nextReportAt, now + BusyReportPeriod);
     // One call to the engine at a time, the most urgent first.
     this->sendNextCommand();
     if (!this->engine.isBusy() && now >= this->nextReportAt)
--- a/Tests/Platform/CallerLeavesTest.cpp
+++ b/Tests/Platform/CallerLeavesTest.cpp
@@ -170,8 +170,9 @@
     {
         sockaddr_in local{};
         parseSocketAddress(this->address, local);
-        bind(this->socket, reinterpret_cast<sockaddr *>(&local), sizeof(local));
-        listen(this->socket, 0);
+        CPPUNIT_ASSERT_EQUAL(
+                0, bind(this->socket, reinterpret_cast<sockaddr *>(&local), sizeof(local)));
+        CPPUNIT_ASSERT_EQUAL(0, listen(this->socket, 0));
         this->filler = std::make_unique<RawCaller>(this->address);
     }
     ~FullListener() { close(this->socket); }
