Wait for the half second of the target in the rows of waiting callers

Its log shows why: the entry got its turn 262 ms after the end of the long pause (5048), reset the attempt at once, and the test had ended its wait of 250 ms a millisecond earlier. The target is half a second, which the row now waits for; that no further request arrives is checked after it, as before.

--- a/Tests/Platform/CallerLeavesTest.cpp
+++ b/Tests/Platform/CallerLeavesTest.cpp
@@ -364,9 +364,10 @@
         this->caller->leave(row.leave);
         this->other->leave(row.leave);
         std::this_thread::sleep_for(LongPause);
+        this->loop->runUntil([this] { return this->worker->open.empty(); }, FreeWithin);
+        CPPUNIT_ASSERT(this->worker->open.empty());
         this->run(SettleTime);
         CPPUNIT_ASSERT_EQUAL(1, this->worker->requests);
-        CPPUNIT_ASSERT(this->worker->open.empty());
     }
 
     void leaveWhileConnecting(const Row &row)
