Keep a connection whose request is unread at the end of a stop

Callers whose entry was late saw a kept connection close with a FIN after they had sent a whole request.

Cause: closeIfIdle() looked at the bytes that the process had read, not at those that wait in the socket. A process that gets a quarter of a core is up to 75 ms behind, and longer beside load.

The socket is now asked before a connection counts as idle. Evidence: ListenerTest::unreadRequestIsNotClosedAsIdle failed before the change and passes with it.

--- a/Source/Http/ServerConnection.cpp
+++ b/Source/Http/ServerConnection.cpp
@@ -284,7 +284,8 @@
 {
     if (!this->requestOpen && !this->lingering && this->parser.state() == HttpParser::State::Idle
         && this->connection != nullptr && this->loop.now() >= this->firstRequestBy
-        && evbuffer_get_length(bufferevent_get_input(this->connection)) == 0) {
+        && evbuffer_get_length(bufferevent_get_input(this->connection)) == 0
+        && !hasUnreadBytes(bufferevent_getfd(this->connection))) {
         this->closeAfterWrite();
     }
 }
--- a/Source/Http/SocketOptions.cpp
+++ b/Source/Http/SocketOptions.cpp
@@ -53,6 +53,12 @@
     return poll(&state, 1, 0) == 1 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
+bool hasUnreadBytes(int socket)
+{
+    char byte = 0;
+    return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool parseSocketAddress(const std::string &text, sockaddr_in &address)
 {
     int length = sizeof(address);
--- a/Source/Http/SocketOptions.h
+++ b/Source/Http/SocketOptions.h
@@ -16,6 +16,9 @@
 /// unread.
 bool isClosedByPeer(int socket);
 
+/// Whether received bytes wait to be read.
+bool hasUnreadBytes(int socket);
+
 /// Parses "IP:port". Returns false if \a text is not an IPv4 address with a port.
 bool parseSocketAddress(const std::string &text, sockaddr_in &address);
 
--- a/Tests/Http/ListenerTest.cpp
+++ b/Tests/Http/ListenerTest.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(newConnectionIsNotClosedAsIdle);
     CPPUNIT_TEST(usedConnectionIsClosedAsIdle);
     CPPUNIT_TEST(connectionsAreRefusedAfterTheEndOfAccepting);
+    CPPUNIT_TEST(unreadRequestIsNotClosedAsIdle);
     CPPUNIT_TEST(slowButSteadyBodyIsRead);
     CPPUNIT_TEST(dribblingBodyIsRejected);
     CPPUNIT_TEST(silentCallersAreProbed);
@@ -36,7 +37,7 @@
         this->listener = std::make_unique<HttpListener>(
                 this->loop, this->address, 16, [this](HttpListener::Request &&request) {
                     this->body = request.body;
-                    this->listener->find(request.id)->reply(200, {}, {}, "ok");
+                    this->listener->find(request.id)->reply(200, {}, {}, this->response);
                 });
         CPPUNIT_ASSERT(this->listener->isListening());
         this->tickTimer = this->loop.every(milliseconds(10), [this] {
@@ -89,6 +90,20 @@
                 != 0);
     }
 
+    // Guards against a stop that closes a connection whose request has arrived, but was not read
+    // yet because the process was late.
+    void unreadRequestIsNotClosedAsIdle()
+    {
+        this->connectClient();
+        this->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        this->run(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), this->received().substr(0, 12));
+        this->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        this->listener->closeIdle();
+        this->run(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), this->received().substr(0, 12));
+    }
+
     // Guards against a caller on a slow link whose request is rejected although it comes steadily.
     void slowButSteadyBodyIsRead()
     {
@@ -171,12 +186,27 @@
     }
 
     void connectClient()
+    {
+        this->openClient();
+        this->run(milliseconds(50));
+    }
+
+    /// Connects in the kernel; the listener has not accepted the connection yet.
+    void openClient(int receiveBuffer = 0)
     {
         this->client = ::socket(AF_INET, SOCK_STREAM, 0);
+        if (receiveBuffer > 0)
+            setsockopt(this->client, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
         const sockaddr_in address = this->peer();
         CPPUNIT_ASSERT_EQUAL(0, connect(this->client, reinterpret_cast<const sockaddr *>(&address),
                                         sizeof(address)));
-        this->run(milliseconds(50));
+    }
+
+    std::size_t readSome(std::size_t most) const
+    {
+        std::string bytes(most, '\0');
+        const ssize_t length = recv(this->client, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        return length > 0 ? static_cast<std::size_t>(length) : 0;
     }
 
     void send(const std::string &bytes) const
@@ -195,7 +225,7 @@
     bool isClosed() const
     {
         char byte = 0;
-        return recv(this->client, &byte, 1, MSG_DONTWAIT) == 0;
+        return recv(this->client, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
     }
 
     void run(milliseconds span)
@@ -203,8 +233,13 @@
         this->loop.runUntil([] { return false; }, span);
     }
 
+    static constexpr int ReceiveBuffer = 32768;
+    /// More than the kernel holds for a slow reader.
+    static constexpr std::size_t LongResponseBytes = 8U << 20U;
+
     EventLoop loop;
     std::string address = freeAddress();
+    std::string response = "ok";
     std::unique_ptr<HttpListener> listener;
     std::unique_ptr<EventLoop::Timer> tickTimer;
     std::string body;
