Accept the established connections before a stop closes its listener

Callers saw connections reset that the kernel had established for them, with a request on its way, when a stopping entry stopped to listen.

Cause: closing a listening socket resets the connections in its backlog. Those are now accepted first and get the time of a first request. Evidence: ListenerTest::waitingConnectionsAreServedAfterTheEndOfAccepting failed before the change and passes with it.

--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -3,6 +3,8 @@
 #include "Http/SocketOptions.h"
 #include "Net/EventLoop.h"
 
+#include <algorithm>
+#include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
 
@@ -111,8 +113,21 @@
 
 void HttpListener::stopAccepting()
 {
-    if (this->listener != nullptr)
-        evconnlistener_free(std::exchange(this->listener, nullptr));
+    if (this->listener == nullptr)
+        return;
+    // Closing the listener resets the connections that wait to be accepted.
+    const int listening = evconnlistener_get_fd(this->listener);
+    for (int socket = ::accept(listening, nullptr, nullptr); socket >= 0;
+         socket = ::accept(listening, nullptr, nullptr))
+        this->accept(socket);
+    evconnlistener_free(std::exchange(this->listener, nullptr));
+}
+
+bool HttpListener::hasUnsentBytes() const
+{
+    return std::any_of(
+            this->acceptedConnections.begin(), this->acceptedConnections.end(),
+            [](const auto &entry) { return entry.second.connection->pendingBytes() > 0; });
 }
 
 void HttpListener::tick(Instant now)
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -63,8 +63,11 @@
     /// Closes the connections without an open request, but for new ones whose first request may be
     /// on its way.
     void closeIdle();
-    /// Refuses new connections, so that their callers turn to another instance at once.
+    /// Refuses new connections, so that their callers turn to another instance at once. Connections
+    /// that are established already are accepted.
     void stopAccepting();
+    /// Whether a response is not completely sent yet.
+    bool hasUnsentBytes() const;
 
     /// Enforces the timeouts and frees closed connections. Has to be called periodically.
     void tick(Instant now);
--- a/Tests/Http/ListenerTest.cpp
+++ b/Tests/Http/ListenerTest.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(usedConnectionIsClosedAsIdle);
     CPPUNIT_TEST(connectionsAreRefusedAfterTheEndOfAccepting);
     CPPUNIT_TEST(unreadRequestIsNotClosedAsIdle);
+    CPPUNIT_TEST(waitingConnectionsAreServedAfterTheEndOfAccepting);
     CPPUNIT_TEST(slowButSteadyBodyIsRead);
     CPPUNIT_TEST(dribblingBodyIsRejected);
     CPPUNIT_TEST(silentCallersAreProbed);
@@ -104,6 +105,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), this->received().substr(0, 12));
     }
 
+    // Guards against a stop that resets connections which the kernel has established, but which
+    // were not accepted yet.
+    void waitingConnectionsAreServedAfterTheEndOfAccepting()
+    {
+        this->openClient();
+        this->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+        this->listener->stopAccepting();
+        this->run(milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), this->received().substr(0, 12));
+    }
+
     // Guards against a caller on a slow link whose request is rejected although it comes steadily.
     void slowButSteadyBodyIsRead()
     {
