Let a slow caller read its last response to the end

Cause: the time to linger began when the response was handed to the buffer, so what was unsent one second later was dropped. It now begins when the last byte is sent. While the caller takes bytes, the connection stays; a caller that takes none for five seconds is disconnected. The same holds for a kept connection, whose idle time ran while it was being sent.

Evidence: ListenerTest::slowReaderGetsTheWholeLastResponse failed before the change and passes with it; readerThatTakesNothingIsDisconnected keeps the bound.

--- a/Source/Http/ServerConnection.cpp
+++ b/Source/Http/ServerConnection.cpp
@@ -3,6 +3,7 @@
 #include "Http/SocketOptions.h"
 #include "Net/EventLoop.h"
 
+#include <algorithm>
 #include <sys/socket.h>
 #include <utility>
 
@@ -14,8 +15,10 @@
 
 namespace {
 
-/// Time for the caller to read the last response before the connection is reset.
+/// Time for the caller to close the connection after the last byte of the last response was sent.
 constexpr std::chrono::milliseconds LingerTime{1000};
+/// A caller that takes no byte of a response for this long is not reading it.
+constexpr std::chrono::milliseconds MaxReaderStall{5000};
 /// Bytes of a body that count as progress within the idle time. Single bytes now and then do not.
 constexpr std::size_t MinBodyProgress = 1024;
 /// A new connection is not idle before its first request had the time to arrive.
@@ -65,9 +68,7 @@
         if (self->pendingBytes() > 0)
             return;
         if (self->lingering && self->connection != nullptr) {
-            // Closes only the sending side: closing the socket while received bytes are unread
-            // would reset the connection, and the caller could lose the response.
-            shutdown(bufferevent_getfd(self->connection), SHUT_WR);
+            self->endSending();
             return;
         }
         if (self->streaming && self->handlers.onDrained)
@@ -260,9 +261,25 @@
 void ServerConnection::closeAfterWrite()
 {
     this->lingering = true;
-    this->deadline = this->loop.now() + LingerTime;
+    this->deadline = this->loop.now() + MaxReaderStall;
     if (this->pendingBytes() == 0)
-        shutdown(bufferevent_getfd(this->connection), SHUT_WR);
+        this->endSending();
+}
+
+void ServerConnection::endSending()
+{
+    // Closes only the sending side: closing the socket while received bytes are unread would reset
+    // the connection, and the caller could lose the response.
+    shutdown(bufferevent_getfd(this->connection), SHUT_WR);
+    this->deadline = this->loop.now() + LingerTime;
+}
+
+void ServerConnection::extendForReader(Instant now)
+{
+    const std::size_t unsent = this->pendingBytes();
+    if (unsent > 0 && unsent < this->unsentBytes)
+        this->deadline = std::max(this->deadline, now + MaxReaderStall);
+    this->unsentBytes = unsent;
 }
 
 void ServerConnection::abort()
@@ -292,7 +309,10 @@
 
 void ServerConnection::checkDeadline(Instant now)
 {
-    if (this->connection == nullptr || this->deadline > now)
+    if (this->connection == nullptr || this->requestOpen)
+        return;
+    this->extendForReader(now);
+    if (this->deadline > now)
         return;
     if (this->lingering || this->parser.state() == HttpParser::State::Idle)
         this->closeAndNotify();
--- a/Source/Http/ServerConnection.h
+++ b/Source/Http/ServerConnection.h
@@ -93,6 +93,10 @@
                    const std::string &framing);
     void responseEnded();
     void closeAfterWrite();
+    /// The last response is sent: the caller gets some time to close the connection.
+    void endSending();
+    /// A caller that reads a response slowly, but steadily, gets all of it.
+    void extendForReader(Instant now);
     void closeAndNotify();
 
     EventLoop &loop;
@@ -112,6 +116,8 @@
     Instant firstRequestBy;
     /// Bytes of the body at the last extension of the deadline.
     std::size_t progress = 0;
+    /// Unsent bytes of responses when the deadline was last checked.
+    std::size_t unsentBytes = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Tests/Http/ListenerTest.cpp
+++ b/Tests/Http/ListenerTest.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(connectionsAreRefusedAfterTheEndOfAccepting);
     CPPUNIT_TEST(unreadRequestIsNotClosedAsIdle);
     CPPUNIT_TEST(waitingConnectionsAreServedAfterTheEndOfAccepting);
+    CPPUNIT_TEST(slowReaderGetsTheWholeLastResponse);
+    CPPUNIT_TEST(readerThatTakesNothingIsDisconnected);
     CPPUNIT_TEST(slowButSteadyBodyIsRead);
     CPPUNIT_TEST(dribblingBodyIsRejected);
     CPPUNIT_TEST(silentCallersAreProbed);
@@ -116,6 +118,33 @@
         CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), this->received().substr(0, 12));
     }
 
+    // Guards against a response that is cut one second after it was handed over, while its caller
+    // still reads it.
+    void slowReaderGetsTheWholeLastResponse()
+    {
+        this->response.assign(LongResponseBytes, 'r');
+        this->openClient(ReceiveBuffer);
+        this->send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        std::size_t read = 0;
+        while (!this->isClosed()) {
+            this->run(milliseconds(10));
+            read += this->readSome(ReceiveBuffer);
+        }
+        CPPUNIT_ASSERT(read > LongResponseBytes);
+    }
+
+    // Guards against responses that are held for ever for a caller that does not read.
+    void readerThatTakesNothingIsDisconnected()
+    {
+        this->response.assign(LongResponseBytes, 'r');
+        this->openClient(ReceiveBuffer);
+        this->send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        this->run(milliseconds(100));
+        CPPUNIT_ASSERT(this->listener->hasUnsentBytes());
+        CPPUNIT_ASSERT(this->loop.runUntil(
+                [this] { return this->listener->connectionCount() == 0; }, milliseconds(10000)));
+    }
+
     // Guards against a caller on a slow link whose request is rejected although it comes steadily.
     void slowButSteadyBodyIsRead()
     {
