Count the grace time of a stop from the arrival of its signal

Cause: the phases of a stop began when SIGTERM was handled. The platform counts from its arrival, and the entry leaves itself 4% of the grace time (320 ms of 8 s), so a process that handled the signal later than that was killed before the end that it had planned, and took requests up to it.

The phases now begin at the tick before the last one: an event that is handled now cannot have waited longer. The tick directly before is not enough, because it can run before a signal of the same iteration of the loop; LoopLag's figure for callers that left had the same error.

--- a/Source/Relay/StopAdmission.cpp
+++ b/Source/Relay/StopAdmission.cpp
@@ -18,6 +18,7 @@
 constexpr int AnswerPercent = 95;
 /// The rest of the grace time is for the end of the process itself.
 constexpr int ExitPercent = 96;
+constexpr int LatestExitPercent = 99;
 /// Time for the answer to leave the process.
 constexpr milliseconds DeliveryTime{200};
 
@@ -30,10 +31,10 @@
 
 } // namespace
 
-StopAdmission::Phases StopAdmission::phasesOf(Instant now, milliseconds graceTime)
+StopAdmission::Phases StopAdmission::phasesOf(Instant begin, milliseconds graceTime)
 {
-    return {now + graceTime * ClosePercent / 100, now + graceTime * AnswerPercent / 100,
-            now + graceTime * ExitPercent / 100};
+    return {begin + graceTime * ClosePercent / 100, begin + graceTime * AnswerPercent / 100,
+            begin + graceTime * ExitPercent / 100, begin + graceTime * LatestExitPercent / 100};
 }
 
 bool StopAdmission::endsInTime(const Input &input)
--- a/Source/Relay/StopAdmission.h
+++ b/Source/Relay/StopAdmission.h
@@ -33,11 +33,15 @@
     Instant closeAt;
     /// Requests that are still open get their final answer.
     Instant answerAt;
-    /// The process ends.
+    /// The process ends, unless answers are still being sent.
     Instant exitAt;
+    /// The process ends in any case.
+    Instant latestExitAt;
 };
 
-Phases phasesOf(Instant now, std::chrono::milliseconds graceTime);
+/// \a begin is the earliest time at which the stop may have been requested: the process is killed a
+/// grace time after that, however late it noticed the request.
+Phases phasesOf(Instant begin, std::chrono::milliseconds graceTime);
 
 /// Whether the request ends before the process does. Only its deadline makes that certain; a
 /// resumable stream is taken if it is expected to.
--- a/Source/RelayShell/LoopLag.cpp
+++ b/Source/RelayShell/LoopLag.cpp
@@ -3,6 +3,7 @@
 #include "Net/Metrics.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Nutmegrill {
 
@@ -20,7 +21,7 @@
 {
     if (this->lastTickAt)
         this->longest = std::max(this->longest, now - *this->lastTickAt - this->tickPeriod);
-    this->lastTickAt = now;
+    this->tickBeforeAt = std::exchange(this->lastTickAt, now);
     if (now < this->nextRecordAt)
         return std::nullopt;
     this->nextRecordAt = now + RecordPeriod;
@@ -30,9 +31,9 @@
     return lag >= LoggedLag ? std::optional(lag) : std::nullopt;
 }
 
-milliseconds LoopLag::sinceTick(Instant now) const
+milliseconds LoopLag::maxEventAge(Instant now) const
 {
-    return std::chrono::duration_cast<milliseconds>(now - this->lastTickAt.value_or(now));
+    return std::chrono::duration_cast<milliseconds>(now - this->tickBeforeAt.value_or(now));
 }
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/LoopLag.h
+++ b/Source/RelayShell/LoopLag.h
@@ -20,12 +20,15 @@
     /// if it is worth a log line.
     std::optional<std::chrono::milliseconds> tick(Instant now, Metrics &metrics);
 
-    /// Time since the last tick: what happened longer ago has been noticed before.
-    std::chrono::milliseconds sinceTick(Instant now) const;
+    /// Longest time for which an event that is handled now may have waited. It reaches back to the
+    /// tick before the last one, because a tick can run before other events of the same iteration
+    /// of the loop.
+    std::chrono::milliseconds maxEventAge(Instant now) const;
 
 private:
     std::chrono::milliseconds tickPeriod;
     std::optional<Instant> lastTickAt;
+    std::optional<Instant> tickBeforeAt;
     std::chrono::microseconds longest{0};
     Instant nextRecordAt;
 };
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -217,7 +217,7 @@
 {
     const Instant now = this->loop.now();
     if (const auto found = this->requests.find(id); found != this->requests.end()) {
-        if (const milliseconds within = this->loopLag.sinceTick(now); within >= LateNotice)
+        if (const milliseconds within = this->loopLag.maxEventAge(now); within >= LateNotice)
             this->log(RelayLog::LeaveNoticedLate, LogRecord::Level::Warning,
                       "request=" + found->second.requestId
                               + " within_ms=" + std::to_string(within.count()));
@@ -436,7 +436,10 @@
 {
     if (this->stop)
         return;
-    this->stop = StopAdmission::phasesOf(this->loop.now(), this->options.graceTime);
+    const Instant now = this->loop.now();
+    // The process is killed a grace time after the signal arrived, however late that is noticed.
+    this->stop =
+            StopAdmission::phasesOf(now - this->loopLag.maxEventAge(now), this->options.graceTime);
     this->log(RelayLog::StopBegan, LogRecord::Level::Info,
               "open_requests=" + std::to_string(this->node.openRequests()));
     this->node.beginStop(this->stop->exitAt);
--- a/Tests/Platform/PlannedStopTest.cpp
+++ b/Tests/Platform/PlannedStopTest.cpp
@@ -1,4 +1,5 @@
 #include "Core/RandomSource.h"
+#include "RawWorker.h"
 #include "RelayEntryFixture.h"
 
 #include <chrono>
@@ -6,6 +7,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace Nutmegrill {
@@ -17,6 +19,10 @@
 constexpr std::size_t Callers = 50;
 constexpr int Seeds = 8;
 constexpr milliseconds GraceTime{1500};
+/// The difference between the end of a stop and that of this time is a multiple of the resolution
+/// of the process's timers; LatePause is a multiple of that difference.
+constexpr milliseconds LongGraceTime{4000};
+constexpr milliseconds LatePause{800};
 /// Longest time for which the worker works on a request.
 constexpr std::uint64_t MaxWorkMs = 120;
 
@@ -51,6 +57,7 @@
 {
     CPPUNIT_TEST_SUITE(PlannedStopTest);
     CPPUNIT_TEST(noRequestThatRanIsCutOff);
+    CPPUNIT_TEST(stopThatIsNoticedLateEndsWithinTheGraceTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -64,6 +71,23 @@
         }
     }
 
+    // Guards against a process that is killed with open requests because it counts the grace time
+    // from the moment at which it noticed the signal, not from its arrival.
+    void stopThatIsNoticedLateEndsWithinTheGraceTime()
+    {
+        const RawWorker worker(*this->loop, "", RawWorker::End::KeepOpen);
+        Answer answer;
+        this->openRequest(worker, LongGraceTime, answer);
+        Instant signalledAt;
+        this->loop->after(milliseconds(50), [this, &signalledAt] {
+            signalledAt = this->loop->now();
+            std::raise(SIGTERM);
+            std::this_thread::sleep_for(LatePause);
+        });
+        this->entry->run();
+        CPPUNIT_ASSERT(this->loop->now() < signalledAt + LongGraceTime);
+    }
+
 private:
     struct Caller
     {
@@ -72,6 +96,19 @@
         bool isStopped = false;
     };
 
+    /// Sends a request that the worker does not answer.
+    void openRequest(const RawWorker &worker, milliseconds graceTime, Answer &answer)
+    {
+        RelayEntry::Options changed = this->options;
+        changed.graceTime = graceTime;
+        this->entry->reload(changed, "changed=grace-seconds");
+        this->store->put("servers/i-1", worker.record("m"));
+        this->store->put("op/config", configuration(1, "k"));
+        this->loop->runUntil([] { return false; }, milliseconds(50));
+        this->start("/s/1", "k", "hi", answer);
+        CPPUNIT_ASSERT(this->loop->runUntil([&] { return worker.requests > 0; }, TestTimeout));
+    }
+
     void playStop(std::uint64_t seed)
     {
         RandomSource random(seed);
