Send the last answers of a stop before the process ends

Cause: one tick wrote the answers into buffers and stopped the loop, which sends them.

Evidence: PlannedStopTest::lastAnswersLeaveAProcessThatIsLate failed before the change and passes with it.

--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -418,15 +418,24 @@
     }
     if (!this->stop)
         return;
+    this->continueStop(now);
+}
+
+void RelayEntry::continueStop(Instant now)
+{
     if (now >= this->stop->closeAt) {
         this->callerListener.stopAccepting();
         this->callerListener.closeIdle();
     }
-    if (now >= this->stop->answerAt)
+    if (now >= this->stop->answerAt && this->node.openRequests() > 0) {
         this->decide("planned stop", [&](RelayNode::Commands &commands) {
             this->node.endOpenRequests(now, commands);
         });
-    if (now >= this->stop->exitAt
+        // The answers leave the process with the next iteration of the loop.
+        return;
+    }
+    const bool isSending = this->callerListener.hasUnsentBytes();
+    if (now >= this->stop->latestExitAt || (now >= this->stop->exitAt && !isSending)
         || (now >= this->stop->closeAt && this->node.openRequests() == 0
             && this->callerListener.connectionCount() == 0))
         this->loop.stop();
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -107,6 +107,8 @@
     void executeOne(const RelayCommand::Log &command);
     void tick();
     void beginStop();
+    /// Takes the steps of a planned stop that are due.
+    void continueStop(Instant now);
     bool isServing() const;
     void log(std::uint32_t number, LogRecord::Level level, const std::string &text);
 
--- a/Tests/Platform/PlannedStopTest.cpp
+++ b/Tests/Platform/PlannedStopTest.cpp
@@ -58,6 +58,7 @@
     CPPUNIT_TEST_SUITE(PlannedStopTest);
     CPPUNIT_TEST(noRequestThatRanIsCutOff);
     CPPUNIT_TEST(stopThatIsNoticedLateEndsWithinTheGraceTime);
+    CPPUNIT_TEST(lastAnswersLeaveAProcessThatIsLate);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +89,23 @@
         CPPUNIT_ASSERT(this->loop->now() < signalledAt + LongGraceTime);
     }
 
+    // Guards against answers that are written in the last moment of a process that was paused and
+    // never leave it.
+    void lastAnswersLeaveAProcessThatIsLate()
+    {
+        const RawWorker worker(*this->loop, "", RawWorker::End::KeepOpen);
+        Answer answer;
+        this->openRequest(worker, GraceTime, answer);
+        std::raise(SIGTERM);
+        this->loop->after(GraceTime * 9 / 10,
+                          [] { std::this_thread::sleep_for(GraceTime * 8 / 100); });
+        this->entry->run();
+        // The process ends here.
+        this->entry.reset();
+        this->loop->runUntil([&] { return answer.isOver; }, TestTimeout);
+        CPPUNIT_ASSERT(answer.isWhole);
+    }
+
 private:
     struct Caller
     {
