Bound the bytes that all connections of an entry hold

Callers that keep to no limit ended an entry: it ran out of memory.

Cause: each connection was bounded by itself, at up to the largest body, twice while it is sent on; requests behind an open one and answers that nobody reads were not bounded at all.

All connections of a process now share one budget (ByteBudget), two fifths of the memory of the instance. A body is admitted before it is read: 413 for what can never fit, 503 for what does not fit now, 408 for a body that stalls. What is sent ahead, and what follows unread answers, waits in the socket. Answers of backend servers are read on as memory allows. A listener without descriptors pauses.

--- a/Source/Http/HttpListener.cpp
+++ b/Source/Http/HttpListener.cpp
@@ -4,6 +4,7 @@
 #include "Net/EventLoop.h"
 
 #include <algorithm>
+#include <chrono>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -17,6 +18,10 @@
 /// Backlog of connections that wait to be accepted. A full backlog drops SYN packets, which clients
 /// retransmit only after a second or more, so it exceeds any observed burst by far.
 constexpr int ListenBacklog = 1024;
+/// A listener that accepts no connection for want of descriptors tries again after this time.
+constexpr std::chrono::milliseconds AcceptPause{100};
+/// Without a budget of the process: some requests of the largest size.
+constexpr std::size_t DefaultBudgetBytes = 64U << 20U;
 
 } // namespace
 
@@ -26,6 +31,17 @@
     {
         static_cast<HttpListener *>(self)->accept(socket);
     }
+
+    // Without a pause, the loop would call accept() again at once, for ever.
+    static void onError(evconnlistener *listener, void *context)
+    {
+        auto *self = static_cast<HttpListener *>(context);
+        evconnlistener_disable(listener);
+        self->loop.after(AcceptPause, [self, alive = std::weak_ptr<bool>(self->alive)] {
+            if (!alive.expired() && self->listener != nullptr)
+                evconnlistener_enable(self->listener);
+        });
+    }
 };
 
 std::string_view HttpListener::Request::path() const
@@ -35,7 +51,8 @@
 
 HttpListener::HttpListener(EventLoop &loop, const std::string &address, std::size_t maxConnections,
                            RequestHandler onRequest)
-    : loop(loop), maxConnections(maxConnections), handler(std::move(onRequest))
+    : loop(loop), maxConnections(maxConnections), handler(std::move(onRequest)),
+      ownBudget(DefaultBudgetBytes)
 {
     sockaddr_in local{};
     if (!parseSocketAddress(address, local))
@@ -43,6 +60,8 @@
     this->listener = evconnlistener_new_bind(
             loop.base(), &Callbacks::onAccept, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
             ListenBacklog, reinterpret_cast<sockaddr *>(&local), sizeof(local));
+    if (this->listener != nullptr)
+        evconnlistener_set_error_cb(this->listener, &Callbacks::onError);
 }
 
 HttpListener::~HttpListener()
@@ -79,9 +98,13 @@
         if (this->drainHandler)
             this->drainHandler(this->acceptedConnections.at(connectionId).request);
     };
+    handlers.onRejected = [this](int status) {
+        if (this->rejectionHandler)
+            this->rejectionHandler(status);
+    };
     AcceptedConnection &accepted = this->acceptedConnections[connectionId];
     accepted.connection = std::make_unique<ServerConnection>(this->loop, socket, this->limits,
-                                                             std::move(handlers));
+                                                             *this->budget, std::move(handlers));
     if (this->closing)
         accepted.connection->announceClose();
 }
--- a/Source/Http/HttpListener.h
+++ b/Source/Http/HttpListener.h
@@ -54,6 +54,15 @@
     void onDrained(RequestCallback handler) { this->drainHandler = std::move(handler); }
 
     void setLimits(const ServerLimits &limits) { this->limits = limits; }
+    /// Shares one budget with the other listeners of the process. Has to be called before the first
+    /// connection is accepted.
+    void setBudget(ByteBudget &shared) { this->budget = &shared; }
+    /// Sets the handler for requests that were rejected while they were read, by status, and for
+    /// connections that were shed (0).
+    void onRejected(std::function<void(int status)> handler)
+    {
+        this->rejectionHandler = std::move(handler);
+    }
 
     /// Connection of an open request; null if the request was answered or its caller disconnected.
     ServerConnection *find(RequestId id);
@@ -91,13 +100,18 @@
     RequestHandler handler;
     RequestCallback disconnectHandler;
     RequestCallback drainHandler;
+    std::function<void(int status)> rejectionHandler;
     ServerLimits limits;
+    ByteBudget ownBudget;
+    ByteBudget *budget = &this->ownBudget;
     evconnlistener *listener = nullptr;
     std::map<std::uint64_t, AcceptedConnection> acceptedConnections;
     std::map<RequestId, std::uint64_t> requests;
     std::uint64_t nextConnectionId = 1;
     RequestId nextRequestId = 1;
     bool closing = false;
+    /// Expires with this object.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace Nutmegrill
--- a/Source/Http/ServerConnection.cpp
+++ b/Source/Http/ServerConnection.cpp
@@ -4,6 +4,7 @@
 #include "Net/EventLoop.h"
 
 #include <algorithm>
+#include <charconv>
 #include <sys/socket.h>
 #include <utility>
 
@@ -21,6 +22,17 @@
 constexpr std::chrono::milliseconds MaxReaderStall{5000};
 /// Bytes of a body that count as progress within the idle time. Single bytes now and then do not.
 constexpr std::size_t MinBodyProgress = 1024;
+/// From the head to the end of the body. Callers wait for an answer for some seconds only.
+constexpr std::chrono::seconds MaxBodyTime{60};
+/// Received bytes that wait behind an open request. More stay in the socket, which slows the caller
+/// down.
+constexpr std::size_t MaxInputBytes = 64U << 10U;
+/// Unsent bytes of responses above which the next request has to wait.
+constexpr std::size_t MaxUnsentBytes = 64U << 10U;
+/// A request is held once as read and once as sent to a backend server.
+constexpr std::size_t CopiesOfBody = 2;
+/// Return time of a request for which there is no memory.
+constexpr const char *MemoryRetryAfter = "1";
 /// A new connection is not idle before its first request had the time to arrive.
 constexpr std::chrono::milliseconds FirstRequestTime{1000};
 
@@ -67,12 +79,15 @@
         // Also called when the socket becomes writable for the first time.
         if (self->pendingBytes() > 0)
             return;
+        self->updateHeld();
         if (self->lingering && self->connection != nullptr) {
             self->endSending();
             return;
         }
         if (self->streaming && self->handlers.onDrained)
             self->handlers.onDrained();
+        else if (!self->requestOpen)
+            self->readInput();
     }
 
     static void onEvent(bufferevent *, short, void *context)
@@ -83,14 +98,16 @@
 };
 
 ServerConnection::ServerConnection(EventLoop &loop, int socket, const ServerLimits &limits,
-                                   Handlers handlers)
-    : loop(loop), limits(limits),
+                                   ByteBudget &budget, Handlers handlers)
+    : loop(loop), limits(limits), budget(budget),
       connection(bufferevent_socket_new(loop.base(), socket,
                                         BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
       parser(HttpParser::Kind::Request, *this), handlers(std::move(handlers)),
-      deadline(loop.now() + limits.idleTime), firstRequestBy(loop.now() + FirstRequestTime)
+      deadline(loop.now() + limits.idleTime), firstRequestBy(loop.now() + FirstRequestTime),
+      progressAt(loop.now())
 {
     setSocketOptions(this->connection);
+    bufferevent_setwatermark(this->connection, EV_READ, 0, MaxInputBytes);
     bufferevent_setcb(this->connection, &Callbacks::onRead, &Callbacks::onWrite,
                       &Callbacks::onEvent, this);
     bufferevent_enable(this->connection, EV_READ | EV_WRITE);
@@ -98,6 +115,7 @@
 
 ServerConnection::~ServerConnection()
 {
+    this->budget.setHeld(this, 0);
     if (this->connection != nullptr)
         bufferevent_free(this->connection);
 }
@@ -114,7 +132,11 @@
     this->head = std::move(parsed);
     this->body.clear();
     this->progress = 0;
+    this->announcedBytes = 0;
+    if (const std::string *length = this->head.find("content-length"))
+        std::from_chars(length->data(), length->data() + length->size(), this->announcedBytes);
     this->deadline = this->loop.now() + this->limits.idleTime;
+    this->bodyDueAt = this->loop.now() + MaxBodyTime;
 }
 
 void ServerConnection::bodyParsed(std::string_view data)
@@ -124,10 +146,66 @@
         this->body.append(data.substr(0, this->limits.bodyBytes + 1 - this->body.size()));
     if (this->body.size() >= this->progress + MinBodyProgress) {
         this->progress = this->body.size();
-        this->deadline = this->loop.now() + this->limits.idleTime;
+        this->deadline = std::min(this->loop.now() + this->limits.idleTime, this->bodyDueAt);
     }
 }
 
+Instant ServerConnection::stalledSince() const
+{
+    const bool isReading = !this->requestOpen && !this->lingering
+                           && this->parser.state() != HttpParser::State::Idle;
+    return isReading || (!this->requestOpen && this->pendingBytes() > 0) ? this->progressAt
+                                                                         : NoDeadline;
+}
+
+void ServerConnection::shed()
+{
+    if (this->connection == nullptr)
+        return;
+    if (this->pendingBytes() == 0) {
+        this->rejectRequest(408);
+        return;
+    }
+    if (this->handlers.onRejected)
+        this->handlers.onRejected(0);
+    this->closeAndNotify();
+}
+
+void ServerConnection::updateHeld()
+{
+    if (this->connection == nullptr) {
+        this->budget.setHeld(this, 0);
+        return;
+    }
+    const std::size_t input = evbuffer_get_length(bufferevent_get_input(this->connection));
+    this->budget.setHeld(this,
+                         input + this->headBytes + this->reservedBytes + this->pendingBytes());
+}
+
+bool ServerConnection::isInputFull() const
+{
+    return evbuffer_get_length(bufferevent_get_input(this->connection)) >= MaxInputBytes;
+}
+
+int ServerConnection::statusToReject()
+{
+    const std::size_t bytes = std::max(this->announcedBytes, this->body.size());
+    if (bytes > this->limits.bodyBytes)
+        return 413;
+    // A chunked body grows: it reserves ahead, so that it asks seldom.
+    const bool isGrowing = this->announcedBytes == 0 && bytes > 0
+                           && this->parser.state() == HttpParser::State::Body;
+    const std::size_t wanted = CopiesOfBody * (isGrowing ? bytes + bytes / 2 : bytes);
+    if (CopiesOfBody * bytes <= this->reservedBytes && !this->budget.isExhausted())
+        return 0;
+    if (!this->budget.canEverFit(CopiesOfBody * bytes))
+        return 413;
+    if (!this->budget.makeRoom(this->loop.now(), wanted - this->reservedBytes, this))
+        return 503;
+    this->reservedBytes = wanted;
+    return 0;
+}
+
 void ServerConnection::readInput()
 {
     // Prevents recursion: a handler may respond at once, which starts the next pipelined request.
@@ -137,6 +215,9 @@
     const std::weak_ptr<bool> guard = this->alive;
     while (this->connection != nullptr && !this->requestOpen) {
         evbuffer *input = bufferevent_get_input(this->connection);
+        // Responses that the caller does not read hold back its further requests.
+        if (!this->lingering && this->pendingBytes() > MaxUnsentBytes)
+            break;
         if (this->lingering) {
             evbuffer_drain(input, evbuffer_get_length(input));
             break;
@@ -147,15 +228,19 @@
         const bool wasIdle = this->parser.state() == HttpParser::State::Idle;
         const auto *bytes = reinterpret_cast<const char *>(
                 evbuffer_pullup(input, static_cast<ev_ssize_t>(length)));
-        evbuffer_drain(input, this->parser.feed({bytes, length}));
+        const std::size_t used = this->parser.feed({bytes, length});
+        evbuffer_drain(input, used);
+        this->progressAt = this->loop.now();
+        this->headBytes =
+                this->parser.state() == HttpParser::State::Head ? this->headBytes + used : 0;
         if (wasIdle && this->parser.state() == HttpParser::State::Head)
             this->deadline = this->loop.now() + this->limits.headTime;
         if (this->parser.state() == HttpParser::State::Failed) {
             this->rejectRequest(this->parser.isHeadTooLarge() ? 431 : 400);
             break;
         }
-        if (this->body.size() > this->limits.bodyBytes) {
-            this->rejectRequest(413);
+        if (const int status = this->statusToReject(); status != 0) {
+            this->rejectRequest(status);
             break;
         }
         if (this->parser.state() == HttpParser::State::Complete) {
@@ -169,6 +254,7 @@
         }
     }
     this->reading = false;
+    this->updateHeld();
 }
 
 void ServerConnection::rejectRequest(int status)
@@ -176,7 +262,13 @@
     this->requestOpen = true;
     this->head.keepAlive = false;
     this->closing = true;
-    this->reply(status, {}, {}, {});
+    this->body = std::string();
+    if (this->handlers.onRejected)
+        this->handlers.onRejected(status);
+    this->reply(status, {},
+                status == 503 ? HttpHead::Headers{{"Retry-After", MemoryRetryAfter}}
+                              : HttpHead::Headers{},
+                {});
 }
 
 void ServerConnection::writeHead(int status, std::string_view reason,
@@ -243,6 +335,11 @@
 void ServerConnection::responseEnded()
 {
     this->requestOpen = false;
+    this->reservedBytes = 0;
+    this->headBytes = 0;
+    this->announcedBytes = 0;
+    this->progressAt = this->loop.now();
+    this->updateHeld();
     if (this->closing) {
         this->closeAfterWrite();
         return;
@@ -277,8 +374,10 @@
 void ServerConnection::extendForReader(Instant now)
 {
     const std::size_t unsent = this->pendingBytes();
-    if (unsent > 0 && unsent < this->unsentBytes)
+    if (unsent > 0 && unsent < this->unsentBytes) {
         this->deadline = std::max(this->deadline, now + MaxReaderStall);
+        this->progressAt = now;
+    }
     this->unsentBytes = unsent;
 }
 
@@ -309,8 +408,14 @@
 
 void ServerConnection::checkDeadline(Instant now)
 {
-    if (this->connection == nullptr || this->requestOpen)
+    if (this->connection == nullptr)
+        return;
+    if (this->requestOpen) {
+        // The end of the connection is not noticed while the socket is not read.
+        if (this->isInputFull())
+            this->closeIfCallerLeft();
         return;
+    }
     this->extendForReader(now);
     if (this->deadline > now)
         return;
@@ -326,6 +431,9 @@
         bufferevent_free(this->connection);
         this->connection = nullptr;
     }
+    this->reservedBytes = 0;
+    this->body = std::string();
+    this->updateHeld();
     const bool hadOpenRequest = this->requestOpen;
     this->requestOpen = false;
     this->streaming = false;
--- a/Source/Http/ServerConnection.h
+++ b/Source/Http/ServerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Time.h"
+#include "Http/ByteBudget.h"
 #include "Http/HttpParser.h"
 
 #include <chrono>
@@ -22,14 +23,13 @@
     std::size_t bodyBytes = 4U << 20U;
     /// From the first byte of a request to the end of its head.
     std::chrono::milliseconds headTime{3000};
-    /// From the end of a response to the next request, and from the head of a request to the end of
-    /// its body.
+    /// From the end of a response to the next request, and between two steps of progress of a body.
     std::chrono::milliseconds idleTime{15000};
 };
 
 /// An incoming HTTP/1.1 connection. Pipelined requests are handled one after the other: the next
 /// one stays in the input buffer until the response to the current one has ended.
-class ServerConnection : private HttpParser::Observer
+class ServerConnection : private HttpParser::Observer, private ByteBudget::Holder
 {
 public:
     struct Handlers
@@ -42,9 +42,12 @@
         std::function<void()> onClosed;
         /// All queued bytes of a streamed response have been sent.
         std::function<void()> onDrained;
+        /// A request was rejected before onRequest, or the connection was shed (status 0).
+        std::function<void(int status)> onRejected;
     };
 
-    ServerConnection(EventLoop &loop, int socket, const ServerLimits &limits, Handlers handlers);
+    ServerConnection(EventLoop &loop, int socket, const ServerLimits &limits, ByteBudget &budget,
+                     Handlers handlers);
     ~ServerConnection() override;
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
@@ -87,7 +90,15 @@
 
     void headParsed(HttpHead &&head) override;
     void bodyParsed(std::string_view data) override;
+    Instant stalledSince() const override;
+    void shed() override;
     void readInput();
+    /// Why the request that is being read cannot be taken: its status, or 0.
+    int statusToReject();
+    /// Tells the budget what this connection holds now.
+    void updateHeld();
+    /// Whether the input buffer is full, so that the socket is not read.
+    bool isInputFull() const;
     void rejectRequest(int status);
     void writeHead(int status, std::string_view reason, const HttpHead::Headers &headers,
                    const std::string &framing);
@@ -101,6 +112,7 @@
 
     EventLoop &loop;
     const ServerLimits &limits;
+    ByteBudget &budget;
     bufferevent *connection;
     HttpParser parser;
     Handlers handlers;
@@ -118,6 +130,16 @@
     std::size_t progress = 0;
     /// Unsent bytes of responses when the deadline was last checked.
     std::size_t unsentBytes = 0;
+    /// Bytes of the head that is being read.
+    std::size_t headBytes = 0;
+    /// Content-Length of the request that is being read.
+    std::size_t announcedBytes = 0;
+    /// Bytes reserved for the request that is being read or open.
+    std::size_t reservedBytes = 0;
+    /// Latest time at which the body has to be complete.
+    Instant bodyDueAt = NoDeadline;
+    /// When the caller last sent a part of a request, or took a part of a response.
+    Instant progressAt;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/Source/Programs/ProcessStart.cpp
+++ b/Source/Programs/ProcessStart.cpp
@@ -1,6 +1,7 @@
 #include "Programs/ProcessStart.h"
 
 #include <chrono>
+#include <sys/sysinfo.h>
 #include <utility>
 
 namespace Nutmegrill {
@@ -23,4 +24,13 @@
     return static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count());
 }
 
+std::uint64_t ProcessStart::instanceMemory()
+{
+    struct sysinfo system
+    {};
+    if (::sysinfo(&system) != 0)
+        return 0;
+    return static_cast<std::uint64_t>(system.totalram) * system.mem_unit;
+}
+
 } // namespace Nutmegrill
--- a/Source/Programs/ProcessStart.h
+++ b/Source/Programs/ProcessStart.h
@@ -55,6 +55,8 @@
 
     /// System clock reading, which differs between the starts of a process.
     static std::uint64_t systemClockTicks();
+    /// Memory of this instance in bytes, as the system reports it.
+    static std::uint64_t instanceMemory();
 
 private:
     std::string program;
--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -34,13 +34,45 @@
     bool isOver = false;
     bool isReused = false;
     bool isPaused = false;
+    /// Reading waits until there is memory for the answer.
+    bool isHeldBack = false;
 };
 
-BackendAttempts::BackendAttempts(EventLoop &loop, const RelayProtocol &protocol, Observer observer)
-    : loop(loop), protocol(protocol), observer(std::move(observer)), pool(loop)
+BackendAttempts::BackendAttempts(EventLoop &loop, const RelayProtocol &protocol, ByteBudget &budget,
+                                 Observer observer)
+    : loop(loop), protocol(protocol), budget(budget), observer(std::move(observer)), pool(loop)
 {}
 
-BackendAttempts::~BackendAttempts() = default;
+BackendAttempts::~BackendAttempts()
+{
+    this->setAnswerBytes(0);
+}
+
+void BackendAttempts::setAnswerBytes(std::size_t bytes)
+{
+    this->answerBytes = bytes;
+    this->budget.setHeld(this, bytes);
+}
+
+void BackendAttempts::tick(Instant now)
+{
+    this->pool.tick(now);
+    this->continueHeldBack();
+}
+
+void BackendAttempts::continueHeldBack()
+{
+    bool isOldest = true;
+    for (auto &[id, attempt] : this->openAttempts) {
+        if (!attempt->isHeldBack)
+            continue;
+        if (!isOldest && this->budget.isExhausted())
+            return;
+        isOldest = false;
+        attempt->isHeldBack = false;
+        attempt->connection->pauseReading(false);
+    }
+}
 
 void BackendAttempts::start(const RelayCommand::StartAttempt &command, const std::string &requestId,
                             const std::string &bytes)
@@ -117,6 +149,11 @@
     }
     if (!openAttempt.head.isStream) {
         openAttempt.answer.body.append(data);
+        this->setAnswerBytes(this->answerBytes + data.size());
+        if (this->budget.isExhausted()) {
+            openAttempt.isHeldBack = true;
+            openAttempt.connection->pauseReading(true);
+        }
         return;
     }
     openAttempt.events.add(data);
@@ -152,6 +189,10 @@
         return;
     }
     openAttempt.isOver = true;
+    // The connection is used again.
+    if (openAttempt.isPaused || openAttempt.isHeldBack)
+        openAttempt.connection->pauseReading(false);
+    openAttempt.isPaused = openAttempt.isHeldBack = false;
     if (openAttempt.head.notRun)
         this->pool.recordRefusal(openAttempt.backend, openAttempt.connection.get(),
                                  openAttempt.requestId);
@@ -180,6 +221,7 @@
     if (OpenAttempt &openAttempt = *found->second;
         !openAttempt.isOver && openAttempt.connection != nullptr)
         openAttempt.connection->close();
+    this->setAnswerBytes(this->answerBytes - found->second->answer.body.size());
     this->openAttempts.erase(found);
 }
 
--- a/Source/RelayShell/BackendAttempts.h
+++ b/Source/RelayShell/BackendAttempts.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Http/ByteBudget.h"
 #include "Relay/RelayNode.h"
 #include "RelayShell/BackendPool.h"
 
@@ -18,7 +19,7 @@
 /// The open attempts at backend servers: sends their requests, parses the answers and reports the
 /// results to the observer. Keeps the head of each answer, and the body of an answer that is not a
 /// stream, until the attempt is cancelled.
-class BackendAttempts
+class BackendAttempts : private ByteBudget::Holder
 {
 public:
     using AttemptId = RelayCommand::AttemptId;
@@ -39,8 +40,9 @@
         std::string body;
     };
 
-    BackendAttempts(EventLoop &loop, const RelayProtocol &protocol, Observer observer);
-    ~BackendAttempts();
+    BackendAttempts(EventLoop &loop, const RelayProtocol &protocol, ByteBudget &budget,
+                    Observer observer);
+    ~BackendAttempts() override;
     BackendAttempts(const BackendAttempts &) = delete;
     BackendAttempts &operator=(const BackendAttempts &) = delete;
 
@@ -56,12 +58,19 @@
     std::string describeOpen(AttemptId attempt) const;
     /// Finds out whether anything listens at the address, by a connection without a request.
     void check(const std::string &address, std::function<void(BackendCheck)> onResult);
-    void tick(Instant now) { this->pool.tick(now); }
+    void tick(Instant now);
     std::uint64_t connectionsOpened() const { return this->pool.connectionsOpened(); }
 
 private:
     struct OpenAttempt;
 
+    /// Answers are kept until their callers have gone.
+    Instant stalledSince() const override { return NoDeadline; }
+    void shed() override {}
+    void setAnswerBytes(std::size_t bytes);
+    /// Lets answers go on that were held back for want of memory. The oldest always does, so that
+    /// some answer is completed.
+    void continueHeldBack();
     bool handleHead(AttemptId attempt, const HttpHead &head);
     void handleData(AttemptId attempt, std::string_view data);
     void handleEnd(AttemptId attempt);
@@ -69,8 +78,11 @@
 
     EventLoop &loop;
     const RelayProtocol &protocol;
+    ByteBudget &budget;
     Observer observer;
     BackendPool pool;
+    /// Bytes of the answers that are buffered.
+    std::size_t answerBytes = 0;
     std::map<AttemptId, std::unique_ptr<OpenAttempt>> openAttempts;
     std::map<std::uint64_t, std::shared_ptr<ClientConnection>> checks;
     std::uint64_t nextCheck = 1;
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -28,6 +28,11 @@
 /// A lost key is written again within this time.
 constexpr milliseconds AnnouncePeriod{3000};
 constexpr std::size_t MaxLoggedError = 200;
+/// Share of the memory for what is held for callers; the rest covers copies that are being made,
+/// connections, the configuration and the process itself.
+constexpr std::size_t BudgetPercent = 40;
+/// Readiness checks, address lookups and entries send no bodies.
+constexpr std::size_t MaxInternalBodyBytes = 64U << 10U;
 /// Backend servers should be free half a second after a caller has left; a fifth of that is logged.
 constexpr milliseconds LateNotice{100};
 
@@ -43,8 +48,8 @@
 RelayEntry::RelayEntry(EventLoop &loop, const Options &options, const RelayProtocol &protocol,
                        const StateDecoder &decoder, StateStore &store)
     : loop(loop), options(options), protocol(protocol), decoder(decoder), store(store),
-      node(nodeSettings(options)),
-      attempts(loop, protocol,
+      budget(options.memoryBytes / 100 * BudgetPercent), node(nodeSettings(options)),
+      attempts(loop, protocol, this->budget,
                {[this](auto attempt) { this->node.attemptConnected(this->loop.now(), attempt); },
                 [this](auto attempt, const AnswerHead &head) {
                     this->decide("attempt=" + std::to_string(attempt),
@@ -106,6 +111,16 @@
                    [this](std::string_view bytes) { this->handleDatagram(bytes); }),
       loopLag(TickPeriod)
 {
+    ServerLimits internal;
+    internal.bodyBytes = MaxInternalBodyBytes;
+    for (HttpListener *listener :
+         {&this->callerListener, &this->readinessListener, &this->directoryListener,
+          &this->peerListener, &this->metricsListener}) {
+        listener->setBudget(this->budget);
+        listener->onRejected([this](int status) { this->requestRejected(status); });
+        if (listener != &this->callerListener)
+            listener->setLimits(internal);
+    }
     this->callerListener.onCallerDisconnected(
             [this](HttpListener::RequestId id) { this->callerDisconnected(id); });
     this->callerListener.onDrained([this](HttpListener::RequestId id) {
@@ -189,6 +204,14 @@
     }
 }
 
+void RelayEntry::requestRejected(int status)
+{
+    this->metrics.add("nutmegrill_rejected_unread_total", {{"status", std::to_string(status)}});
+    this->log(RelayLog::RejectedUnread, LogRecord::Level::Warning,
+              "status=" + std::to_string(status)
+                      + " held_bytes=" + std::to_string(this->budget.heldBytes()));
+}
+
 void RelayEntry::logUnexpected(const std::string &where, const std::exception &error)
 {
     this->metrics.add("nutmegrill_unexpected_errors_total", {});
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -46,6 +46,8 @@
         /// How long callers may cache the result of an address lookup.
         std::chrono::seconds directoryLifetime{1};
         std::size_t maxConnections = 3000;
+        /// Memory of the instance.
+        std::size_t memoryBytes = 256U << 20U;
         std::uint64_t incarnation = 0;
         RelayNode::Settings node;
     };
@@ -75,6 +77,7 @@
     void handleRequest(HttpListener::Request &&request);
     void startRequest(HttpListener::Request &&request);
     void callerDisconnected(HttpListener::RequestId id);
+    void requestRejected(int status);
     void logUnexpected(const std::string &where, const std::exception &error);
     StateDecoder::DecodedChange decode(const StoreChange &change);
     void handleDatagram(std::string_view bytes);
@@ -118,6 +121,7 @@
     const StateDecoder &decoder;
     StateStore &store;
     Metrics metrics;
+    ByteBudget budget;
     RelayNode node;
     BackendAttempts attempts;
     StoreFeed storeFeed;
