--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -184,7 +184,13 @@
             const std::string flag = flagOfVariable(variable);
             return this->parser->formats.count(flag) != 0 ? flag : std::string();
         };
-        options::store(options::parse_environment(this->parser->description, knownFlag), parsed);
+        // As in the file, an empty value keeps the default.
+        const auto isEmpty = [](const auto &line) {
+            return line.value.empty() || line.value.front().empty();
+        };
+        auto environment = options::parse_environment(this->parser->description, knownFlag);
+        std::erase_if(environment.options, isEmpty);
+        options::store(environment, parsed);
         if (parsed.count("settings") != 0 && !parsed["settings"].as<std::string>().empty()) {
             const std::string path = parsed["settings"].as<std::string>();
             this->fileText = readFile(path);
@@ -193,9 +199,7 @@
                 auto lines = options::parse_config_file(stream, this->parser->description, true);
                 // A line without a value keeps the default, so that a template may refer to a field
                 // that a deployment does not have.
-                std::erase_if(lines.options, [](const auto &line) {
-                    return line.value.empty() || line.value.front().empty();
-                });
+                std::erase_if(lines.options, isEmpty);
                 options::store(lines, parsed);
             } else {
                 errors.push_back("--settings: '" + path + "' cannot be read");
--- a/Source/Relay/EntryReport.h
+++ b/Source/Relay/EntryReport.h
@@ -35,6 +35,8 @@
     bool reachesStore = true;
     /// Time since the store answered this entry again after an outage; only shortly afterwards.
     std::optional<std::chrono::milliseconds> sinceStoreReturned;
+    /// Time of day on the clock of this entry; only where duties need true time.
+    std::optional<std::chrono::system_clock::time_point> clock;
     /// Running requests of this entry, by id of the backend server.
     std::map<std::string, std::uint32_t> running;
     /// Requests that wait for a slot at this entry, by service.
--- a/Source/Relay/EntryTable.cpp
+++ b/Source/Relay/EntryTable.cpp
@@ -124,6 +124,25 @@
 
 bool EntryTable::countsForLimits(const Row &row, Instant now) const
 {
+std::vector<std::string> EntryTable::liveAddresses(Instant now) const
+{
+    std::vector<std::string> addresses;
+    for (const auto &[address, row] : this->rows) {
+        if (this->isLive(row, now) && !row.report->isLeaving)
+            addresses.push_back(address);
+    }
+    return addresses;
+}
+
+std::vector<std::string> EntryTable::storePeers(Instant now) const
+{
+    std::vector<std::string> addresses = this->liveAddresses(now);
+    std::erase_if(addresses, [this](const std::string &address) {
+        return !this->rows.at(address).report->reachesStore;
+    });
+    return addresses;
+}
+
     const auto silence =
             this->switches.countsSilent ? SilentEntryRetention : std::chrono::milliseconds(0);
     const bool isKnown = row.report.has_value() || this->switches.countsAnnounced;
--- a/Source/Relay/EntryTable.h
+++ b/Source/Relay/EntryTable.h
@@ -62,6 +62,11 @@
     /// Caller addresses of the other live entries that accept callers.
     std::vector<std::string> servingAddresses(Instant now) const;
 
+    /// Peer addresses of the other live entries that are not leaving, and of those among them that
+    /// reach the store.
+    std::vector<std::string> liveAddresses(Instant now) const;
+    std::vector<std::string> storePeers(Instant now) const;
+
     /// Number of entries, including this one, that may send requests: those that reported or were
     /// listed recently. Silent entries count for some seconds more, because a network partition may
     /// hide entries that still send.
--- a/Source/Relay/RelayCommand.h
+++ b/Source/Relay/RelayCommand.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/LogRecord.h"
+#include "Core/Time.h"
 #include "Membership/CrashReport.h"
 #include "Relay/RequestTimes.h"
 
@@ -106,13 +107,21 @@
     RequestTimes times;
 };
 
+/// A request of the client account began to run at a backend server.
+struct RecordRun
+{
+    std::string account;
+    Instant beganAt;
+};
+
 struct Log
 {
     LogRecord record;
 };
 
 using Any = std::variant<StartAttempt, CancelAttempt, Refuse, RelayAnswer, OpenStream, SendEvent,
-                         EndStream, AbortStream, CheckBackend, StoreCrashes, RecordTimes, Log>;
+                         EndStream, AbortStream, CheckBackend, StoreCrashes, RecordTimes, RecordRun,
+                         Log>;
 using List = std::vector<Any>;
 
 } // namespace RelayCommand
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -51,6 +51,9 @@
 inline constexpr std::uint32_t AttemptReset = 5047;
 inline constexpr std::uint32_t LeaveNoticedLate = 5048;
 inline constexpr std::uint32_t RejectedUnread = 5049;
+inline constexpr std::uint32_t DutyTaken = 5050;
+inline constexpr std::uint32_t DutyLost = 5051;
+inline constexpr std::uint32_t UsageReported = 5052;
 
 } // namespace RelayLog
 
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -65,6 +65,8 @@
         /// not know what its previous start sent in the last second. Turned off only in tests.
         bool reducesColdRateAfterStart = true;
     };
+        /// Returns RecordRun commands.
+        bool recordsRuns = false;
 
     explicit RelayNode(const Settings &settings);
     ~RelayNode();
@@ -183,6 +185,7 @@
     void recordEnd(Instant now, const std::string &incarnation, Commands &commands);
     void recordProgress(Instant now, Exchange &exchange);
     std::string incarnationOf(const std::string &backend) const;
+    void recordRun(Instant beganAt, const Exchange &exchange, Commands &commands) const;
     void checkRestarts(Instant now, Commands &commands);
     ServiceWaitEstimator &waitEstimatorOf(const Exchange &exchange);
     ServiceRetryBudget &retryBudgetOf(const std::string &service);
--- a/Source/Relay/RelayNodeAttempts.cpp
+++ b/Source/Relay/RelayNodeAttempts.cpp
@@ -130,6 +130,7 @@
         exchange->times.serving += now - exchange->attempt->connectedAt;
         this->waitEstimatorOf(*exchange).recordDelay(now - exchange->attempt->sentAt);
         exchange->attempt->firstEventAt = now;
+        this->recordRun(now, *exchange, commands);
     }
     exchange->attempt->lastActivityAt = now;
     exchange->attempt->hasEvent = true;
@@ -175,6 +176,7 @@
     if (!running.hasEvent) {
         exchange->times.serving += now - running.connectedAt;
         this->waitEstimatorOf(*exchange).recordDelay(now - running.sentAt);
+        this->recordRun(running.connectedAt, *exchange, commands);
     }
     this->releaseSlot(running);
     this->attempts.erase(attempt);
@@ -219,6 +221,9 @@
         wasSent ? row->health.recordFailure(now) : row->health.recordUnreachable(now);
     if (!wasSent && exchange->runs > 0)
         --exchange->runs;
+    // A call whose answer was lost has run.
+    if (failure == AttemptFailure::Broken && exchange->route.kind != Route::Kind::Stream)
+        this->recordRun(exchange->attempt->connectedAt, *exchange, commands);
     if (failure == AttemptFailure::Broken)
         this->recordBreak(now, *exchange, commands);
     else if (failure == AttemptFailure::Refused)
@@ -257,6 +262,12 @@
         this->abandon(now, exchange, reason, commands);
 }
 
+void RelayNode::recordRun(Instant beganAt, const Exchange &exchange, Commands &commands) const
+{
+    if (this->settings.recordsRuns && !exchange.account.empty())
+        commands.push_back(RelayCommand::RecordRun{exchange.account, beganAt});
+}
+
 void RelayNode::abandon(Instant now, Exchange &exchange, const std::string &why, Commands &commands)
 {
     if (exchange.isStreamOpen) {
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -87,6 +87,10 @@
         json["generation"] = report.known.generation;
     if (report.sinceStoreReturned)
         json["returned"] = report.sinceStoreReturned->count();
+    if (report.clock)
+        json["clock"] = std::chrono::duration_cast<std::chrono::milliseconds>(
+                                report.clock->time_since_epoch())
+                                .count();
     for (const auto &[incarnation, requestsPerSecond, age] : report.limits)
         json["limits"].push_back(
                 {incarnation, requestsPerSecond ? Json(*requestsPerSecond) : Json(), age.count()});
@@ -118,6 +122,9 @@
         if (json.contains("returned"))
             report.sinceStoreReturned =
                     std::chrono::milliseconds(json.at("returned").get<std::uint32_t>());
+        if (json.contains("clock"))
+            report.clock = std::chrono::system_clock::time_point(
+                    std::chrono::milliseconds(json.at("clock").get<std::int64_t>()));
         report.running = json.value("running", decltype(report.running)());
         report.waiting = json.value("waiting", decltype(report.waiting)());
         for (const Json &limit : json.value("limits", Json::array()))
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -40,13 +40,14 @@
 {
     RelayNode::Settings settings = options.node;
     settings.peerAddress = options.peerAddress;
+    settings.recordsRuns = options.usage.isEnabled();
     return settings;
 }
 
 } // namespace
 
 RelayEntry::RelayEntry(EventLoop &loop, const Options &options, const RelayProtocol &protocol,
-                       const StateDecoder &decoder, StateStore &store)
+                       const StateDecoder &decoder, StateStore &store, const DutyProtocol *duties)
     : loop(loop), options(options), protocol(protocol), decoder(decoder), store(store),
       budget(options.memoryBytes / 100 * BudgetPercent), node(nodeSettings(options)),
       attempts(loop, protocol, this->budget,
@@ -130,6 +131,20 @@
         found->second.isPaused = false;
         this->attempts.pause(found->second.attempt, false);
     });
+    if (options.usage.isEnabled() && duties != nullptr) {
+        UsageDuty::Options usage = options.usage;
+        usage.name = options.name;
+        usage.peerAddress = options.peerAddress;
+        usage.incarnation = options.incarnation;
+        this->usageDuty = std::make_unique<UsageDuty>(
+                loop, usage, *duties, decoder, store, this->metrics,
+                UsageDuty::Handlers{[this](const std::string &address, const std::string &bytes) {
+                                        this->sendMessage(address, bytes);
+                                    },
+                                    [this](const LogRecord &record) {
+                                        EventLog::writeRateLimited(this->loop.now(), record);
+                                    }});
+    }
     this->tickTimer = loop.every(TickPeriod, [this] { this->tick(); });
     this->reportTimer = loop.every(ReportPeriod, [this] { this->sendReports(); });
     this->announceTimer = loop.every(AnnouncePeriod, [this] { this->announce(); });
@@ -478,6 +493,8 @@
     this->callerListener.announceClose();
     if (this->holdsLease())
         this->store.revokeLease(this->lease);
+    if (this->usageDuty != nullptr)
+        this->usageDuty->end();
     this->sendReports();
 }
 
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -13,6 +13,7 @@
 #include "RelayShell/OpenRequest.h"
 #include "RelayShell/StateDecoder.h"
 #include "RelayShell/StoreFeed.h"
+#include "RelayShell/UsageDuty.h"
 
 #include <chrono>
 #include <cstdint>
@@ -23,6 +24,7 @@
 
 namespace Nutmegrill {
 
+class DutyProtocol;
 class RelayProtocol;
 
 /// I/O layer of an entry that relays requests directly to backend servers: sockets, store access,
@@ -50,10 +52,13 @@
         std::size_t memoryBytes = 256U << 20U;
         std::uint64_t incarnation = 0;
         RelayNode::Settings node;
+        UsageDuty::Options usage;
     };
 
+    /// \a duties is needed only for usage reports.
     RelayEntry(EventLoop &loop, const Options &options, const RelayProtocol &protocol,
-               const StateDecoder &decoder, StateStore &store);
+               const StateDecoder &decoder, StateStore &store,
+               const DutyProtocol *duties = nullptr);
     ~RelayEntry();
     RelayEntry(const RelayEntry &) = delete;
     RelayEntry &operator=(const RelayEntry &) = delete;
@@ -107,6 +112,7 @@
     void executeOne(const RelayCommand::CheckBackend &command);
     void executeOne(const RelayCommand::StoreCrashes &command);
     void executeOne(const RelayCommand::RecordTimes &command);
+    void executeOne(const RelayCommand::RecordRun &command);
     void executeOne(const RelayCommand::Log &command);
     void tick();
     void beginStop();
@@ -132,6 +138,8 @@
     HttpListener metricsListener;
     DatagramSocket reportSocket;
     std::map<HttpListener::RequestId, OpenRequest> requests;
+    /// Null if no usage is reported.
+    std::unique_ptr<UsageDuty> usageDuty;
     PeerPull peerPull;
     LoopLag loopLag;
     std::unique_ptr<EventLoop::Timer> tickTimer;
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -221,6 +221,12 @@
                               std::chrono::duration<double>(time).count());
 }
 
+void RelayEntry::executeOne(const RelayCommand::RecordRun &command)
+{
+    if (this->usageDuty != nullptr)
+        this->usageDuty->recordRun(command.beganAt, command.account);
+}
+
 void RelayEntry::executeOne(const RelayCommand::Log &command)
 {
     if (command.record.number == RelayLog::BackendLeaves)
--- a/Source/RelayShell/RelayEntryPeers.cpp
+++ b/Source/RelayShell/RelayEntryPeers.cpp
@@ -85,6 +85,8 @@
             this->node.entries().loads().shareReceived(this->loop.now(), *share);
             return;
         }
+        if (this->usageDuty != nullptr && this->usageDuty->handleMessage(bytes))
+            return;
         if (const auto membership = decodeGroupMembership(bytes)) {
             this->node.groupArrived(this->loop.now(), *membership);
             return;
@@ -100,6 +102,8 @@
     this->execute(commands);
     if (!isNew)
         return;
+    if (this->usageDuty != nullptr)
+        this->usageDuty->observeClock(*report);
     if (report->sinceStoreReturned)
         this->node.roster().storeReturned(now - *report->sinceStoreReturned);
     if (!this->isWatchingStore && this->storeFeed.mirror().position() < report->known)
@@ -123,6 +127,8 @@
     if (this->storeReturnedAt && now < *this->storeReturnedAt + StoreReturnReportTime)
         report.sinceStoreReturned =
                 std::chrono::duration_cast<milliseconds>(now - *this->storeReturnedAt);
+    if (this->usageDuty != nullptr)
+        report.clock = std::chrono::system_clock::now();
     EntryTable &entries = this->node.entries();
     entries.setOwn(report);
     if (this->reportSchedule.isDue(now, entries.size() + 1,
@@ -140,6 +146,8 @@
     this->storeFeed.setWatching(this->isWatchingStore);
     this->pullFromPeer();
     this->askForGroups();
+    if (this->usageDuty != nullptr)
+        this->usageDuty->tick(this->storeFeed.mirror(), entries, this->storeFeed.isConnected());
 }
 
 void RelayEntry::sendLoads(Instant now)
--- a/Source/RelayShell/StateDecoder.h
+++ b/Source/RelayShell/StateDecoder.h
@@ -59,6 +59,8 @@
     virtual std::string entryKey(const std::string &name) const = 0;
     /// Key under which entries record crashes under a trait of requests.
     virtual std::string crashesKey(std::uint64_t trait) const = 0;
+    /// Key under which entries keep a part of the state of a duty that one of them has.
+    virtual std::string dutyKey(const std::string &duty, const std::string &part) const = 0;
 };
 
 } // namespace Nutmegrill
