Let the limit of a model group follow its longest pauses

The limit now falls by the longest pause of an interval and rises while those of the last second keep a distance to the target. The share of the slots is used as it is, not rounded to whole slots.

--- a/Source/Relay/ConcurrencyLimit.h
+++ b/Source/Relay/ConcurrencyLimit.h
@@ -2,6 +2,7 @@
 
 #include "Core/Time.h"
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 
@@ -22,6 +23,8 @@
 
     /// Concurrent requests allowed at a backend server with \a slots.
     std::uint32_t limit(std::uint32_t slots) const;
+    /// Share of the slots that may be used.
+    double share() const { return this->slotShare; }
 
     /// Smoothed pauses between events relative to their target; not below a minimum, since short
     /// pauses do not tell the groups apart.
@@ -32,6 +35,8 @@
     double pauseRatio = 0;
     /// Share of the slots that may be used.
     double slotShare = 1;
+    /// Longest ratio of pause to target in the present interval and the ones before it.
+    std::array<double, 4> longest{};
     Instant adjustedAt;
     std::uint32_t samples = 0;
 };
