Place requests by the age of the known loads, and share what becomes free

Callers of a large model group waited 600 to 1,100 ms for their first event at servers that were full, while others were not: an entry knew 5 running requests where there were 8, and one request in four went to a server with more than its 10 slots; servers rejected one arrival in eight.

Cause: all entries chose the server that had been least loaded 0.2 s ago. placeRequest() now takes a share of the known requests as replaced since, and draws a server by what it lacks to the level that this leaves. SlotBudget shares the slots that become free among the entries, urgent requests first, instead of each entry taking all that it sees free. An entry tells its waiting requests by priority.

--- a/Source/Relay/EntryTable.cpp
+++ b/Source/Relay/EntryTable.cpp
@@ -23,6 +23,8 @@
 /// Older reports of running requests are ignored: most requests end within two seconds.
 constexpr std::chrono::milliseconds MaxLoadReportAge{1500};
 constexpr int MaxLoadReportPeriods = 2;
+/// From the event that changes a load to the report that tells it, and on the network.
+constexpr std::chrono::milliseconds ReportDelay{20};
 /// A lower incarnation is accepted after this silence of the previous one, because the clock may
 /// have been set back between the two starts. Delayed datagrams of an earlier start arrive sooner.
 constexpr std::chrono::milliseconds MinSilenceBeforeEarlierStart{500};
@@ -122,8 +124,6 @@
     return addresses;
 }
 
-bool EntryTable::countsForLimits(const Row &row, Instant now) const
-{
 std::vector<std::string> EntryTable::liveAddresses(Instant now) const
 {
     std::vector<std::string> addresses;
@@ -143,6 +143,8 @@
     return addresses;
 }
 
+bool EntryTable::countsForLimits(const Row &row, Instant now) const
+{
     const auto silence =
             this->switches.countsSilent ? SilentEntryRetention : std::chrono::milliseconds(0);
     const bool isKnown = row.report.has_value() || this->switches.countsAnnounced;
@@ -199,6 +201,16 @@
     return this->reportedLoads.waiting(service);
 }
 
+std::chrono::milliseconds EntryTable::loadAge(Instant now) const
+{
+    if (this->rows.empty())
+        return std::chrono::milliseconds(0);
+    if (this->loadExchange.isFresh(now))
+        return LoadExchange::MeanAge;
+    // A report is told at the end of its period, and holds for another one.
+    return ReportSchedule::period(this->rows.size() + 1) / 2 + ReportDelay;
+}
+
 void EntryTable::setOwn(const EntryReport &facts)
 {
     this->own = facts;
--- a/Source/Relay/EntryTable.h
+++ b/Source/Relay/EntryTable.h
@@ -82,6 +82,9 @@
 
     std::uint32_t waitingElsewhere(const std::string &service, Instant now) const;
 
+    /// Mean age of the loads of the other entries.
+    std::chrono::milliseconds loadAge(Instant now) const;
+
     /// Peer address of the live entry that knows the store up to the highest position after \a
     /// position, in the given failure domain if there is one. Addresses in \a avoided are left out.
     std::optional<std::string> findPeerAhead(StorePosition position, const std::string &domain,
--- a/Source/Relay/LoadExchange.h
+++ b/Source/Relay/LoadExchange.h
@@ -4,6 +4,7 @@
 #include "Relay/LoadShare.h"
 #include "Relay/LoadSum.h"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -40,8 +41,13 @@
     /// Fleets of up to that many entries tell each other by reports alone.
     static constexpr std::size_t MaxEntriesWithoutSums = 24;
 
+    /// Mean age of a load in the sum: half a tick in the entry and in each of two relays.
+    static constexpr std::chrono::milliseconds MeanAge{200};
+
     void shareReceived(Instant now, const LoadShare &share);
 
+    bool isFresh(Instant now) const;
+
     /// Adds the messages that are due. \a load is what this entry runs now.
     void tick(Instant now, const LoadSum &load, const EntryTable &entries, Messages &messages);
 
@@ -63,7 +69,6 @@
     /// What this entry adds to the sum at least.
     template <typename Read>
     std::uint32_t ownPart(Read read) const;
-    bool isFresh(Instant now) const;
     static bool isNewer(const LoadShare &share, const Received &known, Instant now);
 
     LoadShare own;
--- a/Source/Relay/Placement.h
+++ b/Source/Relay/Placement.h
@@ -13,7 +13,8 @@
 struct PlacementCandidate
 {
     std::string id;
-    std::uint32_t slots = 1;
+    /// Requests that it may run.
+    double slots = 1;
     /// Running requests of all entries, as far as known.
     std::uint32_t running = 0;
     /// Smoothed share of failed requests.
@@ -27,16 +28,24 @@
     bool isStalled = false;
     /// Pauses between events in its model group, relative to their target.
     double pace = 1;
+    /// Running requests of this entry.
+    std::uint32_t runningHere = 0;
 };
 
-/// Chooses the least loaded backend server for a request; nothing when all slots are taken. Ties
-/// are broken at random, because several entries place concurrently with reports of each other that
-/// are 100 ms old and would otherwise all choose the same one. Backend servers with a clearly
-/// higher failure share than the others, cold ones and those of a stalled model group are used only
-/// when the others are full. Where a service has several model groups, a load counts for more in a
-/// group whose steps take longer: there a request waits for more time in each step, and lengthens
-/// the steps of more requests for longer.
+/// Chooses a lightly loaded backend server for a request; nothing when all slots are taken.
+///
+/// Entries that all choose the server with the least known load send it everything that arrives
+/// until they hear of each other. So \a replacedShare of the requests of the other entries is taken
+/// to have ended since they were told, and as many to have been placed so that they level out the
+/// loads; a server is chosen at random with a probability that follows what it lacks to that level
+/// ("Interpreting Stale Load Information", Dahlin). With loads that are not stale, this is the
+/// least loaded server, and ties are broken at random.
+///
+/// Backend servers with a clearly higher failure share than the others, cold ones and those of a
+/// stalled model group are used only when the others are full. Where a service has several model
+/// groups, a load counts for more in a group whose steps take longer: there a request waits for
+/// more time in each step, and lengthens the steps of more requests for longer.
 std::optional<std::string> placeRequest(const std::vector<PlacementCandidate> &candidates,
-                                        RandomSource &random);
+                                        double replacedShare, RandomSource &random);
 
 } // namespace Nutmegrill
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -19,6 +19,8 @@
 /// A stream without an event for this long is resumed at another backend server if the service is
 /// active. Three times the usual latency target of 400 ms; callers disconnect 0.8 s later.
 constexpr milliseconds MaxStreamSilence{1200};
+/// Loads of the other entries change some ten times a second.
+constexpr milliseconds BudgetPeriod{20};
 /// Groups that form again under other names leave units behind.
 constexpr std::size_t MaxUnusedUnits = 64;
 
@@ -27,6 +29,12 @@
     return std::chrono::duration_cast<milliseconds>(span);
 }
 
+/// Names the waiting requests of one priority among those of a service.
+std::string waitingKey(const std::string &service, std::uint32_t priority)
+{
+    return service + '\n' + std::to_string(priority);
+}
+
 LogRecord makeRecord(std::uint32_t number, LogRecord::Level level, const std::string &text)
 {
     return {number, level, text};
@@ -129,7 +137,8 @@
             }));
     exchange.startBy = exchange.targetAt - this->waitEstimatorOf(exchange).meanDelay();
     this->retryBudgetOf(exchange.service).recordRequest(now);
-    const std::uint32_t ahead = this->waitingCount(exchange.service);
+    this->slotBudgets[exchange.service].recordArrival(now, exchange.priority);
+    const std::uint32_t ahead = this->waitingBefore(exchange, now);
     Exchange &row = this->exchanges.insert_or_assign(caller, std::move(exchange)).first->second;
     if (ahead == 0 && this->tryPlace(now, row, commands))
         return;
@@ -323,9 +332,45 @@
             report.running[backend] = use.running;
     }
     for (const auto &[caller, exchange] : this->exchanges) {
-        if (exchange.isWaiting())
-            ++report.waiting[exchange.service];
+        if (!exchange.isWaiting())
+            continue;
+        ++report.waiting[exchange.service];
+        ++report.waiting[waitingKey(exchange.service, exchange.priority)];
+    }
+}
+
+SlotBudget *RelayNode::slotBudgetOf(Instant now, const Exchange &exchange, std::uint32_t entries)
+{
+    const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
+    if (service == nullptr || service->kind != ServiceDeclaration::Kind::Model || entries < 2)
+        return nullptr;
+    SlotBudget &budget = this->slotBudgets[exchange.service];
+    if (now < budget.updatedAt() + BudgetPeriod)
+        return &budget;
+    SlotBudget::Load load;
+    std::uint32_t here = 0;
+    for (const auto &[id, row] : this->backends.rows()) {
+        if (row.record.service != exchange.service || !this->backends.isEligible(row, now)
+            || row.health.isSuspended(now))
+            continue;
+        load.limit += this->units[row.unit].concurrency.share() * row.record.slots;
+        const auto use = this->backendUses.find(id);
+        here += use == this->backendUses.end() ? 0 : use->second.running;
+        load.running += this->peers.runningElsewhere(id, now);
+    }
+    load.running += here;
+    load.holdTime = this->waitEstimatorOf(exchange).meanHoldTime();
+    load.age = this->peers.loadAge(now);
+    load.entries = entries;
+    for (const auto &[caller, other] : this->exchanges) {
+        if (other.isWaiting() && other.service == exchange.service)
+            ++load.waitingHere[other.priority];
     }
+    for (const std::uint32_t priority : budget.priorities())
+        load.waitingElsewhere[priority] =
+                this->peers.waitingElsewhere(waitingKey(exchange.service, priority), now);
+    budget.update(now, load);
+    return &budget;
 }
 
 LoadSum RelayNode::ownLoad() const
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -15,6 +15,7 @@
 #include "Relay/ServiceRetryBudget.h"
 #include "Relay/ServiceWaitEstimator.h"
 #include "Relay/ServingUnit.h"
+#include "Relay/SlotBudget.h"
 #include "Relay/StreamEvent.h"
 
 #include <chrono>
@@ -64,9 +65,9 @@
         /// An entry that has just started uses a smaller share of the cold rate, because it does
         /// not know what its previous start sent in the last second. Turned off only in tests.
         bool reducesColdRateAfterStart = true;
-    };
         /// Returns RecordRun commands.
         bool recordsRuns = false;
+    };
 
     explicit RelayNode(const Settings &settings);
     ~RelayNode();
@@ -184,8 +185,8 @@
     void recordBreak(Instant now, Exchange &exchange, Commands &commands);
     void recordEnd(Instant now, const std::string &incarnation, Commands &commands);
     void recordProgress(Instant now, Exchange &exchange);
-    std::string incarnationOf(const std::string &backend) const;
     void recordRun(Instant beganAt, const Exchange &exchange, Commands &commands) const;
+    std::string incarnationOf(const std::string &backend) const;
     void checkRestarts(Instant now, Commands &commands);
     ServiceWaitEstimator &waitEstimatorOf(const Exchange &exchange);
     ServiceRetryBudget &retryBudgetOf(const std::string &service);
@@ -223,8 +224,14 @@
     bool hasLimitCapacity(Instant now, const std::string &backend, BackendUse &use,
                           std::uint32_t entries) const;
     double coldRateOf(const ServiceDeclaration *service, bool isCold, Instant now) const;
+    /// Share of the known requests of other entries that have ended since they were told.
+    double replacedShare(const std::string &service, Instant now) const;
     double shareOfFreedSlots(const std::string &service, Instant now) const;
+    /// The slots that this entry may take for the service; null if they are not limited.
+    SlotBudget *slotBudgetOf(Instant now, const Exchange &exchange, std::uint32_t entries);
     std::uint32_t waitingCount(const std::string &service) const;
+    /// Waiting requests of the same service that get a slot before the request.
+    std::uint32_t waitingBefore(const Exchange &exchange, Instant now) const;
 
     Settings settings;
     RandomSource random;
@@ -238,6 +245,8 @@
     std::map<std::string, BackendUse> backendUses;
     std::map<std::string, ServiceWaitEstimator> waitEstimators;
     std::map<std::string, ServiceRetryBudget> retryBudgets;
+    /// By service.
+    std::map<std::string, SlotBudget> slotBudgets;
     /// By name of the unit.
     std::map<std::string, ServingUnit> units;
     /// Starts of backend servers that told this entry that they leave, and in how many further
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -88,6 +88,11 @@
     const std::uint32_t entries = this->peers.entryCount(now);
     // A request that was turned away does not probe a group while another one takes requests.
     const bool mayProbe = exchange.sends == 0 || this->outageSince(exchange.service, now);
+    // A stream that its caller already reads goes on at once.
+    SlotBudget *budget =
+            exchange.isStreamOpen ? nullptr : this->slotBudgetOf(now, exchange, entries);
+    if (budget != nullptr && !budget->tryTake(exchange.priority))
+        return false;
     std::vector<PlacementCandidate> candidates;
     for (const auto &[id, row] : this->backends.rows()) {
         if (row.record.service != exchange.service || !this->backends.isEligible(row, now)
@@ -104,15 +109,20 @@
         if (!this->hasLimitCapacity(now, id, use, entries)
             || use.running >= slotsAfterPause(now, use, row.record.slots))
             continue;
-        candidates.push_back({id, unit.concurrency.limit(row.record.slots),
+        candidates.push_back({id, std::max(1.0, unit.concurrency.share() * row.record.slots),
                               use.running + this->peers.runningElsewhere(id, now),
                               row.health.failureShare(now), isCold, use.sends, row.reportedLoad,
-                              unit.isStalled(now), unit.concurrency.pace()});
+                              unit.isStalled(now), unit.concurrency.pace(), use.running});
     }
-    const std::optional<std::string> chosen = this->settings.policy.place(candidates, this->random);
+    const std::optional<std::string> chosen = this->settings.policy.place(
+            candidates, this->replacedShare(exchange.service, now), this->random);
     if (!chosen
-        || (exchange.sends > 0 && !this->retryBudgetOf(exchange.service).tryAcquire(now, entries)))
+        || (exchange.sends > 0
+            && !this->retryBudgetOf(exchange.service).tryAcquire(now, entries))) {
+        if (budget != nullptr)
+            budget->putBack(exchange.priority);
         return false;
+    }
 
     const BackendRoster::Row &row = *this->backends.find(*chosen);
     this->units[row.unit].requestSent(now);
@@ -311,6 +321,16 @@
     this->backends.recordGroup(membership.address, membership.group, now + KnownGroupPeriod);
 }
 
+double RelayNode::replacedShare(const std::string &service, Instant now) const
+{
+    const auto estimator = this->waitEstimators.find(service);
+    if (estimator == this->waitEstimators.end())
+        return 0;
+    const std::chrono::duration<double> age = this->peers.loadAge(now);
+    const std::chrono::duration<double> hold = estimator->second.meanHoldTime();
+    return age / std::max(age + hold, std::chrono::duration<double>(1e-3));
+}
+
 double RelayNode::shareOfFreedSlots(const std::string &service, Instant now) const
 {
     const std::uint32_t here = this->waitingCount(service) + 1;
@@ -325,6 +345,17 @@
             }));
 }
 
+std::uint32_t RelayNode::waitingBefore(const Exchange &exchange, Instant now) const
+{
+    const auto isServedBefore = this->settings.policy.isServedBefore;
+    return static_cast<std::uint32_t>(
+            std::count_if(this->exchanges.begin(), this->exchanges.end(), [&](const auto &entry) {
+                const Exchange &other = entry.second;
+                return other.isWaiting() && other.service == exchange.service
+                       && isServedBefore(other, exchange, now);
+            }));
+}
+
 ServiceWaitEstimator &RelayNode::waitEstimatorOf(const Exchange &exchange)
 {
     const bool isStream = exchange.route.kind == Route::Kind::Stream;
--- a/Source/Relay/RelayPolicy.h
+++ b/Source/Relay/RelayPolicy.h
@@ -21,7 +21,7 @@
 {
     /// Chooses the backend server for a request; nothing when the request has to wait.
     std::optional<std::string> (*place)(const std::vector<PlacementCandidate> &candidates,
-                                        RandomSource &random) = placeRequest;
+                                        double replacedShare, RandomSource &random) = placeRequest;
     /// Whether \a left gets a slot before \a right.
     bool (*isServedBefore)(const Exchange &left, const Exchange &right,
                            Instant now) = Nutmegrill::isServedBefore;
--- a/Tests/Relay/BaselinePolicies.cpp
+++ b/Tests/Relay/BaselinePolicies.cpp
@@ -30,19 +30,19 @@
 }
 
 std::optional<std::string> roundRobinPlace(const std::vector<PlacementCandidate> &candidates,
-                                           RandomSource &)
+                                           double, RandomSource &)
 {
     return lowestBy(candidates, [](const auto &candidate) { return candidate.sends; });
 }
 
 std::optional<std::string> leastReportedPlace(const std::vector<PlacementCandidate> &candidates,
-                                              RandomSource &)
+                                              double, RandomSource &)
 {
     return lowestBy(candidates, [](const auto &candidate) { return candidate.reportedLoad; });
 }
 
 std::optional<std::string> powerOfTwoPlace(const std::vector<PlacementCandidate> &candidates,
-                                           RandomSource &random)
+                                           double, RandomSource &random)
 {
     if (candidates.empty())
         return std::nullopt;
--- a/Tests/Relay/ModelGroupPlacingTest.cpp
+++ b/Tests/Relay/ModelGroupPlacingTest.cpp
@@ -238,7 +238,7 @@
                         candidate.pace = pauses[rank / 8].pace();
                     candidates.push_back(candidate);
                 }
-                if (const auto chosen = placeRequest(candidates, random)) {
+                if (const auto chosen = placeRequest(candidates, 0, random)) {
                     const auto rank = static_cast<std::uint32_t>(std::stoul(*chosen));
                     ++running[rank];
                     streams.push_back({rank});
--- a/Tests/Relay/RosterTest.cpp
+++ b/Tests/Relay/RosterTest.cpp
@@ -97,13 +97,13 @@
         RandomSource random(1);
         std::vector<PlacementCandidate> servers = {
                 {"full", 12, 12, 0, false}, {"busy", 12, 9, 0, false}, {"free", 12, 4, 0, false}};
-        CPPUNIT_ASSERT_EQUAL(std::string("free"), *placeRequest(servers, random));
+        CPPUNIT_ASSERT_EQUAL(std::string("free"), *placeRequest(servers, 0, random));
         servers[2].failureShare = 0.6;
-        CPPUNIT_ASSERT_EQUAL(std::string("busy"), *placeRequest(servers, random));
+        CPPUNIT_ASSERT_EQUAL(std::string("busy"), *placeRequest(servers, 0, random));
         servers[1].running = 12;
-        CPPUNIT_ASSERT_EQUAL(std::string("free"), *placeRequest(servers, random));
+        CPPUNIT_ASSERT_EQUAL(std::string("free"), *placeRequest(servers, 0, random));
         servers[2].running = 12;
-        CPPUNIT_ASSERT(!placeRequest(servers, random).has_value());
+        CPPUNIT_ASSERT(!placeRequest(servers, 0, random).has_value());
     }
 
     // Pauses between events exceed their target while all slots are taken, and become short again.
