--- a/Source/Config/DeclarationChecker.cpp
+++ b/Source/Config/DeclarationChecker.cpp
@@ -16,25 +16,6 @@
     return object.file + ":" + std::to_string(object.line);
 }
 
-// Line of an item in a list field; otherwise of the field, otherwise of the object.
-int lineOf(const DeclaredObject &object, const std::string &field, const std::string &item)
-{
-    for (const DeclaredValue &candidate : object.fields.children) {
-        if (candidate.key != field)
-            continue;
-        for (const DeclaredValue &child : candidate.children) {
-            if (child.text == item)
-                return child.line;
-            for (const DeclaredValue &member : child.children) {
-                if (member.key == "name" && member.text == item)
-                    return member.line;
-            }
-        }
-        return candidate.line;
-    }
-    return object.line;
-}
-
 template <typename Rows>
 auto rowsByName(const Rows &declared)
 {
@@ -186,9 +167,10 @@
 void DeclarationChecker::checkClientAccounts()
 {
     std::map<std::string, const DeclaredObject *> hashes;
+    const std::vector<std::string> serviceNames = namesOf(this->services);
     for (const auto &[account, object] : this->clientAccounts) {
         for (const std::string &service : account.services)
-            this->checkReference(*object, "services", "service", service, namesOf(this->services));
+            this->checkReference(*object, "services", "service", service, serviceNames);
         const auto checkHash = [&, object = object](const std::string &field,
                                                     const std::string &hash) {
             if (hash.empty())
@@ -241,7 +223,7 @@
 void DeclarationChecker::report(Code code, const DeclaredObject &object, const std::string &field,
                                 const std::string &item, std::string message, std::string fix)
 {
-    this->errors.push_back({code, object.file, lineOf(object, field, item), object.label(),
+    this->errors.push_back({code, object.file, object.lineOf(field, item), object.label(),
                             std::move(message), std::move(fix)});
 }
 
--- a/Source/Config/DeclaredObject.h
+++ b/Source/Config/DeclaredObject.h
@@ -21,6 +21,9 @@
         return (this->kind.empty() ? "object" : this->kind)
                + (this->name.empty() ? " without a name" : " " + this->name);
     }
+
+    /// Line of \a item in the list \a field; otherwise of the field, otherwise of the object.
+    int lineOf(const std::string &field, const std::string &item) const;
 };
 
 } // namespace Nutmegrill
