--- a/Source/Programs/OperatorCommands.cpp
+++ b/Source/Programs/OperatorCommands.cpp
@@ -5,7 +5,9 @@
 #include "Config/Declarations.h"
 #include "Net/HttpClient.h"
 #include "Net/StoreClient.h"
+#include "Programs/CheckCommand.h"
 #include "Programs/ConfigurationReader.h"
+#include "Programs/DeclarationFormat.h"
 #include "Programs/OperatorError.h"
 #include "Programs/PublishRunner.h"
 #include "Programs/RequestExplanation.h"
@@ -57,7 +59,8 @@
 const std::vector<OperatorCommands::Subcommand> &OperatorCommands::subcommands()
 {
     static const std::vector<Subcommand> rows = {
-            {"check", "FILE...", "check a set of declarations; nothing is published",
+            {"check", "FILE...",
+             "check a configuration and show what it takes away; nothing is published",
              &OperatorCommands::check},
             {"diff", "FILE...", "show what apply would change", &OperatorCommands::diff},
             {"apply", "FILE...", "check and publish a set of declarations",
@@ -124,34 +127,12 @@
 
 leaf::result<ConfigurationPtr> OperatorCommands::readStoredConfiguration()
 {
-    StoreClient store(this->loop, this->settings.text("store"), StoreCallTimeout);
-    // An absent head means an empty configuration; an unreachable store is an error.
-    std::optional<StoreResult> head;
-    store.read(std::string(ConfigurationHead::Key),
-               [&head](const StoreResult &result) { head = result; });
-    this->loop.runUntil([&head] { return head.has_value(); }, CommandTimeout);
-    if (!head.has_value() || !head->isOk())
-        return fail(Kind::StoreUnreachable,
-                    std::string(describe(head.has_value() ? head->error : StoreError::AnswerLost))
-                            + " at " + this->settings.text("store"));
-    if (head->keyValues.empty())
-        return std::make_shared<Configuration>();
-    ConfigurationReader reader(this->loop, store);
-    std::optional<ConfigurationPtr> configuration;
-    reader.read([&configuration](const ConfigurationPtr &read) { configuration = read; });
-    this->loop.runUntil([&configuration] { return configuration.has_value(); }, CommandTimeout);
-    if (!configuration.has_value() || *configuration == nullptr)
-        return fail(Kind::StoreUnreachable, "the stored configuration could not be read");
-    return *configuration;
+    return DeclarationFormat().readStored(this->loop, this->settings.text("store"));
 }
 
 OperatorCommands::Result OperatorCommands::check()
 {
-    BOOST_LEAF_AUTO(configuration, this->loadDeclarations());
-    std::cout << "ok: " << configuration.places.size() << " places, "
-              << configuration.services.size() << " services, " << configuration.modelGroups.size()
-              << " model groups, " << configuration.clientAccounts.size() << " client accounts\n";
-    return {};
+    return CheckCommand(this->loop, this->settings).run();
 }
 
 OperatorCommands::Result OperatorCommands::diff()
--- a/Source/Programs/OperatorError.cpp
+++ b/Source/Programs/OperatorError.cpp
@@ -9,6 +9,8 @@
     switch (this->kind) {
     case Kind::Usage:
         return Settings::ExitUsage;
+    case Kind::Warnings:
+        return Settings::ExitWarnings;
     case Kind::StoreUnreachable:
         return Settings::ExitStoreUnreachable;
     case Kind::Conflict:
--- a/Source/Programs/OperatorError.h
+++ b/Source/Programs/OperatorError.h
@@ -10,6 +10,7 @@
     enum class Kind {
         Usage,        ///< wrong arguments or flags
         Declarations, ///< the declarations have errors; nothing was published
+        Warnings,     ///< a strict check found warnings and no errors
         StoreUnreachable,
         Conflict,       ///< another change was published first
         OutcomeUnknown, ///< the change may have been published
--- a/Source/Programs/OperatorMain.cpp
+++ b/Source/Programs/OperatorMain.cpp
@@ -1,4 +1,5 @@
 #include "Net/EventLoop.h"
+#include "Programs/CheckCommand.h"
 #include "Programs/OperatorCommands.h"
 #include "Programs/OperatorError.h"
 #include "Programs/Settings.h"
@@ -25,6 +26,7 @@
     settings.allow("author", Settings::Format::Text, "operator", "author stored with each change");
     settings.allow("pending", Settings::Format::YesNo, "no",
                    "yes: take-out goes to the entries, for use while the store is down");
+    CheckCommand::declareSettings(settings);
     if (!settings.read(argc, argv))
         return settings.exitCode();
 
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -33,6 +33,8 @@
     static constexpr int ExitFailure = 1;
     static constexpr int ExitUsage = 2;
     static constexpr int ExitCannotListen = 3;
+    /// Used by the operator's program, which listens on no address.
+    static constexpr int ExitWarnings = 3;
     static constexpr int ExitStoreUnreachable = 4;
     static constexpr int ExitConflict = 5;
 
