Compare large configurations within the time limit

A comparison of two declared sets of 100,000 client accounts took 8.1 s: equal objects were encoded as JSON, and the two sets were parsed one after the other. Only objects that differ are encoded now, and the version in force is read while the files are parsed. Adds tests of the time limit, of a published document as the version in force and of the limits of YAML aliases.

--- a/Source/Config/ConfigurationComparison.cpp
+++ b/Source/Config/ConfigurationComparison.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -201,13 +203,38 @@
     }
 }
 
+// Removes the rows that are equal in both lists, so that a set with many objects is encoded only as
+// far as it differs.
+template <typename Row>
+void dropEqualRows(std::vector<Row> &before, std::vector<Row> &after)
+{
+    std::unordered_map<std::string_view, const Row *> old;
+    for (const Row &row : before)
+        old.emplace(row.name, &row);
+    std::unordered_set<std::string> equal;
+    for (const Row &row : after) {
+        if (const auto found = old.find(row.name); found != old.end() && *found->second == row)
+            equal.insert(row.name);
+    }
+    const auto isEqual = [&equal](const Row &row) { return equal.count(row.name) != 0; };
+    std::erase_if(before, isEqual);
+    std::erase_if(after, isEqual);
+}
+
 } // namespace
 
 std::vector<ObjectChange> ConfigurationComparison::compare(const Configuration &inForce,
                                                            const Configuration &next)
 {
-    const Json before = Json::parse(encodeConfiguration(inForce));
-    const Json after = Json::parse(encodeConfiguration(next));
+    Configuration old = inForce;
+    Configuration fresh = next;
+    dropEqualRows(old.places, fresh.places);
+    dropEqualRows(old.services, fresh.services);
+    dropEqualRows(old.modelGroups, fresh.modelGroups);
+    dropEqualRows(old.clientAccounts, fresh.clientAccounts);
+    dropEqualRows(old.routes, fresh.routes);
+    const Json before = Json::parse(encodeConfiguration(old));
+    const Json after = Json::parse(encodeConfiguration(fresh));
     std::vector<ObjectChange> changes;
     static const std::pair<const char *, const char *> kinds[] = {
             {"Place", "places"},
--- a/Source/Programs/CheckCommand.cpp
+++ b/Source/Programs/CheckCommand.cpp
@@ -10,6 +10,7 @@
 #include "Programs/Settings.h"
 
 #include <fstream>
+#include <future>
 #include <iostream>
 #include <iterator>
 #include <optional>
@@ -76,11 +77,19 @@
         output != "text" && output != "json")
         return fail(Kind::Usage, "--output: '" + output + "' is not text or json");
     BOOST_LEAF_AUTO(format, this->chooseFormat());
-    const auto loaded = format->load({words.begin() + 1, words.end()});
+    // Parsing takes most of the time of a check, so both versions are read at once.
+    auto loading = std::async(std::launch::async, [&format, &words] {
+        return format->load({words.begin() + 1, words.end()});
+    });
+    auto inForce = this->readInForce(*format);
+    const auto loaded = loading.get();
     CheckReport report;
     report.addErrors(loaded.errors);
-    if (loaded.configuration)
-        BOOST_LEAF_CHECK(this->check(*format, loaded, report));
+    if (loaded.configuration) {
+        if (!inForce)
+            return inForce.error();
+        BOOST_LEAF_CHECK(this->check(loaded, *inForce, report));
+    }
     report.sort();
     this->print(report);
     if (const auto errors = report.errorCount(); errors != 0)
@@ -101,9 +110,8 @@
     return found->second();
 }
 
-CheckCommand::Result CheckCommand::check(const ConfigurationFormat &format,
-                                         const ConfigurationFormat::Loaded &loaded,
-                                         CheckReport &report)
+CheckCommand::Result CheckCommand::check(const ConfigurationFormat::Loaded &loaded,
+                                         const ConfigurationPtr &inForce, CheckReport &report) const
 {
     const Configuration &configuration = *loaded.configuration;
     EntryRatioFile ratioFile(*loaded.locator);
@@ -113,9 +121,8 @@
                     "--entry-settings: '" + path + "' cannot be read or has a malformed ratio");
     report.setCounts(configuration);
     report.addFindings(ConfigurationLint::check(configuration, ratioFile.ratios()), ratioFile);
-    if (this->settings.text("against").empty())
+    if (inForce == nullptr)
         return {};
-    BOOST_LEAF_AUTO(inForce, this->readInForce(format));
     // As apply does, keeps the state of the failure domains in force.
     const ConfigurationChange change{
             {}, {}, ConfigurationChange::Apply{configuration, std::nullopt}};
@@ -127,6 +134,8 @@
 
 leaf::result<ConfigurationPtr> CheckCommand::readInForce(const ConfigurationFormat &format) const
 {
+    if (this->settings.text("against").empty())
+        return ConfigurationPtr();
     if (this->settings.text("against") == StoreWord)
         return format.readStored(this->loop, this->settings.text("store"));
     const auto files = this->settings.list("against");
--- a/Source/Programs/CheckCommand.h
+++ b/Source/Programs/CheckCommand.h
@@ -30,9 +30,11 @@
 
 private:
     boost::leaf::result<std::unique_ptr<ConfigurationFormat>> chooseFormat() const;
-    /// Checks the configuration and adds the outcome to the report.
-    Result check(const ConfigurationFormat &format, const ConfigurationFormat::Loaded &loaded,
-                 CheckReport &report);
+    /// Checks the configuration, compares it with the version in force if there is one, and adds
+    /// the outcome to the report.
+    Result check(const ConfigurationFormat::Loaded &loaded, const ConfigurationPtr &inForce,
+                 CheckReport &report) const;
+    /// Reads the version in force; null if none is given.
     boost::leaf::result<ConfigurationPtr> readInForce(const ConfigurationFormat &format) const;
     void print(const CheckReport &report) const;
 
--- a/Tests/Config/DeclarationCheckerTest.cpp
+++ b/Tests/Config/DeclarationCheckerTest.cpp
@@ -240,6 +240,7 @@
     CPPUNIT_TEST(routesAreReadWithTheirUnits);
     CPPUNIT_TEST(codecKeepsEveryField);
     CPPUNIT_TEST(endlessDocumentSequenceIsRejected);
+    CPPUNIT_TEST(aliasesAreExpandedWithinLimits);
     CPPUNIT_TEST(diffNamesEachChangedRouteField);
     CPPUNIT_TEST_SUITE_END();
 
@@ -399,6 +400,30 @@
         const auto result = check("kind: Route\nhost: 2}pathPrefix: /a/\nservices: ][{name: s}]\n");
         CPPUNIT_ASSERT(!result.errors.empty() && !result.configuration);
     }
+
+    // Guards against an alias that is read as nothing, and against a small text whose aliases
+    // expand until memory is exhausted or whose nesting overflows the stack.
+    void aliasesAreExpandedWithinLimits()
+    {
+        Declarations declarations;
+        declarations.addText("set.yaml", "kind: Place\nname: &n a\nfailureDomains: [*n, b]\n");
+        const auto &fields = declarations.objects().at(0).fields.children;
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), fields.at(2).children.at(0).text);
+        CPPUNIT_ASSERT_EQUAL(3, fields.at(2).line);
+        std::string wide = "kind: Place\na0: &a0 [x, x, x, x, x, x, x, x, x, x]\n";
+        std::string deep = "kind: Place\na0: &a0 [x]\n";
+        for (int level = 1; level < 100; ++level) {
+            const std::string anchor = "a" + std::to_string(level);
+            const std::string alias = "*a" + std::to_string(level - 1);
+            std::string items = alias;
+            for (int item = 1; item < 10; ++item)
+                items += ", " + alias;
+            wide += anchor + ": &" + anchor + " [" + items + "]\n";
+            deep += anchor + ": &" + anchor + " [" + alias + "]\n";
+        }
+        for (const std::string &text : {wide, deep, std::string("kind: &k [*k]\n")})
+            CPPUNIT_ASSERT(check(text).errors.at(0).code == DeclarationError::Code::MalformedYaml);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DeclarationCheckerTest);
--- a/Tests/Programs/CheckCommandTest.cpp
+++ b/Tests/Programs/CheckCommandTest.cpp
@@ -1,10 +1,15 @@
 #include "Programs/CheckCommand.h"
+#include "Config/ConfigurationCodec.h"
+#include "Config/DeclarationChecker.h"
+#include "Config/Declarations.h"
 #include "Net/EventLoop.h"
 #include "Programs/OperatorError.h"
 #include "Programs/Settings.h"
 
+#include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 #include <string>
@@ -65,7 +70,9 @@
     CPPUNIT_TEST(warningsHaveFileAndLine);
     CPPUNIT_TEST(takenAwayObjectsAreMarked);
     CPPUNIT_TEST(jsonHoldsEverything);
+    CPPUNIT_TEST(publishedDocumentIsCompared);
     CPPUNIT_TEST(entryRatiosAreChecked);
+    CPPUNIT_TEST(largeSetIsCheckedInTime);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -144,6 +151,36 @@
         CPPUNIT_ASSERT(!failed.at("errors").empty());
     }
 
+    // Guards against a document of the store that is taken for a set of declarations.
+    void publishedDocumentIsCompared()
+    {
+        Declarations declarations;
+        declarations.addText("set.yaml", ValidSet);
+        Configuration published = *DeclarationChecker::check(declarations).configuration;
+        published.version = 4;
+        const std::string document = this->write("published.json", encodeConfiguration(published));
+        const std::string set = this->write("set.yaml", ValidSet);
+        const std::string expected = "no changes to the version in force\n";
+        CPPUNIT_ASSERT_EQUAL(expected,
+                             run({set, "--against", document}).out.substr(0, expected.size()));
+    }
+
+    // Guards against steps whose time grows with the square of the client accounts: a set with
+    // 100,000 has to be checked within 5 s.
+    void largeSetIsCheckedInTime()
+    {
+        std::ostringstream text;
+        text << ValidSet;
+        for (int index = 0; index < 100'000; ++index)
+            text << "---\nkind: ClientAccount\nname: account-" << index
+                 << "\nservices: [ledger]\nkeyHash: " << std::setfill('0') << std::setw(64) << index
+                 << "\n";
+        const std::string set = this->write("large.yaml", text.str());
+        const auto begin = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT_EQUAL(0, run({set, "--strict", "yes"}).exitCode);
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < std::chrono::seconds(5));
+    }
+
     // Guards against ratios of the entries that are ignored or not found in the settings file.
     void entryRatiosAreChecked()
     {
