Describe the check of a configuration

A test compares the output in the page with that of the program. A GNU extension that clang-tidy rejects is gone from CheckCommand.

--- a/Source/Config/CheckReport.cpp
+++ b/Source/Config/CheckReport.cpp
@@ -85,11 +85,11 @@
 
 void CheckReport::setCounts(const Configuration &configuration)
 {
-    this->counts = {{"places", configuration.places.size()},
-                    {"services", configuration.services.size()},
-                    {"model groups", configuration.modelGroups.size()},
-                    {"client accounts", configuration.clientAccounts.size()},
-                    {"routes", configuration.routes.size()}};
+    this->counts = {{"places", "places", configuration.places.size()},
+                    {"services", "services", configuration.services.size()},
+                    {"model groups", "modelGroups", configuration.modelGroups.size()},
+                    {"client accounts", "clientAccounts", configuration.clientAccounts.size()},
+                    {"routes", "routes", configuration.routes.size()}};
 }
 
 void CheckReport::sort()
@@ -152,7 +152,7 @@
 std::string CheckReport::summary() const
 {
     std::string text;
-    for (const auto &[what, number] : this->counts)
+    for (const auto &[what, key, number] : this->counts)
         text += (text.empty() ? "ok: " : ", ") + std::to_string(number) + " " + what;
     return text;
 }
@@ -170,8 +170,8 @@
                  {"object", text.object},
                  {"message", text.message},
                  {"fix", text.fix}});
-    for (const auto &[what, number] : this->counts)
-        document["objects"][what] = number;
+    for (const auto &[what, key, number] : this->counts)
+        document["objects"][key] = number;
     if (this->changes) {
         document["changes"] = Json::array();
         for (const ObjectChange &change : *this->changes) {
--- a/Source/Config/CheckReport.h
+++ b/Source/Config/CheckReport.h
@@ -49,7 +49,9 @@
 
     struct Count
     {
-        std::string what;
+        /// In text and in JSON.
+        const char *what = "";
+        const char *key = "";
         std::size_t number = 0;
     };
 
--- a/Source/Config/ConfigurationLint.cpp
+++ b/Source/Config/ConfigurationLint.cpp
@@ -144,7 +144,7 @@
         if (const auto fault = faultOfPrefix(route.pathPrefix))
             this->report(Code::UnreachableRoute, RouteKind, routes, route, "pathPrefix",
                          "prefix " + quoted(route.pathPrefix) + " " + *fault,
-                         "write a prefix such as `/records/`");
+                         "write a prefix that begins and ends with `/`, such as `/records/`");
         const auto [found, isNew] = seen.try_emplace(route.host + " " + route.pathPrefix, &route);
         if (!isNew)
             this->report(Code::ShadowedRoute, RouteKind, routes, route, "pathPrefix",
--- a/Source/Programs/CheckCommand.cpp
+++ b/Source/Programs/CheckCommand.cpp
@@ -88,7 +88,8 @@
     if (loaded.configuration) {
         if (!inForce)
             return inForce.error();
-        BOOST_LEAF_CHECK(this->check(loaded, *inForce, report));
+        if (auto checked = this->check(loaded, *inForce, report); !checked)
+            return checked.error();
     }
     report.sort();
     this->print(report);
--- a/Tests/Docs/LinkedFilesTest.cpp
+++ b/Tests/Docs/LinkedFilesTest.cpp
@@ -26,7 +26,7 @@
         CPPUNIT_ASSERT(root != nullptr);
         int named = 0;
         for (const char *page : {"README.md", "docs/glossary.md", "docs/OPERATIONS.md",
-                                 "docs/events.md", "docs/api.md"}) {
+                                 "docs/events.md", "docs/api.md", "docs/check.md"}) {
             std::ifstream file(fs::path(root) / page);
             CPPUNIT_ASSERT_MESSAGE(page, file.good());
             for (std::string line; std::getline(file, line);) {
--- a/Tests/Process/interface-test.sh
+++ b/Tests/Process/interface-test.sh
@@ -156,6 +156,11 @@
     expect_exit 4 1 '^nutmegrill: ' operator_alone $verb --store "$(port 99)"
   done
   expect_exit 0 1 '^ok: ' operator_alone check "$QUICKSTART" --store "$(port 99)"
+  expect_exit 0 1 '^ok: ' operator_alone check "$QUICKSTART" --strict yes
+  expect_exit 0 '*' '^ok: ' operator_alone check examples/check/platform.json --format platform
+  expect_exit 3 '*' '^nutmegrill: 6 warnings' \
+    operator_alone check examples/check/platform.json --format platform --strict yes
+  expect_exit 2 1 'unknown format' operator_alone check "$QUICKSTART" --format other
 }
 
 case_no_process_answers() {
--- a/Tests/Programs/CheckCommandTest.cpp
+++ b/Tests/Programs/CheckCommandTest.cpp
@@ -7,10 +7,12 @@
 #include "Programs/Settings.h"
 
 #include <chrono>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <iterator>
 #include <sstream>
 #include <string>
 #include <unistd.h>
@@ -73,6 +75,7 @@
     CPPUNIT_TEST(publishedDocumentIsCompared);
     CPPUNIT_TEST(entryRatiosAreChecked);
     CPPUNIT_TEST(largeSetIsCheckedInTime);
+    CPPUNIT_TEST(documentedOutputIsCurrent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -181,6 +184,22 @@
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin < std::chrono::seconds(5));
     }
 
+    // Guards against a page that shows output which the program no longer writes.
+    void documentedOutputIsCurrent()
+    {
+        const char *root = std::getenv("NUTMEGRILL_SOURCE_DIRECTORY");
+        CPPUNIT_ASSERT(root != nullptr);
+        std::ifstream stream(std::filesystem::path(root) / "docs" / "check.md");
+        const std::string page((std::istreambuf_iterator<char>(stream)), {});
+        const auto previous = std::filesystem::current_path();
+        std::filesystem::current_path(root);
+        const Outcome outcome =
+                run({"examples/check/next.yaml", "--against", "examples/check/in-force.yaml"});
+        std::filesystem::current_path(previous);
+        CPPUNIT_ASSERT_MESSAGE(outcome.err, page.find(outcome.err) != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE(outcome.out, page.find(outcome.out) != std::string::npos);
+    }
+
     // Guards against ratios of the entries that are ignored or not found in the settings file.
     void entryRatiosAreChecked()
     {
