Judge only latency targets that were written

A route of the platform without a latency target got the default of 1,000 ms, which the check then reported as above a shorter timeout. Malformed objects have the same labels as in findings. The interface test covers the exit codes of check, the platform's format and the comparison with the store.

--- a/Tests/Platform/PlatformFormatTest.cpp
+++ b/Tests/Platform/PlatformFormatTest.cpp
@@ -97,8 +97,8 @@
             {R"({"name":"x",
 "apiKeys":["k1"]})",
              "", "3: warning: Route r1: the list of client accounts is empty"},
-            {R"("timeoutMs":800)", R"("timeoutMs":-1)", "3: routes r1: `timeoutMs` is negative"},
-            {R"("timeoutMs":800)", R"("timeoutMs":"x")", "3: routes r1: [json.exception"},
+            {R"("timeoutMs":800)", R"("timeoutMs":-1)", "3: Route r1: `timeoutMs` is negative"},
+            {R"("timeoutMs":800)", R"("timeoutMs":"x")", "3: Route r1: [json.exception"},
             {R"("timeoutMs":800)", R"("timeoutMs":)", "6: [json.exception.parse_error"},
             {R"("version":7)", R"("version":"7")", "1: version: `version` is not a whole number"}};
     return rows;
@@ -120,6 +120,10 @@
     void eachProblemHasItsLine()
     {
         CPPUNIT_ASSERT(problems(ValidText).empty());
+        // The default of the latency target, 1,000 ms, was not written by anybody.
+        std::string withoutTarget = ValidText;
+        withoutTarget.erase(withoutTarget.find("\"targetLatencyMs"), 22);
+        CPPUNIT_ASSERT(problems(withoutTarget).empty());
         for (const auto &[from, to, expected] : edits()) {
             std::string text = ValidText;
             const auto at = text.find(from);
--- a/Tests/Process/interface-test.sh
+++ b/Tests/Process/interface-test.sh
@@ -156,7 +156,16 @@
     expect_exit 4 1 '^nutmegrill: ' operator_alone $verb --store "$(port 99)"
   done
   expect_exit 0 1 '^ok: ' operator_alone check "$QUICKSTART" --store "$(port 99)"
+}
+
+# Pipelines decide by these exit codes whether to publish.
+case_check() {
   expect_exit 0 1 '^ok: ' operator_alone check "$QUICKSTART" --strict yes
+  expect_exit 0 2 '^no changes to the version in force' \
+    operator_alone check "$WORK/accounts.yaml" --against store --store "$STORE"
+  expect_exit 0 '*' '^removed ClientAccount clerk' \
+    operator_alone check "$QUICKSTART" --against store --store "$STORE"
+  expect_exit 4 1 '^nutmegrill: ' operator_alone check "$QUICKSTART" --against store --store "$(port 99)"
   expect_exit 0 '*' '^ok: ' operator_alone check examples/check/platform.json --format platform
   expect_exit 3 '*' '^nutmegrill: 6 warnings' \
     operator_alone check examples/check/platform.json --format platform --strict yes
--- a/Tests/Programs/CheckCommandTest.cpp
+++ b/Tests/Programs/CheckCommandTest.cpp
@@ -27,7 +27,7 @@
 
 namespace {
 
-const std::string ValidSet = "kind: Place\nname: region\nfailureDomains: [east]\n---\n"
+const std::string validSet = "kind: Place\nname: region\nfailureDomains: [east]\n---\n"
                              "kind: Service\nname: ledger\ntype: plain\nfailureDomains: [east]\n"
                              "---\n"
                              "kind: ClientAccount\nname: office\nservices: [ledger]\nkeyHash: "
@@ -91,9 +91,9 @@
     // Guards against a pipeline that publishes a set with errors, or with warnings it forbids.
     void exitCodesTellOutcomesApart()
     {
-        const std::string valid = this->write("valid.yaml", ValidSet);
+        const std::string valid = this->write("valid.yaml", validSet);
         const std::string warned = this->write("warned.yaml", withoutAccount());
-        const std::string broken = this->write("broken.yaml", ValidSet + "unknown: 1\n");
+        const std::string broken = this->write("broken.yaml", validSet + "unknown: 1\n");
         CPPUNIT_ASSERT_EQUAL(0, run({valid}).exitCode);
         CPPUNIT_ASSERT_EQUAL(0, run({valid, "--strict", "yes"}).exitCode);
         CPPUNIT_ASSERT_EQUAL(0, run({warned}).exitCode);
@@ -123,7 +123,7 @@
     void takenAwayObjectsAreMarked()
     {
         const std::string next = this->write("next.yaml", withoutAccount() + "maxRuns: 3\n");
-        const std::string inForce = this->write("in-force.yaml", ValidSet);
+        const std::string inForce = this->write("in-force.yaml", validSet);
         const Outcome outcome = run({next, "--against", inForce});
         CPPUNIT_ASSERT_EQUAL(std::string("removed ClientAccount office\n"
                                          "changed Route records\n"
@@ -140,7 +140,7 @@
     void jsonHoldsEverything()
     {
         const std::string next = this->write("next.yaml", withoutAccount());
-        const std::string inForce = this->write("in-force.yaml", ValidSet);
+        const std::string inForce = this->write("in-force.yaml", validSet);
         const auto checked =
                 nlohmann::json::parse(run({next, "--against", inForce, "--output", "json"}).out);
         CPPUNIT_ASSERT(checked.at("valid") == true);
@@ -158,11 +158,11 @@
     void publishedDocumentIsCompared()
     {
         Declarations declarations;
-        declarations.addText("set.yaml", ValidSet);
+        declarations.addText("set.yaml", validSet);
         Configuration published = *DeclarationChecker::check(declarations).configuration;
         published.version = 4;
         const std::string document = this->write("published.json", encodeConfiguration(published));
-        const std::string set = this->write("set.yaml", ValidSet);
+        const std::string set = this->write("set.yaml", validSet);
         const std::string expected = "no changes to the version in force\n";
         CPPUNIT_ASSERT_EQUAL(expected,
                              run({set, "--against", document}).out.substr(0, expected.size()));
@@ -173,7 +173,7 @@
     void largeSetIsCheckedInTime()
     {
         std::ostringstream text;
-        text << ValidSet;
+        text << validSet;
         for (int index = 0; index < 100'000; ++index)
             text << "---\nkind: ClientAccount\nname: account-" << index
                  << "\nservices: [ledger]\nkeyHash: " << std::setfill('0') << std::setw(64) << index
@@ -203,7 +203,7 @@
     // Guards against ratios of the entries that are ignored or not found in the settings file.
     void entryRatiosAreChecked()
     {
-        const std::string set = this->write("set.yaml", ValidSet);
+        const std::string set = this->write("set.yaml", validSet);
         const std::string settings = this->write(
                 "entry.settings", "name = e1\nretry-ratio = 0.1\n# comment\nhedge-ratio = 0.2\n");
         const Outcome outcome = run({set, "--entry-settings", settings, "--strict", "yes"});
@@ -217,7 +217,7 @@
 private:
     static std::string withoutAccount()
     {
-        std::string text = ValidSet;
+        std::string text = validSet;
         const auto begin = text.find("kind: ClientAccount");
         return text.erase(begin, text.find("kind: Route") - begin);
     }
