Follow the next hub of a group for good

After the hub of a group had ended, the agents that followed the next one sent every other state to the ended one, until it returned.

Cause: an agent hears only its hub, so the silence of the other ranks counts from the moment at which the hub fell silent. The ended hub became one of these other ranks with the first tick under the next hub, and so counted as live again; one tick later it was silent again.

The row of a hub that fell silent is now marked until its agent is heard.

Evidence: RankSwitchTest::statesGoToTheNextHubForGood failed before the change (the second state went to rank 0) and passes with it.

--- a/Source/Experts/GroupExchange.cpp
+++ b/Source/Experts/GroupExchange.cpp
@@ -159,6 +159,7 @@
     if (state.experts.empty())
         row.state.experts = std::move(experts);
     row.heardAt = now;
+    row.isFailedHub = false;
     return Receipt::New;
 }
 
@@ -185,7 +186,9 @@
     if (this->switchingSince)
         since = std::max(since, *this->switchingSince);
     // The former hub reported to this agent all the time, the other ranks did not.
-    return rank == this->hub ? since : std::max(since, this->listeningSince.value_or(since));
+    return rank == this->hub || row.isFailedHub
+                   ? since
+                   : std::max(since, this->listeningSince.value_or(since));
 }
 
 bool GroupExchange::isLowestLive(Instant now) const
@@ -216,8 +219,11 @@
     if (const auto row = this->rows.find(this->hub);
         before == Mode::Star
         && (row == this->rows.end() || !row->second.state.isHub
-            || now >= this->silentSince(this->hub, row->second) + this->silenceLimit()))
+            || now >= this->silentSince(this->hub, row->second) + this->silenceLimit())) {
         this->listeningSince = now;
+        if (row != this->rows.end())
+            row->second.isFailedHub = row->second.state.isHub;
+    }
     const auto lowest = std::find_if(this->rows.begin(), this->rows.end(), [&](const auto &entry) {
         return now < this->silentSince(entry.first, entry.second) + this->silenceLimit();
     });
--- a/Source/Experts/GroupExchange.h
+++ b/Source/Experts/GroupExchange.h
@@ -103,6 +103,8 @@
     {
         RankState state;
         Instant heardAt;
+        /// The rank was the hub of this agent and fell silent.
+        bool isFailedHub = false;
         /// Identifies the last command sent to the agent.
         std::tuple<OwnerCommand::Phase, std::uint64_t, std::uint64_t, std::uint64_t> sentCommand;
         Instant commandSentAt;
--- a/Tests/Experts/RankSwitchTest.cpp
+++ b/Tests/Experts/RankSwitchTest.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(rankWithoutBaseGetsWholeMap);
     CPPUNIT_TEST(nextRankBecomesHub);
     CPPUNIT_TEST(onlyOneRankFollowsFailedHub);
+    CPPUNIT_TEST(statesGoToTheNextHubForGood);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -400,6 +401,38 @@
         CPPUNIT_ASSERT_EQUAL(std::string("1"), messages.front().address);
     }
 
+    // Guards against an agent that takes its failed hub for a live one again as soon as it follows
+    // the next one, and sends every other state to the failed one.
+    void statesGoToTheNextHubForGood()
+    {
+        GroupExchange exchange(GroupExchange::Settings{});
+        RankState own = this->stateOf(2, 1);
+        RankState hub = this->stateOf(0, 1);
+        hub.isHub = true;
+        GroupExchange::Messages messages;
+        Instant now(seconds(100));
+        exchange.stateReceived(now, hub);
+        exchange.tick(now, own, {}, messages);
+        now += GroupExchange::livenessTimeout(own.engine.ranks);
+        for (std::uint64_t tick = 1; tick <= 40; ++tick, now += std::chrono::milliseconds(20)) {
+            RankState next = this->stateOf(1, tick);
+            next.isHub = true;
+            exchange.stateReceived(now, next);
+            messages.clear();
+            // Each tick has news to send.
+            own.ballot = tick;
+            exchange.tick(now, own, {}, messages);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), messages.size());
+            CPPUNIT_ASSERT_EQUAL(std::string("1"), messages.front().address);
+        }
+        hub.sequence = 2;
+        exchange.stateReceived(now, hub);
+        messages.clear();
+        own.ballot = 100;
+        exchange.tick(now, own, {}, messages);
+        CPPUNIT_ASSERT_EQUAL(std::string("0"), messages.front().address);
+    }
+
 private:
     static constexpr std::uint32_t TargetRanks = 128;
     static constexpr std::uint32_t TargetLayers = 8;
