Weight the load of a rank in plans by its pace

A group whose rank is five times slower takes almost five times as long for each step, and the planner saw an even load.

The part of a rank in a step is now its tokens times its pace. The mean that the skew refers to is the part of each rank if all took the same time, so that a plan that cannot do better is not repeated. Without paces the plans are as before.

--- a/Source/Experts/LayerPlacement.cpp
+++ b/Source/Experts/LayerPlacement.cpp
@@ -31,12 +31,15 @@
     : LayerPlacement(std::move(slots), std::move(tokens), Limits())
 {}
 
-LayerPlacement::LayerPlacement(Slots slots, std::vector<double> tokens, const Limits &limits)
+LayerPlacement::LayerPlacement(Slots slots, std::vector<double> tokens, const Limits &limits,
+                               std::vector<double> paces)
     : limits(limits), placed(std::move(slots)), original(this->placed), tokens(std::move(tokens)),
-      difference(this->placed.size()), countChange(this->tokens.size())
+      paces(std::move(paces)), difference(this->placed.size()), countChange(this->tokens.size())
 {
-    this->meanLoad = std::accumulate(this->tokens.begin(), this->tokens.end(), 0.0)
-                     / static_cast<double>(this->placed.size());
+    this->paces.resize(this->placed.size(), 1);
+    const double capacity = std::accumulate(this->paces.begin(), this->paces.end(), 0.0,
+                                            [](double sum, double pace) { return sum + 1 / pace; });
+    this->meanLoad = std::accumulate(this->tokens.begin(), this->tokens.end(), 0.0) / capacity;
     this->count();
 }
 
@@ -50,8 +53,8 @@
     }
     for (std::size_t expert = 0; expert < this->tokens.size(); ++expert) {
         for (const auto rank : this->holders[expert])
-            this->rankLoads[rank] +=
-                    this->tokens[expert] / static_cast<double>(this->holders[expert].size());
+            this->rankLoads[rank] += this->paces[rank] * this->tokens[expert]
+                                     / static_cast<double>(this->holders[expert].size());
     }
 }
 
@@ -156,7 +159,7 @@
 {
     if (this->difference[rank] == 0)
         this->touched.push_back(rank);
-    this->difference[rank] += change;
+    this->difference[rank] += change * this->paces[rank];
 }
 
 bool LayerPlacement::isRedundant(std::size_t rank, std::size_t slot) const
--- a/Source/Experts/LayerPlacement.h
+++ b/Source/Experts/LayerPlacement.h
@@ -8,7 +8,8 @@
 namespace Nutmegrill {
 
 /// Placement of one layer's experts during planning. The tokens of an expert are assumed to split
-/// evenly over its replicas. Every expert keeps at least one replica.
+/// evenly over its replicas. Every expert keeps at least one replica. The load of a rank is its
+/// tokens times its pace.
 class LayerPlacement
 {
 public:
@@ -24,13 +25,16 @@
     };
 
     LayerPlacement(Slots slots, std::vector<double> tokens);
-    LayerPlacement(Slots slots, std::vector<double> tokens, const Limits &limits);
+    /// \a paces lists the factor by which each rank is slower; empty: no rank is.
+    LayerPlacement(Slots slots, std::vector<double> tokens, const Limits &limits,
+                   std::vector<double> paces = {});
 
     /// Makes the move that gains most per expert loaded; false when no move helps.
     bool improveOnce();
 
-    /// Tokens of the slowest rank.
+    /// Part of the slowest rank in a step: its tokens times its pace.
     double slowest() const;
+    /// Part of each rank if they all took the same time, which gives slow ranks fewer tokens.
     double mean() const { return this->meanLoad; }
     /// Slowest rank over the mean of all ranks.
     double skew() const { return this->meanLoad > 0 ? this->slowest() / this->meanLoad : 1; }
@@ -88,6 +92,8 @@
     std::vector<double> tokens;
     /// Ranks that hold each expert.
     std::vector<std::vector<std::size_t>> holders;
+    std::vector<double> paces;
+    /// Tokens times pace.
     std::vector<double> rankLoads;
     double meanLoad = 0;
     int moves = 0;
--- a/Source/Experts/PlacementPlanner.cpp
+++ b/Source/Experts/PlacementPlanner.cpp
@@ -7,12 +7,13 @@
 
 namespace Nutmegrill {
 
-double PlacementPlanner::skew(const ExpertMap &map, const ExpertLoad::Tokens &tokens)
+double PlacementPlanner::skew(const ExpertMap &map, const ExpertLoad::Tokens &tokens,
+                              const Paces &paces)
 {
     double slowest = 0;
     double mean = 0;
     for (std::size_t layer = 0; layer < tokens.size(); ++layer) {
-        const LayerPlacement placement(map.slots[layer], tokens[layer]);
+        const LayerPlacement placement(map.slots[layer], tokens[layer], {}, paces);
         slowest += placement.slowest();
         mean += placement.mean();
     }
@@ -47,7 +48,8 @@
 
 } // namespace
 
-PlacementPlan PlacementPlanner::plan(const ExpertMap &map, const ExpertLoad::Tokens &tokens) const
+PlacementPlan PlacementPlanner::plan(const ExpertMap &map, const ExpertLoad::Tokens &tokens,
+                                     const Paces &paces) const
 {
     PlacementPlan plan;
     plan.map = map;
@@ -56,15 +58,15 @@
     for (std::size_t layer = 0; layer < tokens.size(); ++layer)
         layers.emplace_back(
                 map.slots[layer], tokens[layer],
-                LayerPlacement::Limits{this->settings.loadsPerRank, this->settings.chains});
+                LayerPlacement::Limits{this->settings.loadsPerRank, this->settings.chains}, paces);
     search(layers, this->settings.targetSkew);
     for (std::size_t layer = 0; layer < tokens.size(); ++layer) {
         plan.map.slots[layer] = layers[layer].slots();
         plan.loads += LayerPlacement::countLoads(map.slots[layer], layers[layer].slots());
     }
     plan.bytes = plan.loads * this->settings.expertBytes;
-    plan.skewBefore = skew(map, tokens);
-    plan.skewAfter = skew(plan.map, tokens);
+    plan.skewBefore = skew(map, tokens, paces);
+    plan.skewAfter = skew(plan.map, tokens, paces);
     const double savedShare = 1 - plan.skewAfter / plan.skewBefore;
     const std::chrono::duration<double, std::micro> gain = this->settings.horizon * savedShare;
     const std::chrono::duration<double> loading(static_cast<double>(plan.bytes)
@@ -76,9 +78,10 @@
 }
 
 std::optional<PlacementPlan> PlacementPlanner::consider(Instant now, const ExpertMap &map,
-                                                        const ExpertLoad::Tokens &tokens)
+                                                        const ExpertLoad::Tokens &tokens,
+                                                        const Paces &paces)
 {
-    if (skew(map, tokens) <= this->settings.startSkew) {
+    if (skew(map, tokens, paces) <= this->settings.startSkew) {
         this->skewedSince = NoDeadline;
         return std::nullopt;
     }
@@ -86,7 +89,7 @@
         this->skewedSince = now;
     if (now - this->skewedSince < this->settings.startAfter)
         return std::nullopt;
-    PlacementPlan plan = this->plan(map, tokens);
+    PlacementPlan plan = this->plan(map, tokens, paces);
     const bool improvesEnough =
             plan.skewAfter <= this->settings.startSkew
             || plan.skewBefore - plan.skewAfter >= this->settings.minImprovement;
