Tell the owner and the entries of slow ranks

With one rank of 63 five times slower, all streams of its group were late, and entries kept placing new ones on that rank.

An agent reads the pace of its engine and tells it with its states once it has lasted 400 ms, five times a second while it is above 1. The owner plans with it. The hub tells four entries at a time, in turn, every 300 ms, in the answer to the query for the group; these tell the others in their reports. The hub knows entries from the states of all agents, each of which names the entry that asked it last, so a new hub can tell them at once. Figures expire after two seconds. If more than a quarter of the ranks is slow, none counts. Agents and entries without the fields ignore them.

--- a/Source/Experts/GroupExchange.cpp
+++ b/Source/Experts/GroupExchange.cpp
@@ -1,5 +1,6 @@
 #include "Experts/GroupExchange.h"
 
+#include "Experts/GroupPaces.h"
 #include "Experts/PackedMap.h"
 
 #include <algorithm>
@@ -20,6 +21,10 @@
 /// The group may be held during a change, so a failed agent must be noticed fast.
 constexpr milliseconds SwitchingStatePeriod{60};
 constexpr milliseconds SwitchingSilenceLimit{250};
+/// Entries learn of a slow rank within a second, and its pace expires at the hub after two, so it
+/// is told this often while it is above 1, and for a second after its last change.
+constexpr milliseconds PacePeriod{200};
+constexpr milliseconds PaceRepeatTime{1000};
 /// States of an earlier incarnation arrive within this time.
 constexpr milliseconds MaxMessageDelay{500};
 /// Time for a command to be confirmed: a round trip and the tick periods of both agents.
@@ -251,10 +256,24 @@
     this->sendCounts(now, own, messages);
 }
 
+bool GroupExchange::owesPace(Instant now, const RankState &own)
+{
+    // Without a hub, states go to all agents, and nobody tells the entries.
+    if (this->mode != Mode::Star || !this->sentState)
+        return false;
+    if (this->sentState->engine.pace != own.engine.pace) {
+        this->paceToldUntil = now + PaceRepeatTime;
+        return true;
+    }
+    return (own.engine.pace > 1 || now < this->paceToldUntil) && now >= this->nextPaceAt;
+}
+
 void GroupExchange::sendState(Instant now, const RankState &own, Messages &messages)
 {
-    if (now < this->nextStateAt && this->sentState && !isNews(*this->sentState, own))
+    const bool owesPace = this->owesPace(now, own);
+    if (now < this->nextStateAt && this->sentState && !isNews(*this->sentState, own) && !owesPace)
         return;
+    this->nextPaceAt = now + PacePeriod;
     this->nextStateAt =
             now + (this->switchingSince ? SwitchingStatePeriod : statePeriod(this->ranks));
     auto state = std::make_shared<RankState>(own);
@@ -408,4 +427,24 @@
     return found == this->rows.end() ? Instant() : found->second.heardAt;
 }
 
+std::vector<SlowRank> GroupExchange::slowRanks(Instant now, const RankState &own) const
+{
+    GroupPaces group(own.engine.ranks);
+    group.add(own.engine.rank, own.engine.pace, now);
+    for (const auto &[rank, row] : this->rows)
+        group.add(rank, row.state.engine.pace, row.heardAt);
+    const std::vector<double> paces = group.at(now);
+    std::vector<SlowRank> slow;
+    for (std::uint32_t rank = 0; rank < paces.size(); ++rank) {
+        if (paces[rank] <= 1)
+            continue;
+        const auto found = this->rows.find(rank);
+        const bool isOwn = rank == own.engine.rank || found == this->rows.end();
+        const Instant heardAt = isOwn ? now : found->second.heardAt;
+        slow.push_back({isOwn ? own.engineAddress : found->second.state.engineAddress, paces[rank],
+                        std::chrono::duration_cast<milliseconds>(now - heardAt)});
+    }
+    return slow;
+}
+
 } // namespace Nutmegrill
--- a/Source/Experts/GroupExchange.h
+++ b/Source/Experts/GroupExchange.h
@@ -3,6 +3,7 @@
 #include "Core/Time.h"
 #include "Experts/ExpertCounts.h"
 #include "Experts/RankState.h"
+#include "Membership/SlowRank.h"
 
 #include <chrono>
 #include <cstdint>
@@ -92,6 +93,8 @@
     std::vector<const RankState *> states() const;
     const RankState *find(std::uint32_t rank) const;
     Instant heardAt(std::uint32_t rank) const;
+    /// The ranks that count as slow, by the states of all agents and \a own.
+    std::vector<SlowRank> slowRanks(Instant now, const RankState &own) const;
 
     /// Time without a report after which a rank counts as failed, in a group of that size.
     static std::chrono::milliseconds livenessTimeout(std::uint32_t ranks);
@@ -132,6 +135,8 @@
     bool isLowestLive(Instant now) const;
     /// Since when the rank has been silent although this agent listened to it.
     Instant silentSince(std::uint32_t rank, const Row &row) const;
+    /// Whether the hub waits for the pace of the own rank: it has changed, or expires at the hub.
+    bool owesPace(Instant now, const RankState &own);
     void sendState(Instant now, const RankState &own, Messages &messages);
     /// Answers agents of other groups.
     void sendReplies(Instant now, Messages &messages);
@@ -154,6 +159,9 @@
     std::optional<Instant> switchingSince;
     std::optional<RankState> sentState;
     Instant nextStateAt;
+    /// The pace is told again from then on, and after its last change until paceToldUntil.
+    Instant nextPaceAt;
+    Instant paceToldUntil;
     std::optional<ExpertCounts> sample;
     Instant nextCountsAt;
     Instant nextMapAt;
--- a/Source/Experts/RankState.h
+++ b/Source/Experts/RankState.h
@@ -37,6 +37,8 @@
     std::optional<MapSwitch> armed;
     /// Step that the group does not begin until this rank is released.
     std::optional<std::uint64_t> heldStep;
+    /// Factor by which the rank is slower than it should be, 1 to RankPace::MaxPace.
+    double pace = 1;
 
     bool isOfGroup(const GroupIdentity &identity) const
     {
@@ -90,6 +92,9 @@
     bool wantsExperts = false;
     /// Told by the hub: period of the counts of each rank.
     std::chrono::milliseconds countsPeriod{0};
+    /// An entry that asked this agent for its group, for the hub that tells entries of slow ranks;
+    /// empty if none did lately.
+    std::string entry;
 };
 
 /// Request of the owner of a group to all agents, repeated until all have followed it.
--- a/Source/Experts/SwitchOwner.cpp
+++ b/Source/Experts/SwitchOwner.cpp
@@ -1,6 +1,7 @@
 #include "Experts/SwitchOwner.h"
 
 #include "Experts/GroupExchange.h"
+#include "Experts/GroupPaces.h"
 
 #include <algorithm>
 #include <set>
@@ -70,7 +71,8 @@
     text << "live=" << live << " step=" << step << " step_us=" << stepTime.count()
          << " oldest_report_us=" << oldest.count();
     if (const auto map = this->currentMap(); map && this->observations > 0)
-        text << " skew=" << PlacementPlanner::skew(this->padded(*map), this->load.tokens());
+        text << " skew="
+             << PlacementPlanner::skew(this->padded(*map), this->load.tokens(), this->paces(now));
     return text.str();
 }
 
@@ -191,6 +193,16 @@
     return isCommon && version != 0 ? std::optional(version) : std::nullopt;
 }
 
+std::vector<double> SwitchOwner::paces(Instant now) const
+{
+    if (this->ranks.empty())
+        return {};
+    GroupPaces paces(this->ranks.begin()->second.state.engine.ranks);
+    for (const auto &[number, rank] : this->ranks)
+        paces.add(number, rank.state.engine.pace, rank.lastReportAt);
+    return paces.at(now);
+}
+
 ExpertMap SwitchOwner::padded(const ExpertMap &map) const
 {
     ExpertMap paddedMap = map;
@@ -224,7 +236,8 @@
     const std::optional<ExpertMap> map = this->currentMap();
     if (!map)
         return;
-    const auto plan = this->planner.consider(now, this->padded(*map), this->load.tokens());
+    const std::vector<double> paces = this->paces(now);
+    const auto plan = this->planner.consider(now, this->padded(*map), this->load.tokens(), paces);
     if (!plan)
         return;
     std::uint64_t version = this->lastVersion;
@@ -262,6 +275,10 @@
     text << "plan version=" << next.change.version << " epoch=" << next.epoch
          << " ballot=" << next.ballot << " skew_before=" << plan->skewBefore
          << " skew_after=" << plan->skewAfter << " loads=" << plan->loads;
+    if (const auto slow =
+                std::count_if(paces.begin(), paces.end(), [](double pace) { return pace > 1; });
+        slow > 0)
+        text << " slow_ranks=" << slow;
     this->logText = text.str();
 }
 
--- a/Source/Experts/SwitchOwner.h
+++ b/Source/Experts/SwitchOwner.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace Nutmegrill {
 
@@ -74,6 +75,7 @@
     std::optional<ExpertMap> currentMap() const;
     /// Version of the map in use; nullopt if ranks differ or use the initial map.
     std::optional<std::uint64_t> currentVersion() const;
+    std::vector<double> paces(Instant now) const;
     ExpertMap padded(const ExpertMap &map) const;
     ExpertMap unpadded(const ExpertMap &map) const;
     void enter(OwnerCommand::Phase next, Instant now, std::chrono::milliseconds limit);
--- a/Source/Relay/BackendRoster.cpp
+++ b/Source/Relay/BackendRoster.cpp
@@ -36,6 +36,8 @@
     if (restarted) {
         row.health = {};
         row.saysItLeaves = false;
+        row.pace = 1;
+        row.paceUntil = Instant();
     }
     if (restarted || row.record.service != record.service) {
         row.unit = record.service;
@@ -82,6 +84,19 @@
     }
 }
 
+bool BackendRoster::recordPace(const std::string &address, double pace, Instant until)
+{
+    bool isNews = false;
+    for (auto &[id, row] : this->table) {
+        if (row.record.address != address || this->isSuperseded(row) || until < row.paceUntil)
+            continue;
+        isNews = isNews || row.pace != pace;
+        row.pace = pace;
+        row.paceUntil = until;
+    }
+    return isNews;
+}
+
 void BackendRoster::storeReturned(Instant now)
 {
     this->storeReturnedAt = std::max(this->storeReturnedAt.value_or(now), now);
@@ -92,6 +107,8 @@
     std::erase_if(this->table, [now](const auto &entry) {
         return entry.second.removedAt && now > *entry.second.removedAt + RemovedRowRetention;
     });
+    for (auto &[id, row] : this->table)
+        row.pace = row.paceAt(now);
     std::erase_if(this->latestIncarnation, [this](const auto &entry) {
         return std::none_of(this->table.begin(), this->table.end(), [&](const auto &row) {
             return row.second.record.address == entry.first;
--- a/Source/Relay/BackendRoster.h
+++ b/Source/Relay/BackendRoster.h
@@ -37,6 +37,13 @@
         std::uint32_t reportedLoad = 0;
         /// When any request of this entry last received data from the backend server.
         Instant lastReceivedAt;
+        /// Factor by which the backend server is slow, as its model group told, and until when that
+        /// counts; see paceAt().
+        double pace = 1;
+        Instant paceUntil;
+
+        /// 1 unless the backend server is known to be slow now.
+        double paceAt(Instant now) const { return now < this->paceUntil ? this->pace : 1; }
     };
 
     using Rows = std::map<std::string, Row>;
@@ -72,6 +79,11 @@
     /// nextQueryAt.
     void recordGroup(const std::string &address, const std::string &group, Instant nextQueryAt);
 
+    /// The backend server at that address is slow by the factor \a pace until \a until; 1 ends a
+    /// slowness. A figure that expires before the known one is older and ignored. Returns whether
+    /// the pace differs from the known one.
+    bool recordPace(const std::string &address, double pace, Instant until);
+
     /// A start of a backend server leaves. Returns whether that is new.
     bool recordLeaving(const std::string &id, std::uint64_t incarnation);
 
--- a/Source/Relay/EntryReport.h
+++ b/Source/Relay/EntryReport.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Membership/CrashReport.h"
+#include "Membership/SlowRank.h"
 #include "Relay/StorePosition.h"
 
 #include <chrono>
@@ -52,6 +53,8 @@
     std::vector<std::string> leaving;
     /// News about requests that crash backend servers.
     std::vector<CrashReport> crashes;
+    /// Slow backend servers that an agent has told this entry of.
+    std::vector<SlowRank> slowRanks;
 };
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/GroupQueryCodec.cpp
+++ b/Source/RelayShell/GroupQueryCodec.cpp
@@ -1,6 +1,7 @@
 #include "RelayShell/GroupQueryCodec.h"
 
 #include "Core/Cbor.h"
+#include "RelayShell/SlowRankCodec.h"
 
 #include <nlohmann/json.hpp>
 
@@ -43,7 +44,10 @@
 
 std::string encodeGroupMembership(const GroupMembership &membership)
 {
-    return toBytes({{"type", MembershipType}, {"x", membership.address}, {"g", membership.group}});
+    Json json = {{"type", MembershipType}, {"x", membership.address}, {"g", membership.group}};
+    if (!membership.slowRanks.empty())
+        json["s"] = slowRanksToJson(membership.slowRanks);
+    return toBytes(json);
 }
 
 std::optional<GroupMembership> decodeGroupMembership(std::string_view bytes)
@@ -52,8 +56,8 @@
     try {
         if (!json.is_object() || json.at("type") != MembershipType)
             return std::nullopt;
-        GroupMembership membership{json.at("x").get<std::string>(),
-                                   json.at("g").get<std::string>()};
+        GroupMembership membership{json.at("x").get<std::string>(), json.at("g").get<std::string>(),
+                                   slowRanksFromJson(json.value("s", Json::array()))};
         if (membership.group.empty() || membership.group.size() > MaxNameLength)
             return std::nullopt;
         return membership;
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -2,7 +2,9 @@
 
 #include "Core/Cbor.h"
 #include "Experts/PackedMap.h"
+#include "Experts/RankPace.h"
 #include "RelayShell/PlanNumberTable.h"
+#include "RelayShell/SlowRankCodec.h"
 
 #include <algorithm>
 #include <utility>
@@ -92,6 +94,8 @@
                 {incarnation, requestsPerSecond ? Json(*requestsPerSecond) : Json(), age.count()});
     if (!report.leaving.empty())
         json["leave"] = report.leaving;
+    if (!report.slowRanks.empty())
+        json["slow"] = slowRanksToJson(report.slowRanks);
     for (const CrashReport &crashes : report.crashes)
         json["crashes"].push_back(crashesToJson(crashes));
     return toBytes(json);
@@ -127,6 +131,7 @@
                                              : std::optional(limit.at(1).get<double>()),
                                      std::chrono::milliseconds(limit.at(2).get<std::uint32_t>())});
         report.leaving = json.value("leave", decltype(report.leaving)());
+        report.slowRanks = slowRanksFromJson(json.value("slow", Json::array()));
         for (const Json &crashes : json.value("crashes", Json::array()))
             report.crashes.push_back(crashesFromJson(crashes));
         if (report.peerAddress.empty())
@@ -245,6 +250,10 @@
         if (!value.is_null())
             json[name] = value;
     }
+    if (engine.pace > 1)
+        json["pc"] = engine.pace;
+    if (!state.entry.empty())
+        json["en"] = state.entry;
     if (!state.experts.empty())
         json["ex"] = Json::binary(packMap({state.experts}));
     json["v"] = numbers.toJson();
@@ -275,6 +284,7 @@
             engine.preparedVersion = number("p", 0);
         engine.armed = switchFromJson(optional("ar"), numbers);
         engine.heldStep = optionalFromJson(optional("h"));
+        engine.pace = RankPace::clamp(json.value("pc", 1.0));
         json.at("a").get_to(state.address);
         json.at("x").get_to(state.engineAddress);
         json.at("i").get_to(state.incarnation);
@@ -291,6 +301,7 @@
         state.allArmed = switchFromJson(optional("ga"), numbers);
         state.holderArmed = switchFromJson(optional("ha"), numbers);
         state.acknowledgedStep = optionalFromJson(optional("ak"));
+        state.entry = json.value("en", "");
         if (const Json hub = optional("hub"); !hub.is_null()) {
             state.isHub = true;
             state.wantsExperts = hub.at(0).get<bool>();
--- a/Source/RelayShell/RankAgent.cpp
+++ b/Source/RelayShell/RankAgent.cpp
@@ -258,6 +258,11 @@
                     || before->mapVersion != report->mapVersion || before->rank != report->rank
                     || !report->isOfGroup({before->group, before->ranks}))
                     this->engineChanged(*report);
+                this->pace.reported(this->loop.now(), report->pace);
+                // A slow report is confirmed without waiting for the next regular ones.
+                if (this->pace.isPending())
+                    this->nextReportAt =
+                            std::min(this->nextReportAt, this->loop.now() + BusyReportPeriod);
                 this->rankSwitch->engineReported(*report);
                 this->sendNextCommand();
             });
@@ -267,8 +272,11 @@
 {
     this->expertsKnown = false;
     this->state.experts.clear();
-    if (const auto &before = this->rankSwitch->engine();
-        before && !engine.isOfGroup({before->group, before->ranks})) {
+    const auto &before = this->rankSwitch->engine();
+    // A new start of the engine is not slow until it reports so.
+    if (before && (before->epoch != engine.epoch || before->rank != engine.rank))
+        this->pace = {};
+    if (before && !engine.isOfGroup({before->group, before->ranks})) {
         this->takeovers.clear();
         this->lastCounts.clear();
     }
@@ -410,7 +418,7 @@
             takeover.rankSwitch.peerReported(*known);
     }
     RankState own;
-    this->rankSwitch->describe(own);
+    this->describe(own);
     takeover.rankSwitch.peerReported(own);
     if (const auto command = takeover.rankSwitch.nextCommand(now)) {
         takeover.engine->call(this->protocol.commandRequest(*command), CommandTimeout,
@@ -442,6 +450,8 @@
                               found->second.rankSwitch.engineReported(*report);
                               RankState seen = *known;
                               seen.engine = *report;
+                              // Only the rank's own agent knows whether its pace has lasted.
+                              seen.engine.pace = known->engine.pace;
                               this->exchange.stateReadForPeer(seen);
                               this->rankSwitch->peerReported(seen);
                           });
@@ -453,7 +463,7 @@
     if (this->owner == nullptr || this->stopAt != NoDeadline)
         return std::nullopt;
     RankState own = this->state;
-    this->rankSwitch->describe(own);
+    this->describe(own);
     own.sequence = ++this->ownReports;
     this->owner->enterGroup({own.engine.group, own.engine.ranks});
     this->owner->report(now, own);
--- a/Source/RelayShell/RankAgent.h
+++ b/Source/RelayShell/RankAgent.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "Experts/GroupExchange.h"
+#include "Experts/RankPace.h"
 #include "Experts/RankSwitch.h"
+#include "Experts/SlowRankNotices.h"
 #include "Experts/SwitchOwner.h"
 #include "Http/HttpListener.h"
 #include "Net/EventLoop.h"
@@ -100,6 +102,12 @@
     void logInvalidRank(const EngineState &engine, const std::string &from);
     void logCommand(const EngineCommand &command, std::uint32_t rank, int status);
     void exchangeStates();
+    /// Describes the own rank with the pace that counts now.
+    void describe(RankState &own) const;
+    void logPace();
+    /// Tells entries of the slow ranks, if this agent is the hub.
+    void notifyEntries();
+    void answerGroupQuery(const std::string &entry);
     std::optional<OwnerCommand> tickOwner();
     void handleDatagram(std::string_view bytes);
     void handleState(Instant now, const RankState &state);
@@ -129,6 +137,12 @@
     std::unique_ptr<RankSwitch> rankSwitch;
     std::unique_ptr<SwitchOwner> owner;
     RankState state;
+    RankPace pace;
+    double loggedPace = 1;
+    SlowRankNotices notices;
+    /// The entry that asked last, and when.
+    std::string askingEntry;
+    Instant entryAskedAt;
     /// Counts at the last read; a sample is the difference between two.
     std::vector<std::uint64_t> lastCounts;
     /// Sequence of the own states that the owner gets.
--- a/Source/RelayShell/RankAgentMessages.cpp
+++ b/Source/RelayShell/RankAgentMessages.cpp
@@ -6,6 +6,7 @@
 #include "RelayShell/PeerCodec.h"
 #include "RelayShell/RankAgent.h"
 
+#include <chrono>
 #include <utility>
 
 namespace Nutmegrill {
@@ -14,6 +15,8 @@
 
 /// Other groups that an agent remembers as logged.
 constexpr std::size_t MaxLoggedGroups = 64;
+/// Entries ask an agent once a minute; one that has missed two turns has ended.
+constexpr std::chrono::seconds AskingEntryRetention{150};
 
 } // namespace
 
@@ -25,11 +28,57 @@
     const std::optional<OwnerCommand> command = this->tickOwner();
     if (command)
         this->rankSwitch->ownerCommanded(*command);
-    this->rankSwitch->describe(this->state);
+    this->describe(this->state);
+    this->logPace();
+    const bool wasAskedLately = now < this->entryAskedAt + AskingEntryRetention;
+    this->state.entry = wasAskedLately ? this->askingEntry : std::string();
     GroupExchange::Messages messages;
     this->exchange.tick(now, this->state, command, messages);
     for (const GroupExchange::Message &message : messages)
         this->sendTo(message.address, this->encode(message.body));
+    this->notifyEntries();
+}
+
+void RankAgent::describe(RankState &own) const
+{
+    this->rankSwitch->describe(own);
+    own.engine.pace = this->pace.at(this->loop.now());
+}
+
+void RankAgent::logPace()
+{
+    if (const double pace = this->state.engine.pace; pace != this->loggedPace) {
+        this->loggedPace = pace;
+        this->log(RelayLog::RankPaceChanged,
+                  "rank=" + std::to_string(this->rank()) + " pace=" + std::to_string(pace));
+    }
+}
+
+void RankAgent::notifyEntries()
+{
+    const Instant now = this->loop.now();
+    if (!this->exchange.isHub()) {
+        this->notices.stop();
+        return;
+    }
+    const auto notice = this->notices.tick(now, this->exchange.slowRanks(now, this->state));
+    if (!notice)
+        return;
+    const std::string bytes = encodeGroupMembership(
+            {this->options.engineAddress, this->state.engine.group, notice->ranks});
+    for (const std::string &entry : notice->entries)
+        this->sendTo(entry, bytes);
+}
+
+void RankAgent::answerGroupQuery(const std::string &entry)
+{
+    const Instant now = this->loop.now();
+    this->notices.entryHeard(now, entry);
+    this->askingEntry = entry;
+    this->entryAskedAt = now;
+    if (const auto &known = this->rankSwitch->engine(); known && this->engineReachable)
+        this->sendTo(entry, encodeGroupMembership({this->options.engineAddress, known->group,
+                                                   this->notices.ranks()}));
 }
 
 std::string RankAgent::encode(const GroupExchange::Message::Body &body)
@@ -97,9 +146,7 @@
         return;
     }
     if (const auto replyAddress = decodeGroupQuery(bytes)) {
-        if (const auto &known = this->rankSwitch->engine(); known && this->engineReachable)
-            this->sendTo(*replyAddress,
-                         encodeGroupMembership({this->options.engineAddress, known->group}));
+        this->answerGroupQuery(*replyAddress);
         return;
     }
     this->metrics.add("nutmegrill_reports_unreadable_total", {});
@@ -130,6 +177,8 @@
         break;
     }
     this->traffic.missedStates += missed;
+    if (!state.entry.empty())
+        this->notices.entryHeard(now, state.entry);
     this->rankSwitch->peerReported(state);
     if (this->owner != nullptr)
         this->owner->report(now, state);
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -6,6 +6,7 @@
 #include "Relay/PeerPull.h"
 #include "Relay/RelayNode.h"
 #include "Relay/ReportSchedule.h"
+#include "Relay/SlowRankTable.h"
 #include "Relay/StopAdmission.h"
 #include "RelayShell/BackendAttempts.h"
 #include "RelayShell/DatagramSocket.h"
@@ -136,6 +137,7 @@
     std::unique_ptr<EventLoop::Timer> terminateSignal;
     std::uint64_t reportSequence = 0;
     ReportSchedule reportSchedule;
+    SlowRankTable slowRanks;
     /// When the lease is renewed next.
     Instant renewAt;
     std::uint64_t lease = 0;
--- a/Source/RelayShell/RelayEntryPeers.cpp
+++ b/Source/RelayShell/RelayEntryPeers.cpp
@@ -87,6 +87,8 @@
         }
         if (const auto membership = decodeGroupMembership(bytes)) {
             this->node.groupArrived(this->loop.now(), *membership);
+            this->slowRanks.noticeArrived(this->loop.now(), membership->slowRanks,
+                                          this->node.roster());
             return;
         }
     }
@@ -100,6 +102,7 @@
     this->execute(commands);
     if (!isNew)
         return;
+    SlowRankTable::record(now, report->slowRanks, this->node.roster());
     if (report->sinceStoreReturned)
         this->node.roster().storeReturned(now - *report->sinceStoreReturned);
     if (!this->isWatchingStore && this->storeFeed.mirror().position() < report->known)
@@ -128,8 +131,10 @@
     if (this->reportSchedule.isDue(now, entries.size() + 1,
                                    {report.isServing, report.isLeaving,
                                     report.sinceStoreReturned.has_value(), this->isWatchingStore,
-                                    report.known, this->node.hasNews()})) {
+                                    report.known,
+                                    this->node.hasNews() || this->slowRanks.hasNews()})) {
         this->node.fillReport(now, report);
+        report.slowRanks = this->slowRanks.takeReport(now);
         const std::string bytes = encodeReport(report);
         for (const std::string &address : entries.peerAddresses())
             this->sendMessage(address, bytes);
--- a/Tests/Experts/SwitchWorld.cpp
+++ b/Tests/Experts/SwitchWorld.cpp
@@ -136,8 +136,10 @@
     agent.owner = std::make_unique<SwitchOwner>(
             settings, PlanNumbering(timeOfDay, this->random.below(MaxPlanTag)));
     agent.state = {};
+    agent.pace = {};
     agent.state.incarnation = ++this->incarnations;
     agent.state.address = std::to_string(server);
+    agent.state.entry = "10.20.30." + std::to_string(server) + ":7340";
     agent.lastCounts.clear();
     agent.ownReports = 0;
     const std::uint64_t linkRate =
@@ -270,7 +272,10 @@
 {
     ExpertMap map;
     map.slots = this->engines[group.members.front()].map;
-    return PlacementPlanner::skew(map, group.demand);
+    PlacementPlanner::Paces paces;
+    for (const std::uint32_t server : group.members)
+        paces.push_back(this->engines[server].state.pace);
+    return PlacementPlanner::skew(map, group.demand, paces);
 }
 
 double SwitchWorld::meanSkew(std::uint32_t group) const
@@ -305,10 +310,16 @@
                                Message{to, message.body});
 }
 
+void SwitchWorld::describe(Agent &agent) const
+{
+    agent.rankSwitch->describe(agent.state);
+    agent.state.engine.pace = this->scale.reportsPace ? agent.pace.at(this->now) : 1;
+}
+
 void SwitchWorld::exchangeStates(std::uint32_t server)
 {
     Agent &agent = this->agents[server];
-    agent.rankSwitch->describe(agent.state);
+    this->describe(agent);
     agent.state.experts.clear();
     const EngineState &engine = this->engines[server].state;
     const std::uint32_t rank = agent.rankSwitch->engine()->rank;
@@ -326,7 +337,7 @@
     const auto command = agent.owner->tick(this->now, rank);
     if (command)
         agent.rankSwitch->ownerCommanded(*command);
-    agent.rankSwitch->describe(agent.state);
+    this->describe(agent);
     GroupExchange::Messages out;
     agent.exchange->tick(this->now, agent.state, command, out);
     for (const GroupExchange::Message &message : out)
@@ -416,6 +427,7 @@
     if (this->now >= agent.nextReportAt) {
         agent.nextReportAt = this->now + (agent.rankSwitch->isBusy() ? Tick : 5 * Tick);
         agent.rankSwitch->engineReported(this->engines[server].state);
+        agent.pace.reported(this->now, this->engines[server].state.pace);
     }
     if (const auto engineCommand = agent.rankSwitch->nextCommand(this->now)) {
         if (this->random.unit() < this->faults.lateCommands) {
--- a/Tests/Experts/SwitchWorld.h
+++ b/Tests/Experts/SwitchWorld.h
@@ -3,6 +3,7 @@
 #include "Core/RandomSource.h"
 #include "Core/Time.h"
 #include "Experts/GroupExchange.h"
+#include "Experts/RankPace.h"
 #include "Experts/RankSwitch.h"
 #include "Experts/SwitchOwner.h"
 #include "SimulatedLinks.h"
@@ -53,6 +54,8 @@
         SimulatedLinks::Limits links;
         /// Ranks of the groups beside the first one.
         std::vector<std::uint32_t> otherGroups;
+        /// Off: the agents do not know the pace of their engines.
+        bool reportsPace = true;
     };
 
     SwitchWorld(std::uint32_t ranks, std::uint64_t seed, const Faults &faults,
@@ -63,6 +66,9 @@
     /// Runs for \a span. Returns the first violation: a step that began with two maps.
     std::string run(std::chrono::milliseconds span);
 
+    /// Slows the engine of a server down by that factor.
+    void setPace(std::uint32_t server, double pace) { this->engines[server].state.pace = pace; }
+
     /// Stops all faults, so that an open change can end.
     void stopFaults();
 
@@ -90,6 +96,11 @@
     }
     /// Mean over the steps so far of the most loaded rank over the mean of all ranks.
     double meanSkew(std::uint32_t group = 0) const;
+    /// The same in the present step; a slow rank takes the longer for its tokens.
+    double currentSkew(std::uint32_t group = 0) const
+    {
+        return this->skewOfStep(this->groups[group]);
+    }
 
 private:
     using Slots = std::vector<std::vector<std::vector<std::uint32_t>>>;
@@ -142,6 +153,7 @@
         std::unique_ptr<RankSwitch> rankSwitch;
         std::unique_ptr<SwitchOwner> owner;
         RankState state;
+        RankPace pace;
         Instant pausedUntil;
         std::unique_ptr<GroupExchange> exchange;
         Instant nextReportAt;
@@ -158,6 +170,7 @@
     void restartAllAgents();
     void runAgent(std::uint32_t server);
     void giveHold(std::uint32_t server);
+    void describe(Agent &agent) const;
     void exchangeStates(std::uint32_t server);
     void sampleCounts(std::uint32_t server);
     void post(std::uint32_t from, const GroupExchange::Message &message);
--- a/Tests/Platform/AdapterTest.cpp
+++ b/Tests/Platform/AdapterTest.cpp
@@ -49,6 +49,7 @@
     CPPUNIT_TEST(requestHeadersAreReadAndReplaced);
     CPPUNIT_TEST(answerHeadsAreClassified);
     CPPUNIT_TEST(engineReportIsDecoded);
+    CPPUNIT_TEST(paceOfAnEngineIsOptional);
     CPPUNIT_TEST(malformedEngineAnswersAreRejected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -278,6 +279,26 @@
         CPPUNIT_ASSERT(state->preparedVersion == std::uint64_t(5) && state->mapVersion == 4);
     }
 
+    // Guards against a report that is lost because of a pace without a value, and against values
+    // that break the plans.
+    void paceOfAnEngineIsOptional()
+    {
+        const auto paceOf = [](const std::string &field) {
+            return PlatformEngine()
+                    .readReport(R"({"group":{"name":"g","epoch":2,"rank":3,"state":"open"},
+                                "size":12,"step":71,"map":4,"prepared":null,"armed":null,
+                                "held":null)"
+                                + field + "}")
+                    ->pace;
+        };
+        CPPUNIT_ASSERT_EQUAL(1.0, paceOf(""));
+        CPPUNIT_ASSERT_EQUAL(4.5, paceOf(R"(,"pace":4.5)"));
+        CPPUNIT_ASSERT_EQUAL(5.0, paceOf(R"(,"pace":5)"));
+        CPPUNIT_ASSERT_EQUAL(100.0, paceOf(R"(,"pace":1e9)"));
+        for (const std::string value : {"null", "0.5", "0", "-3", "\"5\"", "[5]"})
+            CPPUNIT_ASSERT_EQUAL(1.0, paceOf(R"(,"pace":)" + value));
+    }
+
     void malformedEngineAnswersAreRejected()
     {
         const PlatformEngine engine;
--- a/Tests/Platform/ModelGroupQueryTest.cpp
+++ b/Tests/Platform/ModelGroupQueryTest.cpp
@@ -1,6 +1,7 @@
 #include "RelayEntryFixture.h"
 #include "RelayShell/DatagramSocket.h"
 #include "RelayShell/GroupQueryCodec.h"
+#include "RelayShell/PeerCodec.h"
 
 #include <string>
 
@@ -22,6 +23,8 @@
     CPPUNIT_TEST_SUITE(ModelGroupQueryTest);
     CPPUNIT_TEST(messagesAreReadOnlyWhenWhole);
     CPPUNIT_TEST(entryAsksTheAgentsOfModelServers);
+    CPPUNIT_TEST(slowRanksArePartOfTheAnswer);
+    CPPUNIT_TEST(entryTellsTheOthersOfSlowRanks);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -65,6 +68,53 @@
         CPPUNIT_ASSERT_EQUAL(1, queries);
     }
 
+    // Guards against answers that entries without the field cannot read.
+    void slowRanksArePartOfTheAnswer()
+    {
+        const std::vector<SlowRank> slow = {{"10.0.0.8:80", 4.5, std::chrono::milliseconds(120)}};
+        const std::string answer = encodeGroupMembership({"10.0.0.9:80", "g-7", slow});
+        CPPUNIT_ASSERT_EQUAL(std::string("g-7"), decodeGroupMembership(answer)->group);
+        CPPUNIT_ASSERT(decodeGroupMembership(answer)->slowRanks == slow);
+        const std::string without = encodeGroupMembership({"10.0.0.9:80", "g-7", {}});
+        CPPUNIT_ASSERT(decodeGroupMembership(without)->slowRanks.empty());
+        const std::vector<SlowRank> many(200, slow.front());
+        CPPUNIT_ASSERT_EQUAL(
+                std::size_t(64),
+                decodeGroupMembership(encodeGroupMembership({"a", "g", many}))->slowRanks.size());
+    }
+
+    // Guards against a notice that stays at the entry that a hub has told, or goes round for ever.
+    void entryTellsTheOthersOfSlowRanks()
+    {
+        const std::string &own = this->options.peerAddress;
+        const std::string peer = "127.0.0.3" + own.substr(own.find(':'));
+        std::size_t told = 0;
+        std::size_t reports = 0;
+        DatagramSocket other(*this->loop, peer, [&](std::string_view bytes) {
+            if (const auto report = decodeReport(bytes)) {
+                ++reports;
+                told += report->slowRanks.size();
+            }
+        });
+        EntryReport report;
+        report.name = "other";
+        report.peerAddress = peer;
+        report.sequence = 1;
+        report.slowRanks = {{"127.0.0.2:9", 5, std::chrono::milliseconds(0)}};
+        this->store->put("op/config", ModelConfiguration);
+        this->store->put("servers/i-1", serverRecord("m", "127.0.0.2:9"));
+        other.send(own, encodeReport(report));
+        this->loop->runUntil([&] { return reports > 2; }, TestTimeout);
+        CPPUNIT_ASSERT(reports > 2 && told == 0);
+        other.send(own, encodeGroupMembership({"127.0.0.2:9", "g", report.slowRanks}));
+        this->loop->runUntil([&] { return told > 0; }, TestTimeout);
+        CPPUNIT_ASSERT(told > 0);
+        this->loop->runUntil([] { return false; }, std::chrono::milliseconds(2200));
+        const std::size_t toldInTime = told;
+        this->loop->runUntil([] { return false; }, std::chrono::milliseconds(500));
+        CPPUNIT_ASSERT_EQUAL(toldInTime, told);
+    }
+
 private:
     static std::string serverRecord(const std::string &service, const std::string &address)
     {
