--- a/Source/Relay/ConcurrencyLimit.cpp
+++ b/Source/Relay/ConcurrencyLimit.cpp
@@ -46,7 +46,8 @@
     std::rotate(this->longest.begin(), std::prev(this->longest.end()), this->longest.end());
     this->longest.front() = 0;
     if (present > DecreaseThreshold)
-        this->slotShare = std::max(this->slotShare * std::max(0.95 / present, MaxDecrease), MinShare);
+        this->slotShare =
+                std::max(this->slotShare * std::max(0.95 / present, MaxDecrease), MinShare);
     else if (recent < IncreaseThreshold)
         this->slotShare = std::min(this->slotShare + IncreaseStep, 1.0);
 }
--- a/Source/Relay/Placement.cpp
+++ b/Source/Relay/Placement.cpp
@@ -58,14 +58,14 @@
                                 double replacedShare)
 {
     const double failureLimit = medianFailureShare(candidates) + FailureMargin;
-    using Class = std::tuple<bool, bool, bool>;
+    using Class = std::tuple<bool, bool, bool, bool>;
     std::optional<Class> best;
     std::vector<Option> options;
     for (const PlacementCandidate &candidate : candidates) {
         if (candidate.running >= candidate.slots)
             continue;
         const Class own{candidate.isStalled, candidate.failureShare > failureLimit,
-                        candidate.isCold};
+                        candidate.isSlow, candidate.isCold};
         if (best && own > *best)
             continue;
         if (!best || own < *best)
--- a/Source/Relay/Placement.h
+++ b/Source/Relay/Placement.h
@@ -28,6 +28,8 @@
     bool isStalled = false;
     /// Pauses between events in its model group, relative to their target.
     double pace = 1;
+    /// The other ranks of its model group wait for it in each step.
+    bool isSlow = false;
     /// Running requests of this entry.
     std::uint32_t runningHere = 0;
 };
@@ -41,10 +43,10 @@
 /// ("Interpreting Stale Load Information", Dahlin). With loads that are not stale, this is the
 /// least loaded server, and ties are broken at random.
 ///
-/// Backend servers with a clearly higher failure share than the others, cold ones and those of a
-/// stalled model group are used only when the others are full. Where a service has several model
-/// groups, a load counts for more in a group whose steps take longer: there a request waits for
-/// more time in each step, and lengthens the steps of more requests for longer.
+/// Backend servers with a clearly higher failure share than the others, slow and cold ones and
+/// those of a stalled model group are used only when the others are full. Where a service has
+/// several model groups, a load counts for more in a group whose steps take longer: there a request
+/// waits for more time in each step, and lengthens the steps of more requests for longer.
 std::optional<std::string> placeRequest(const std::vector<PlacementCandidate> &candidates,
                                         double replacedShare, RandomSource &random);
 
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -112,7 +112,8 @@
         candidates.push_back({id, std::max(1.0, unit.concurrency.share() * row.record.slots),
                               use.running + this->peers.runningElsewhere(id, now),
                               row.health.failureShare(now), isCold, use.sends, row.reportedLoad,
-                              unit.isStalled(now), unit.concurrency.pace(), use.running});
+                              unit.isStalled(now), unit.concurrency.pace(), row.paceAt(now) > 1,
+                              use.running});
     }
     const std::optional<std::string> chosen = this->settings.policy.place(
             candidates, this->replacedShare(exchange.service, now), this->random);
--- a/Source/RelayShell/RelayEntryPeers.cpp
+++ b/Source/RelayShell/RelayEntryPeers.cpp
@@ -89,6 +89,8 @@
             return;
         if (const auto membership = decodeGroupMembership(bytes)) {
             this->node.groupArrived(this->loop.now(), *membership);
+            this->slowRanks.noticeArrived(this->loop.now(), membership->slowRanks,
+                                          this->node.roster());
             return;
         }
     }
@@ -104,6 +106,7 @@
         return;
     if (this->usageDuty != nullptr)
         this->usageDuty->observeClock(*report);
+    SlowRankTable::record(now, report->slowRanks, this->node.roster());
     if (report->sinceStoreReturned)
         this->node.roster().storeReturned(now - *report->sinceStoreReturned);
     if (!this->isWatchingStore && this->storeFeed.mirror().position() < report->known)
@@ -134,8 +137,10 @@
     if (this->reportSchedule.isDue(now, entries.size() + 1,
                                    {report.isServing, report.isLeaving,
                                     report.sinceStoreReturned.has_value(), this->isWatchingStore,
-                                    report.known, this->node.hasNews()})) {
+                                    report.known,
+                                    this->node.hasNews() || this->slowRanks.hasNews()})) {
         this->node.fillReport(now, report);
+        report.slowRanks = this->slowRanks.takeReport(now);
         const std::string bytes = encodeReport(report);
         for (const std::string &address : entries.peerAddresses())
             this->sendMessage(address, bytes);
