Start a second attempt while the first one is late

Cause: a few requests are far slower than the others of their service, for example at a backend server that stalls, and a retry starts only after 1.2 s of silence.

The first attempt to bring an event or a successful head goes on, the other is cancelled. The default of 0 turns this off. A stream that is cut releases the error answer kept from an earlier attempt.

--- a/Source/Relay/Attempt.h
+++ b/Source/Relay/Attempt.h
@@ -25,6 +25,8 @@
     Instant lastActivityAt;
     Instant firstEventAt;
     bool hasHead = false;
+    /// It has brought its first event, or a head that is not one of a stream or a failure.
+    bool hasBegun = false;
     bool hasEvent = false;
     /// The answer has a status of success.
     bool isSuccess = false;
@@ -36,6 +38,8 @@
     bool hasRunWell = false;
     /// The request tests a quarantined trait.
     bool isTest = false;
+    /// Started while the first attempt was late, see RelayNode::startSecondAttempts().
+    bool isSecond = false;
     /// Head of an answer which states that the backend server did not run the request.
     std::optional<AnswerHead> refusal;
 };
--- a/Source/Relay/Exchange.h
+++ b/Source/Relay/Exchange.h
@@ -7,6 +7,7 @@
 #include "Relay/RelayRequest.h"
 #include "Relay/RequestQuarantine.h"
 #include "Relay/RequestTimes.h"
+#include "Scheduling/HedgeHold.h"
 
 #include <cstdint>
 #include <optional>
@@ -35,7 +36,13 @@
     /// End of the backoff: a waiting request gets no slot before.
     Instant notBefore;
 
+    /// While two attempts run, the one that last received something from its backend server.
     std::optional<Attempt> attempt;
+    /// The other attempt while two run. The first one to bring an event or a successful head goes
+    /// on alone.
+    std::optional<Attempt> otherAttempt;
+    /// What held back a second attempt when it was last due.
+    std::optional<HedgeHold> hedgeHold;
     /// Backend servers at which an attempt failed; they get no further attempt.
     std::set<std::string> failedOn;
     std::string lastBackend;
--- a/Source/Relay/RelayCommand.h
+++ b/Source/Relay/RelayCommand.h
@@ -106,13 +106,24 @@
     RequestTimes times;
 };
 
+/// Counts what became of a second attempt, or that it was held back.
+struct CountSecondAttempt
+{
+    std::string service;
+    /// `started`, `won`, `cancelled`, `failed`, `alone` or `suppressed`.
+    const char *outcome = "";
+    /// Why it was held back; empty for the other outcomes.
+    const char *reason = "";
+};
+
 struct Log
 {
     LogRecord record;
 };
 
 using Any = std::variant<StartAttempt, CancelAttempt, Refuse, RelayAnswer, OpenStream, SendEvent,
-                         EndStream, AbortStream, CheckBackend, StoreCrashes, RecordTimes, Log>;
+                         EndStream, AbortStream, CheckBackend, StoreCrashes, RecordTimes,
+                         CountSecondAttempt, Log>;
 using List = std::vector<Any>;
 
 } // namespace RelayCommand
--- a/Source/Relay/RelayLimits.h
+++ b/Source/Relay/RelayLimits.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace Nutmegrill {
 
@@ -10,6 +11,8 @@
 /// Remaining time below which no further attempt is made.
 inline constexpr std::chrono::milliseconds MinAttemptTime{60};
 inline constexpr std::chrono::milliseconds MinRetryAfter{100};
+/// Attempts per request, including those that backend servers rejected as not run.
+inline constexpr std::uint32_t MaxSends = 4;
 
 } // namespace RelayLimits
 
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -50,6 +50,7 @@
 inline constexpr std::uint32_t UnexpectedError = 5046;
 inline constexpr std::uint32_t AttemptReset = 5047;
 inline constexpr std::uint32_t LeaveNoticedLate = 5048;
+inline constexpr std::uint32_t SecondAttempt = 5060;
 
 } // namespace RelayLog
 
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -129,6 +129,8 @@
             }));
     exchange.startBy = exchange.targetAt - this->waitEstimatorOf(exchange).meanDelay();
     this->retryBudgetOf(exchange.service).recordRequest(now);
+    if (this->isHedging())
+        this->hedgeBudgetOf(exchange.service).recordRequest(now);
     const std::uint32_t ahead = this->waitingCount(exchange.service);
     Exchange &row = this->exchanges.insert_or_assign(caller, std::move(exchange)).first->second;
     if (ahead == 0 && this->tryPlace(now, row, commands))
@@ -155,7 +157,7 @@
          << " backend=" << (exchange.attempt ? exchange.attempt->backend : std::string("none"));
     commands.push_back(RelayCommand::Log{
             makeRecord(RelayLog::CallerLeft, LogRecord::Level::Info, text.str())});
-    this->dropAttempt(exchange, commands);
+    this->dropAllAttempts(exchange, commands);
     if (exchange.failureAnswer)
         commands.push_back(RelayCommand::CancelAttempt{*exchange.failureAnswer});
     this->exchanges.erase(found);
@@ -175,6 +177,7 @@
     this->checkDeadlines(now, commands);
     this->checkSilence(now, commands);
     this->placeWaiting(now, commands);
+    this->startSecondAttempts(now, commands);
     std::erase_if(this->backendUses, [this](const auto &entry) {
         return entry.second.running == 0 && this->backends.find(entry.first) == nullptr;
     });
@@ -241,7 +244,12 @@
 Exchange *RelayNode::findByAttempt(AttemptId attempt)
 {
     const auto found = this->attempts.find(attempt);
-    return found == this->attempts.end() ? nullptr : &this->exchanges.at(found->second);
+    if (found == this->attempts.end())
+        return nullptr;
+    Exchange &exchange = this->exchanges.at(found->second);
+    if (exchange.otherAttempt && exchange.otherAttempt->id == attempt)
+        std::swap(exchange.attempt, exchange.otherAttempt);
+    return &exchange;
 }
 
 void RelayNode::releaseSlot(const Attempt &attempt)
@@ -258,7 +266,16 @@
     this->releaseSlot(*exchange.attempt);
     commands.push_back(RelayCommand::CancelAttempt{exchange.attempt->id});
     this->attempts.erase(exchange.attempt->id);
-    exchange.attempt.reset();
+    exchange.lastBackend = exchange.attempt->backend;
+    exchange.attempt = std::exchange(exchange.otherAttempt, std::nullopt);
+}
+
+void RelayNode::dropAllAttempts(Exchange &exchange, Commands &commands)
+{
+    if (exchange.otherAttempt)
+        this->noteSecondAttempt(exchange, "cancelled", "", commands);
+    while (exchange.attempt)
+        this->dropAttempt(exchange, commands);
 }
 
 void RelayNode::refuseUntracked(CallerId caller, const std::string &requestId, int status,
@@ -281,7 +298,7 @@
                        const std::string &reason, Commands &commands)
 {
     const CallerId caller = exchange.caller;
-    this->dropAttempt(this->exchanges.at(caller), commands);
+    this->dropAllAttempts(this->exchanges.at(caller), commands);
     std::ostringstream text;
     text << reason << ", service " << exchange.service << ", sends " << exchange.sends << ", runs "
          << exchange.runs << ", after " << toMilliseconds(now - exchange.arrivedAt).count()
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -16,6 +16,7 @@
 #include "Relay/ServiceWaitEstimator.h"
 #include "Relay/ServingUnit.h"
 #include "Relay/StreamEvent.h"
+#include "Scheduling/HedgePolicy.h"
 
 #include <chrono>
 #include <cstdint>
@@ -59,6 +60,9 @@
         std::string peerAddress;
         ServiceRetryBudget::Limit retryLimit;
         std::chrono::milliseconds retryWindow{10000};
+        /// Share of the requests of a service that may have a second attempt while the first one
+        /// is late; part of the retry limit. 0: none.
+        double hedgeRatio = 0;
         RelayPolicy policy;
         EntryTable::Switches entries;
         /// An entry that has just started uses a smaller share of the cold rate, because it does
@@ -79,6 +83,8 @@
 
     /// Takes effect at once, also for repeats of requests that are open.
     void setRetryLimit(const ServiceRetryBudget::Limit &limit);
+    /// The same for second attempts that are not started yet.
+    void setHedgeRatio(double ratio);
 
     /// A planned stop has begun; the process ends at \a end at the latest.
     void beginStop(Instant end) { this->stopAt = end; }
@@ -159,7 +165,9 @@
                 std::chrono::milliseconds retryAfter, const std::string &reason,
                 Commands &commands);
     void finish(Instant now, const Exchange &exchange, const char *how, Commands &commands);
+    /// Cancels the attempt; another one that runs takes its place.
     void dropAttempt(Exchange &exchange, Commands &commands);
+    void dropAllAttempts(Exchange &exchange, Commands &commands);
     void releaseSlot(const Attempt &attempt);
     void retryOrAbandon(Instant now, Exchange &exchange, const std::string &why,
                         Commands &commands);
@@ -168,6 +176,24 @@
                          Commands &commands);
     void placeWaiting(Instant now, Commands &commands);
     bool tryPlace(Instant now, Exchange &exchange, Commands &commands);
+    std::optional<std::string> chooseBackend(Instant now, const Exchange &exchange);
+    /// Starts the attempt of a waiting request, or the second one of a request that has one.
+    void startAttempt(Instant now, Exchange &exchange, const std::string &backend,
+                      Commands &commands);
+    /// Starts second attempts for requests whose first one is late; see HedgePolicy.
+    void startSecondAttempts(Instant now, Commands &commands);
+    void startSecondAttempt(Instant now, Exchange &exchange, bool isSaturated, Commands &commands);
+    /// Whether requests of the service wait, or few of its slots are free.
+    bool isSaturated(Instant now, const std::string &service) const;
+    /// The attempt of the exchange has brought its first event or a head that decides: another one
+    /// that runs is cancelled.
+    void settleAttempts(Instant now, Exchange &exchange, Commands &commands);
+    /// One of two attempts has ended without an answer; the other one goes on.
+    void noteAttemptAlone(Exchange &exchange, Commands &commands);
+    void noteSecondAttempt(const Exchange &exchange, const char *outcome, const char *reason,
+                           Commands &commands) const;
+    ServiceRetryBudget &hedgeBudgetOf(const std::string &service);
+    bool isHedging() const { return this->settings.hedgeRatio > 0; }
     void checkDeadlines(Instant now, Commands &commands);
     void checkSilence(Instant now, Commands &commands);
     /// Why a waiting request is refused now; empty when it may continue to wait.
@@ -235,6 +261,8 @@
     std::map<std::string, BackendUse> backendUses;
     std::map<std::string, ServiceWaitEstimator> waitEstimators;
     std::map<std::string, ServiceRetryBudget> retryBudgets;
+    std::map<std::string, ServiceRetryBudget> hedgeBudgets;
+    HedgePolicy hedgePolicy;
     /// By name of the unit.
     std::map<std::string, ServingUnit> units;
     /// Starts of backend servers that told this entry that they leave, and in how many further
--- a/Source/Relay/RelayNodeAttempts.cpp
+++ b/Source/Relay/RelayNodeAttempts.cpp
@@ -24,8 +24,6 @@
     return {number, level, text};
 }
 
-/// Attempts per request, including those that backend servers rejected as not run.
-constexpr std::uint32_t MaxSends = 4;
 /// Backoff before a request that a backend server rejected as not run is sent again.
 constexpr milliseconds RejectionBackoff{40};
 /// Time between events after which a request is known not to crash its backend server.
@@ -86,6 +84,8 @@
     }
     if (head.isStream && head.status == 200)
         return;
+    if (!running.isFailure)
+        this->settleAttempts(now, *exchange, commands);
     // The answer to a failed resumption cannot be relayed: the caller's stream is already open.
     if (exchange->isStreamOpen) {
         if (BackendRoster::Row *row = this->backends.find(running.backend))
@@ -130,6 +130,7 @@
         exchange->times.serving += now - exchange->attempt->connectedAt;
         this->waitEstimatorOf(*exchange).recordDelay(now - exchange->attempt->sentAt);
         exchange->attempt->firstEventAt = now;
+        this->settleAttempts(now, *exchange, commands);
     }
     exchange->attempt->lastActivityAt = now;
     exchange->attempt->hasEvent = true;
@@ -163,6 +164,8 @@
         return;
     }
     const bool failed = running.isFailure;
+    if (!failed)
+        this->settleAttempts(now, *exchange, commands);
     if (BackendRoster::Row *row = this->backends.find(running.backend)) {
         row->lastReceivedAt = now;
         failed ? row->health.recordFailure(now) : row->health.recordSuccess(now);
@@ -178,8 +181,15 @@
     }
     this->releaseSlot(running);
     this->attempts.erase(attempt);
-    exchange->attempt.reset();
-    if (exchange->isStreamOpen) {
+    exchange->attempt = std::exchange(exchange->otherAttempt, std::nullopt);
+    if (exchange->attempt) {
+        // The answer is one of failure: the other attempt may still succeed.
+        if (exchange->failureAnswer)
+            commands.push_back(RelayCommand::CancelAttempt{*exchange->failureAnswer});
+        exchange->failureAnswer = attempt;
+        exchange->failedOn.insert(running.backend);
+        this->noteAttemptAlone(*exchange, commands);
+    } else if (exchange->isStreamOpen) {
         commands.push_back(RelayCommand::EndStream{exchange->caller});
         this->finish(now, *exchange, "stream", commands);
     } else if (failed && exchange->route.kind == Route::Kind::Idempotent
@@ -243,10 +253,14 @@
         text << part << ",";
     commands.push_back(RelayCommand::Log{
             makeRecord(RelayLog::AttemptFailed, LogRecord::Level::Warning, text.str())});
+    if (!exchange.isWaiting()) {
+        this->noteAttemptAlone(exchange, commands);
+        return;
+    }
     const bool allowed =
             exchange.isKnownNotRun()
             || (exchange.route.mayRunAgain() && exchange.runs < exchange.route.maxRuns);
-    if (!allowed || exchange.sends >= MaxSends
+    if (!allowed || exchange.sends >= RelayLimits::MaxSends
         || exchange.deadline - now < RelayLimits::MinAttemptTime) {
         this->abandon(now, exchange, why, commands);
         return;
@@ -266,11 +280,13 @@
              << (exchange.lastEvent ? std::to_string(*exchange.lastEvent) : "none");
         commands.push_back(RelayCommand::Log{
                 makeRecord(RelayLog::StreamCut, LogRecord::Level::Warning, text.str())});
-        this->dropAttempt(exchange, commands);
+        this->dropAllAttempts(exchange, commands);
+        if (exchange.failureAnswer)
+            commands.push_back(RelayCommand::CancelAttempt{*exchange.failureAnswer});
         this->exchanges.erase(exchange.caller);
     } else if (exchange.failureAnswer) {
         // The error answer of a backend server is more specific than one of this entry.
-        this->dropAttempt(exchange, commands);
+        this->dropAllAttempts(exchange, commands);
         commands.push_back(RelayCommand::RelayAnswer{exchange.caller, *exchange.failureAnswer});
         this->finish(now, exchange, "failure of the backend server", commands);
     } else if (exchange.isKnownNotRun()) {
--- a/Source/Relay/RelayNodeCrashes.cpp
+++ b/Source/Relay/RelayNodeCrashes.cpp
@@ -112,7 +112,7 @@
     }
     for (const CallerId caller : blocked) {
         Exchange &exchange = this->exchanges.at(caller);
-        this->dropAttempt(exchange, commands);
+        this->dropAllAttempts(exchange, commands);
         this->abandon(now, exchange, "quarantined", commands);
     }
 }
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -83,6 +83,17 @@
     if (this->isBlocked(now, exchange)
         || this->quarantine.awaitsCheck(now, RequestQuarantine::contentTraitOf(exchange.request)))
         return false;
+    const std::optional<std::string> chosen = this->chooseBackend(now, exchange);
+    if (!chosen
+        || (exchange.sends > 0
+            && !this->retryBudgetOf(exchange.service).tryAcquire(now, this->peers.entryCount(now))))
+        return false;
+    this->startAttempt(now, exchange, *chosen, commands);
+    return true;
+}
+
+std::optional<std::string> RelayNode::chooseBackend(Instant now, const Exchange &exchange)
+{
     const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
     this->peers.noteTime(now);
     const std::uint32_t entries = this->peers.entryCount(now);
@@ -96,6 +107,10 @@
         const ServingUnit &unit = this->units[row.unit];
         if (!unit.circuit.allowsRequest(now) || (unit.circuit.isOpen() && !mayProbe))
             continue;
+        // A second attempt avoids the first one's backend server and groups in trouble.
+        if (exchange.attempt
+            && (exchange.attempt->backend == id || unit.circuit.isOpen() || unit.isStalled(now)))
+            continue;
         BackendUse &use = this->useOf(row);
         const bool isCold = now < row.coldUntil;
         const double coldRate = this->coldRateOf(service, isCold, now);
@@ -109,14 +124,17 @@
                               row.health.failureShare(now), isCold, use.sends, row.reportedLoad,
                               unit.isStalled(now), unit.concurrency.pace()});
     }
-    const std::optional<std::string> chosen = this->settings.policy.place(candidates, this->random);
-    if (!chosen
-        || (exchange.sends > 0 && !this->retryBudgetOf(exchange.service).tryAcquire(now, entries)))
-        return false;
+    return this->settings.policy.place(candidates, this->random);
+}
 
-    const BackendRoster::Row &row = *this->backends.find(*chosen);
+void RelayNode::startAttempt(Instant now, Exchange &exchange, const std::string &backend,
+                             Commands &commands)
+{
+    const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
+    const std::uint32_t entries = this->peers.entryCount(now);
+    const BackendRoster::Row &row = *this->backends.find(backend);
     this->units[row.unit].requestSent(now);
-    BackendUse &use = this->backendUses[*chosen];
+    BackendUse &use = this->backendUses[backend];
     // The cold rate always applies, because a backend server can become cold without notice.
     if (const double coldRate = this->coldRateOf(service, now < row.coldUntil, now); coldRate > 0)
         use.cold.tryAcquire(now, coldRate, entries);
@@ -124,17 +142,20 @@
     ++use.running;
     ++use.sends;
     const AttemptId attempt = this->nextAttempt++;
-    Attempt &started = exchange.attempt.emplace();
+    const bool isSecond = exchange.attempt.has_value();
+    Attempt &started = (isSecond ? exchange.otherAttempt : exchange.attempt).emplace();
+    started.isSecond = isSecond;
     started.id = attempt;
-    started.backend = *chosen;
+    started.backend = backend;
     started.unit = row.unit;
     started.incarnation = row.record.incarnation;
     started.sentAt = now;
     started.connectedAt = now;
-    exchange.times.waiting += now - exchange.waitingSince;
+    if (!isSecond)
+        exchange.times.waiting += now - exchange.waitingSince;
     started.lastActivityAt = now;
     started.isTest = this->quarantine.recordSent(now, exchange.traits);
-    exchange.lastBackend = *chosen;
+    exchange.lastBackend = backend;
     ++exchange.runs;
     ++exchange.sends;
     this->attempts.emplace(attempt, exchange.caller);
@@ -142,7 +163,7 @@
     RelayCommand::StartAttempt start;
     start.caller = exchange.caller;
     start.attempt = attempt;
-    start.backend = *chosen;
+    start.backend = backend;
     start.address = row.record.address;
     start.account = exchange.account;
     start.timeLeft = toMilliseconds(exchange.deadline - now);
@@ -153,15 +174,14 @@
                                                         / entries));
     std::ostringstream text;
     text << "request=" << exchange.request.id << " route=" << exchange.route.name
-         << " service=" << exchange.service << " backend=" << *chosen << " send=" << exchange.sends
+         << " service=" << exchange.service << " backend=" << backend << " send=" << exchange.sends
          << " waited_ms=" << toMilliseconds(now - exchange.arrivedAt).count()
          << " left_ms=" << start.timeLeft.count() << " running_here=" << use.running
-         << " running_elsewhere=" << this->peers.runningElsewhere(*chosen, now)
+         << " running_elsewhere=" << this->peers.runningElsewhere(backend, now)
          << " cold=" << (now < row.coldUntil) << " config=" << this->configurationVersion();
     commands.push_back(start);
     commands.push_back(RelayCommand::Log{
             LogRecord{RelayLog::AttemptStarted, LogRecord::Level::Info, text.str()}});
-    return true;
 }
 
 std::string RelayNode::reasonToRefuse(Instant now, const Exchange &exchange, std::uint32_t ahead)
--- a/Source/Relay/RequestQuarantine.cpp
+++ b/Source/Relay/RequestQuarantine.cpp
@@ -195,6 +195,16 @@
     this->successOrder.pop_front();
 }
 
+bool RequestQuarantine::isSuspect(Instant now, const Traits &traits) const
+{
+    return std::any_of(traits.begin(), traits.end(), [this, now](std::uint64_t trait) {
+        return !this->records.crashes(now, trait).empty()
+               || std::any_of(this->broken.begin(), this->broken.end(), [trait](const auto &entry) {
+                      return entry.second.traits.count(trait) != 0;
+                  });
+    });
+}
+
 bool RequestQuarantine::blocks(Instant now, const Traits &traits, const IsTester &isTester) const
 {
     for (const std::uint64_t trait : traits) {
--- a/Source/Relay/RequestQuarantine.h
+++ b/Source/Relay/RequestQuarantine.h
@@ -62,6 +62,8 @@
     /// quarantined trait do not block. Single requests of one entry are let through as a test when
     /// it is not decided which of two traits is the cause, and at growing intervals after a crash.
     bool blocks(Instant now, const Traits &traits, const IsTester &isTester) const;
+    /// Whether a crash or a break that is not explained yet counts against one of the traits.
+    bool isSuspect(Instant now, const Traits &traits) const;
     /// A request was sent. Returns whether it tests a quarantined trait.
     bool recordSent(Instant now, const Traits &traits);
 
--- a/Source/Relay/ServiceRetryBudget.cpp
+++ b/Source/Relay/ServiceRetryBudget.cpp
@@ -14,12 +14,17 @@
     : limit(limit), requests(window), repeats(window)
 {}
 
-bool ServiceRetryBudget::tryAcquire(Instant now, std::uint32_t entries)
+bool ServiceRetryBudget::hasCapacity(Instant now, std::uint32_t entries)
 {
     const double allowed =
             MaxUtilization
             * (this->limit.ratio * this->requests.count(now) + this->limit.allowance / entries);
-    if (this->repeats.count(now) + 1 > allowed)
+    return this->repeats.count(now) + 1 <= allowed;
+}
+
+bool ServiceRetryBudget::tryAcquire(Instant now, std::uint32_t entries)
+{
+    if (!this->hasCapacity(now, entries))
         return false;
     this->repeats.add(now);
     return true;
--- a/Source/Relay/ServiceRetryBudget.h
+++ b/Source/Relay/ServiceRetryBudget.h
@@ -28,6 +28,9 @@
 
     void recordRequest(Instant now) { this->requests.add(now); }
 
+    /// Whether one more repeat is within this entry's budget.
+    bool hasCapacity(Instant now, std::uint32_t entries);
+
     /// Counts one repeat; false when this entry's budget is used up.
     bool tryAcquire(Instant now, std::uint32_t entries);
 
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -146,6 +146,7 @@
 {
     this->options.graceTime = fresh.graceTime;
     this->node.setRetryLimit(fresh.node.retryLimit);
+    this->node.setHedgeRatio(fresh.node.hedgeRatio);
     this->log(RelayLog::Reloaded, LogRecord::Level::Info, what);
 }
 
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -104,6 +104,7 @@
     void executeOne(const RelayCommand::CheckBackend &command);
     void executeOne(const RelayCommand::StoreCrashes &command);
     void executeOne(const RelayCommand::RecordTimes &command);
+    void executeOne(const RelayCommand::CountSecondAttempt &command);
     void executeOne(const RelayCommand::Log &command);
     void tick();
     void beginStop();
--- a/Source/RelayShell/RelayEntryCommands.cpp
+++ b/Source/RelayShell/RelayEntryCommands.cpp
@@ -147,6 +147,8 @@
     auto *connection = this->callerListener.find(command.caller);
     if (connection == nullptr || answer == nullptr || found == this->requests.end())
         return;
+    // Of two attempts, this one goes on.
+    found->second.attempt = command.attempt;
     connection->startStream(answer->head->status, answer->head->reason,
                             endToEndHeaders(*answer->head));
     this->metrics.observe(
@@ -221,6 +223,14 @@
                               std::chrono::duration<double>(time).count());
 }
 
+void RelayEntry::executeOne(const RelayCommand::CountSecondAttempt &command)
+{
+    Metrics::Labels labels{{"service", command.service}, {"outcome", command.outcome}};
+    if (*command.reason != '\0')
+        labels["reason"] = command.reason;
+    this->metrics.add("nutmegrill_second_attempts_total", labels);
+}
+
 void RelayEntry::executeOne(const RelayCommand::Log &command)
 {
     if (command.record.number == RelayLog::BackendLeaves)
