--- a/Tests/Platform/RawWorker.h
+++ b/Tests/Platform/RawWorker.h
@@ -4,6 +4,7 @@
 #include "Http/SocketOptions.h"
 #include "Net/EventLoop.h"
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <set>
@@ -54,6 +55,8 @@
                + R"(","zone":"n","slots":4,"state":"ready","coldLeftMs":0,"born":5})";
     }
 
+    std::size_t openConnections() const { return this->connections.size(); }
+
     std::string address;
     int requests = 0;
 
--- a/Tests/Relay/HedgeScene.cpp
+++ b/Tests/Relay/HedgeScene.cpp
@@ -7,11 +7,11 @@
 
 using std::chrono::milliseconds;
 
-HedgeScene::HedgeScene(double hedgeRatio)
+HedgeScene::HedgeScene(double hedgeRatio, const std::vector<std::string> &served)
 {
     this->node.setHedgeRatio(hedgeRatio);
-    this->serve("/stream/", 100);
-    this->serve("/lookup/", 100);
+    for (const std::string &path : served)
+        this->serve(path, 100);
     this->commands.clear();
 }
 
--- a/Tests/Relay/HedgeScene.h
+++ b/Tests/Relay/HedgeScene.h
@@ -9,12 +9,13 @@
 
 namespace Nutmegrill {
 
-/// A harness whose node starts second attempts, and which has seen the usual delay of both
-/// services: 30 ms.
+/// A harness whose node starts second attempts, and which has seen the usual delay of the served
+/// paths: 30 ms.
 class HedgeScene : public RelayNodeHarness
 {
 public:
-    explicit HedgeScene(double hedgeRatio = 1);
+    explicit HedgeScene(double hedgeRatio = 1,
+                        const std::vector<std::string> &served = {"/stream/", "/lookup/"});
 
     /// Requests that are answered one after the other; 100 is enough for a quantile.
     void serve(const std::string &path, int requests);
--- a/Tests/Relay/SecondAttemptPropertyTest.cpp
+++ b/Tests/Relay/SecondAttemptPropertyTest.cpp
@@ -44,7 +44,9 @@
 class Run
 {
 public:
-    Run(const std::string &path) : caller(scene.arriveLate(path)), ids(scene.attemptIds(caller)) {}
+    explicit Run(const std::string &path)
+        : scene(1, {path}), caller(scene.arriveLate(path)), ids(scene.attemptIds(caller))
+    {}
 
     /// Returns a failure text, empty when everything that has to hold does.
     std::string play(const std::string &script)
