Test second attempts against faults that earlier tests let pass

Cause: with single parts of the code changed on purpose, three of thirteen faults passed the tests: an empty stream that does not settle the pair, a second attempt in a group that stalls, and a slow caller that pauses the attempt that was cancelled.

--- a/Tests/Platform/SecondAttemptEntryTest.cpp
+++ b/Tests/Platform/SecondAttemptEntryTest.cpp
@@ -16,8 +16,8 @@
 
 using std::chrono::milliseconds;
 
-/// More than the buffers of two connections hold, and less than is relayed in a second.
-constexpr std::size_t MaxBufferedBytes = 24U << 20U;
+/// More than twice what the buffers of two connections hold.
+constexpr std::size_t MaxBufferedBytes = 16U << 20U;
 
 /// Worker that begins its only stream when told to, and then sends as fast as it is read.
 struct LateWorker
@@ -47,7 +47,7 @@
         if (connection == nullptr)
             return;
         const std::string text(60000, 'x');
-        for (int part = 0; part < 4 && connection->pendingBytes() < text.size(); ++part) {
+        for (int part = 0; part < 16 && connection->pendingBytes() < 16 * text.size(); ++part) {
             connection->sendChunk("id: " + std::to_string(++this->events) + "\ndata: " + text
                                   + "\n\n");
             this->sentBytes += text.size();
--- a/Tests/Relay/SecondAttemptTest.cpp
+++ b/Tests/Relay/SecondAttemptTest.cpp
@@ -2,7 +2,10 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -29,6 +32,8 @@
     CPPUNIT_TEST(bothEndWithTheCaller);
     CPPUNIT_TEST(heldBackWithAReason);
     CPPUNIT_TEST(suspectGetsNone);
+    CPPUNIT_TEST(emptyStreamIsAnAnswer);
+    CPPUNIT_TEST(stalledGroupGetsNone);
     CPPUNIT_TEST(budgetsLimitSecondAttempts);
     CPPUNIT_TEST(cancelledAttemptsKeepTheQuantile);
     CPPUNIT_TEST_SUITE_END();
@@ -206,6 +211,47 @@
         CPPUNIT_ASSERT_EQUAL(1, scene.outcomes()["suspect"]);
     }
 
+    // Guards against a caller that waits for the slower attempt after the end of the answer.
+    void emptyStreamIsAnAnswer()
+    {
+        HedgeScene scene;
+        const auto ids = scene.attemptIds(scene.arriveLate("/stream/"));
+        scene.headOf(ids[1], 200, true);
+        scene.endOf(ids[1]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scene.count<RelayCommand::RelayAnswer>());
+        CPPUNIT_ASSERT(scene.isCancelled(ids[0]));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), scene.usedSlots());
+    }
+
+    // Guards against second attempts that wait in a group which has stopped to answer.
+    void stalledGroupGetsNone()
+    {
+        for (const bool isStalled : {false, true}) {
+            HedgeScene scene;
+            for (const auto &[id, group] : {std::pair("m0", "g0"), {"m1", "g1"}, {"m2", "g1"}})
+                scene.node.groupArrived(scene.now,
+                                        {RelayNodeHarness::record(id, "model").address, group});
+            scene.node.setHedgeRatio(0);
+            // One request holds a slot of each backend server.
+            std::vector<RelayCommand::CallerId> open;
+            for (int number = 0; number < 3; ++number)
+                open.push_back(scene.arrive("/stream/"));
+            scene.advance(milliseconds(700));
+            for (const auto caller : open) {
+                if (!isStalled || scene.attemptOf(caller)->backend == "m0") {
+                    scene.streamHead(caller);
+                    scene.event(caller, 1);
+                }
+            }
+            scene.node.setHedgeRatio(1);
+            const auto caller = scene.arrive("/stream/");
+            CPPUNIT_ASSERT(!isStalled || scene.attemptOf(caller)->backend == "m0");
+            scene.advance(milliseconds(60));
+            CPPUNIT_ASSERT_EQUAL(std::size_t(isStalled ? 1 : 2), scene.attemptsOf(caller));
+            CPPUNIT_ASSERT(!isStalled || scene.outcomes()["no_server"] > 0);
+        }
+    }
+
     // Guards against second attempts beyond the share that the operator set, and beyond the budget
     // that they share with retries.
     void budgetsLimitSecondAttempts()
