--- a/Tests/Relay/HedgeScene.cpp
+++ b/Tests/Relay/HedgeScene.cpp
@@ -12,7 +12,6 @@
     this->node.setHedgeRatio(hedgeRatio);
     for (const std::string &path : served)
         this->serve(path, 100);
-    this->commands.clear();
 }
 
 void HedgeScene::serve(const std::string &path, int requests)
@@ -27,6 +26,8 @@
             this->head(caller, 200);
         }
         this->end(caller);
+        // The helpers search all commands.
+        this->commands.clear();
     }
 }
 
--- a/Tests/Relay/HedgeScene.h
+++ b/Tests/Relay/HedgeScene.h
@@ -17,7 +17,8 @@
     explicit HedgeScene(double hedgeRatio = 1,
                         const std::vector<std::string> &served = {"/stream/", "/lookup/"});
 
-    /// Requests that are answered one after the other; 100 is enough for a quantile.
+    /// Requests that are answered one after the other; 100 is enough for a quantile. Their commands
+    /// are dropped.
     void serve(const std::string &path, int requests);
 
     /// A request whose first attempt is late.
--- a/Tests/Relay/SecondAttemptTest.cpp
+++ b/Tests/Relay/SecondAttemptTest.cpp
@@ -1,11 +1,11 @@
 #include "HedgeScene.h"
 
+#include <array>
 #include <chrono>
 #include <functional>
 #include <map>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include <cppunit/TestFixture.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -233,9 +233,9 @@
                                         {RelayNodeHarness::record(id, "model").address, group});
             scene.node.setHedgeRatio(0);
             // One request holds a slot of each backend server.
-            std::vector<RelayCommand::CallerId> open;
-            for (int number = 0; number < 3; ++number)
-                open.push_back(scene.arrive("/stream/"));
+            std::array<RelayCommand::CallerId, 3> open{};
+            for (auto &caller : open)
+                caller = scene.arrive("/stream/");
             scene.advance(milliseconds(700));
             for (const auto caller : open) {
                 if (!isStalled || scene.attemptOf(caller)->backend == "m0") {
