--- a/Source/Relay/RelayCommand.h
+++ b/Source/Relay/RelayCommand.h
@@ -114,6 +114,16 @@
     Instant beganAt;
 };
 
+/// Counts what became of a second attempt, or that it was held back.
+struct CountSecondAttempt
+{
+    std::string service;
+    /// `started`, `won`, `cancelled`, `failed`, `alone` or `suppressed`.
+    const char *outcome = "";
+    /// Why it was held back; empty for the other outcomes.
+    const char *reason = "";
+};
+
 struct Log
 {
     LogRecord record;
@@ -121,7 +131,7 @@
 
 using Any = std::variant<StartAttempt, CancelAttempt, Refuse, RelayAnswer, OpenStream, SendEvent,
                          EndStream, AbortStream, CheckBackend, StoreCrashes, RecordTimes, RecordRun,
-                         Log>;
+                         CountSecondAttempt, Log>;
 using List = std::vector<Any>;
 
 } // namespace RelayCommand
