Give slots to requests that can be on time first, and keep small fleets as they were

Callers of a full model group got nearly all their answers late: requests waited until the mean delay was left and then missed their target half of the time, and late ones took slots that others could have used in time.

Requests count as late once nine in ten would miss the target; the slots that become free go to those that can be on time by their priority, then to the others, at all entries alike.

The baselines of the load tests have them off.

--- a/Source/Relay/ConcurrencyLimit.h
+++ b/Source/Relay/ConcurrencyLimit.h
@@ -21,20 +21,30 @@
     void recordPause(Instant now, std::chrono::microseconds pause,
                      std::chrono::microseconds target);
 
-    /// Concurrent requests allowed at a backend server with \a slots.
-    std::uint32_t limit(std::uint32_t slots) const;
+    /// Which pauses the limit follows: their mean, or the longest ones.
+    enum class Basis { Mean, Longest };
+
     /// Share of the slots that may be used.
-    double share() const { return this->slotShare; }
+    double share(Basis basis) const
+    {
+        return basis == Basis::Mean ? this->meanShare : this->longestShare;
+    }
+    /// Concurrent requests allowed at a backend server with \a slots.
+    std::uint32_t limit(std::uint32_t slots, Basis basis = Basis::Mean) const;
 
     /// Smoothed pauses between events relative to their target; not below a minimum, since short
     /// pauses do not tell the groups apart.
     double pace() const;
 
 private:
+    void adjustToMean();
+    void adjustToLongest();
+
     /// Smoothed ratio of pause to target.
     double pauseRatio = 0;
-    /// Share of the slots that may be used.
-    double slotShare = 1;
+    /// Shares of the slots that may be used, by basis.
+    double meanShare = 1;
+    double longestShare = 1;
     /// Longest ratio of pause to target in the present interval and the ones before it.
     std::array<double, 4> longest{};
     Instant adjustedAt;
--- a/Source/Relay/Exchange.h
+++ b/Source/Relay/Exchange.h
@@ -7,6 +7,7 @@
 #include "Relay/RelayRequest.h"
 #include "Relay/RequestQuarantine.h"
 #include "Relay/RequestTimes.h"
+#include "Relay/SlotBudget.h"
 #include "Scheduling/HedgeHold.h"
 
 #include <cstdint>
@@ -65,6 +66,12 @@
     /// Number of the account's open requests at arrival; used for fairness between accounts.
     std::uint32_t accountOpenRequests = 0;
 
+    /// Order in which requests of a service get the slots that become free: those that can still be
+    /// on time by their priorities, then the others.
+    std::uint32_t urgency(Instant now) const
+    {
+        return this->priority + (this->startBy < now ? SlotBudget::FirstLate : 0);
+    }
     bool isWaiting() const { return !this->attempt.has_value(); }
     /// No backend server can have run the request.
     bool isKnownNotRun() const { return this->runs == 0; }
--- a/Source/Relay/RelayNode.cpp
+++ b/Source/Relay/RelayNode.cpp
@@ -29,10 +29,10 @@
     return std::chrono::duration_cast<milliseconds>(span);
 }
 
-/// Names the waiting requests of one priority among those of a service.
-std::string waitingKey(const std::string &service, std::uint32_t priority)
+/// Names the waiting requests of one urgency among those of a service.
+std::string waitingKey(const std::string &service, std::uint32_t urgency)
 {
-    return service + '\n' + std::to_string(priority);
+    return service + '\n' + std::to_string(urgency);
 }
 
 LogRecord makeRecord(std::uint32_t number, LogRecord::Level level, const std::string &text)
@@ -135,9 +135,11 @@
                 return entry.second.account == exchange.account
                        && entry.second.service == exchange.service;
             }));
-    exchange.startBy = exchange.targetAt - this->waitEstimatorOf(exchange).meanDelay();
+    const ServiceWaitEstimator &estimator = this->waitEstimatorOf(exchange);
+    exchange.startBy = exchange.targetAt
+                       - (this->isLargeFleet(now) ? estimator.highDelay() : estimator.meanDelay());
     this->retryBudgetOf(exchange.service).recordRequest(now);
-    this->slotBudgets[exchange.service].recordArrival(now, exchange.priority);
+    this->slotBudgets[exchange.service].recordArrival(now, exchange.urgency(now));
     if (this->isHedging())
         this->hedgeBudgetOf(exchange.service).recordRequest(now);
     const std::uint32_t ahead = this->waitingBefore(exchange, now);
@@ -339,10 +341,10 @@
     this->quarantine.fillReports(now, report.crashes);
     this->fillLimits(now, report.limits);
     this->fillLeaving(report.leaving);
-    this->fillLoad(report);
+    this->fillLoad(now, report);
 }
 
-void RelayNode::fillLoad(EntryReport &report) const
+void RelayNode::fillLoad(Instant now, EntryReport &report) const
 {
     for (const auto &[backend, use] : this->backendUses) {
         if (use.running > 0)
@@ -352,14 +354,15 @@
         if (!exchange.isWaiting())
             continue;
         ++report.waiting[exchange.service];
-        ++report.waiting[waitingKey(exchange.service, exchange.priority)];
+        ++report.waiting[waitingKey(exchange.service, exchange.urgency(now))];
     }
 }
 
 SlotBudget *RelayNode::slotBudgetOf(Instant now, const Exchange &exchange, std::uint32_t entries)
 {
     const ServiceDeclaration *service = this->routes->configuration().findService(exchange.service);
-    if (service == nullptr || service->kind != ServiceDeclaration::Kind::Model || entries < 2)
+    if (!this->isLargeFleet(now) || service == nullptr
+        || service->kind != ServiceDeclaration::Kind::Model)
         return nullptr;
     SlotBudget &budget = this->slotBudgets[exchange.service];
     if (now < budget.updatedAt() + BudgetPeriod)
@@ -370,7 +373,8 @@
         if (row.record.service != exchange.service || !this->backends.isEligible(row, now)
             || row.health.isSuspended(now))
             continue;
-        load.limit += this->units[row.unit].concurrency.share() * row.record.slots;
+        load.limit +=
+                this->units[row.unit].concurrency.share(this->limitBasis(now)) * row.record.slots;
         const auto use = this->backendUses.find(id);
         here += use == this->backendUses.end() ? 0 : use->second.running;
         load.running += this->peers.runningElsewhere(id, now);
@@ -381,19 +385,19 @@
     load.entries = entries;
     for (const auto &[caller, other] : this->exchanges) {
         if (other.isWaiting() && other.service == exchange.service)
-            ++load.waitingHere[other.priority];
+            ++load.waitingHere[other.urgency(now)];
     }
-    for (const std::uint32_t priority : budget.priorities())
-        load.waitingElsewhere[priority] =
-                this->peers.waitingElsewhere(waitingKey(exchange.service, priority), now);
+    for (const std::uint32_t urgency : budget.urgencies())
+        load.waitingElsewhere[urgency] =
+                this->peers.waitingElsewhere(waitingKey(exchange.service, urgency), now);
     budget.update(now, load);
     return &budget;
 }
 
-LoadSum RelayNode::ownLoad() const
+LoadSum RelayNode::ownLoad(Instant now) const
 {
     EntryReport report;
-    this->fillLoad(report);
+    this->fillLoad(now, report);
     LoadSum load;
     load.add(report);
     return load;
--- a/Source/Relay/RelayNode.h
+++ b/Source/Relay/RelayNode.h
@@ -130,7 +130,7 @@
     /// Whether the report names crashes or leaving backend servers that were not told often enough.
     bool hasNews() const { return !this->leavingNews.empty() || this->quarantine.hasNews(); }
     /// Load of this entry's requests, for the sums of all entries.
-    LoadSum ownLoad() const;
+    LoadSum ownLoad(Instant now) const;
 
 private:
     using Exchanges = std::map<CallerId, Exchange>;
@@ -246,10 +246,14 @@
     bool recordLeaving(const std::string &backend, std::uint64_t incarnation, const char *source,
                        Commands &commands);
     void fillLeaving(std::vector<std::string> &leaving);
-    void fillLoad(EntryReport &report) const;
+    void fillLoad(Instant now, EntryReport &report) const;
     bool hasLimitCapacity(Instant now, const std::string &backend, BackendUse &use,
                           std::uint32_t entries) const;
     double coldRateOf(const ServiceDeclaration *service, bool isCold, Instant now) const;
+    /// Whether so many entries place requests that their known loads are always out of date.
+    /// Smaller fleets place, limit and wait without regard to that.
+    bool isLargeFleet(Instant now) const;
+    ConcurrencyLimit::Basis limitBasis(Instant now) const;
     /// Share of the known requests of other entries that have ended since they were told.
     double replacedShare(const std::string &service, Instant now) const;
     double shareOfFreedSlots(const std::string &service, Instant now) const;
--- a/Source/Relay/RelayNodeHedging.cpp
+++ b/Source/Relay/RelayNodeHedging.cpp
@@ -112,7 +112,8 @@
             || row.health.isSuspended(now) || (unit != nullptr && unit->circuit.isOpen()))
             continue;
         const std::uint32_t limit =
-                unit == nullptr ? row.record.slots : unit->concurrency.limit(row.record.slots);
+                unit == nullptr ? row.record.slots
+                                : unit->concurrency.limit(row.record.slots, this->limitBasis(now));
         const auto use = this->backendUses.find(id);
         const std::uint32_t running = (use == this->backendUses.end() ? 0 : use->second.running)
                                       + this->peers.runningElsewhere(id, now);
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -43,6 +43,8 @@
 constexpr milliseconds GroupQueryPeriod{1000};
 constexpr milliseconds KnownGroupPeriod{60000};
 constexpr std::size_t MaxGroupQueries = 32;
+/// Entries from which on the reports of their loads miss a good part of the running requests.
+constexpr std::uint32_t MinLargeFleet = 10;
 /// Callers honour Retry-After up to this fraction (1/3) of their remaining time.
 constexpr int RetryAfterDivisor = 3;
 
@@ -88,14 +90,14 @@
     // A stream that its caller already reads goes on at once.
     SlotBudget *budget =
             exchange.isStreamOpen ? nullptr : this->slotBudgetOf(now, exchange, entries);
-    if (budget != nullptr && !budget->tryTake(exchange.priority))
+    if (budget != nullptr && !budget->tryTake(exchange.urgency(now)))
         return false;
     const std::optional<std::string> chosen = this->chooseBackend(now, exchange);
     if (!chosen
         || (exchange.sends > 0
             && !this->retryBudgetOf(exchange.service).tryAcquire(now, entries))) {
         if (budget != nullptr)
-            budget->putBack(exchange.priority);
+            budget->putBack(exchange.urgency(now));
         return false;
     }
     this->startAttempt(now, exchange, *chosen, commands);
@@ -109,6 +111,7 @@
     const std::uint32_t entries = this->peers.entryCount(now);
     // A request that was turned away does not probe a group while another one takes requests.
     const bool mayProbe = exchange.sends == 0 || this->outageSince(exchange.service, now);
+    const bool isLarge = this->isLargeFleet(now);
     std::vector<PlacementCandidate> candidates;
     for (const auto &[id, row] : this->backends.rows()) {
         if (row.record.service != exchange.service || !this->backends.isEligible(row, now)
@@ -129,8 +132,11 @@
         if (!this->hasLimitCapacity(now, id, use, entries)
             || use.running >= slotsAfterPause(now, use, row.record.slots))
             continue;
-        candidates.push_back({id, std::max(1.0, unit.concurrency.share() * row.record.slots),
-                              use.running + this->peers.runningElsewhere(id, now),
+        const double limit =
+                isLarge ? std::max(1.0, unit.concurrency.share(ConcurrencyLimit::Basis::Longest)
+                                                * row.record.slots)
+                        : unit.concurrency.limit(row.record.slots);
+        candidates.push_back({id, limit, use.running + this->peers.runningElsewhere(id, now),
                               row.health.failureShare(now), isCold, use.sends, row.reportedLoad,
                               unit.isStalled(now), unit.concurrency.pace(), row.paceAt(now) > 1,
                               use.running});
@@ -274,13 +280,14 @@
     // Slots of the units that take requests, and of those whose circuit is open.
     std::uint32_t slots = 0;
     std::uint32_t closedOff = 0;
+    const ConcurrencyLimit::Basis basis = this->limitBasis(now);
     for (const auto &[id, row] : this->backends.rows()) {
         if (row.record.service != service || !this->backends.isEligible(row, now)
             || row.health.isSuspended(now))
             continue;
         const ServingUnit *unit = this->findUnit(row.unit);
-        std::uint32_t usable =
-                unit == nullptr ? row.record.slots : unit->concurrency.limit(row.record.slots);
+        std::uint32_t usable = unit == nullptr ? row.record.slots
+                                               : unit->concurrency.limit(row.record.slots, basis);
         const auto use = this->backendUses.find(id);
         if (use != this->backendUses.end() && use->second.incarnation == row.record.incarnation)
             usable = std::min(usable, slotsAfterPause(now, use->second, row.record.slots));
@@ -343,10 +350,21 @@
     this->backends.recordGroup(membership.address, membership.group, now + KnownGroupPeriod);
 }
 
+bool RelayNode::isLargeFleet(Instant now) const
+{
+    return this->settings.policy.sharesSlots && this->peers.entryCount(now) >= MinLargeFleet;
+}
+
+ConcurrencyLimit::Basis RelayNode::limitBasis(Instant now) const
+{
+    return this->isLargeFleet(now) ? ConcurrencyLimit::Basis::Longest
+                                   : ConcurrencyLimit::Basis::Mean;
+}
+
 double RelayNode::replacedShare(const std::string &service, Instant now) const
 {
     const auto estimator = this->waitEstimators.find(service);
-    if (estimator == this->waitEstimators.end())
+    if (estimator == this->waitEstimators.end() || !this->isLargeFleet(now))
         return 0;
     const std::chrono::duration<double> age = this->peers.loadAge(now);
     const std::chrono::duration<double> hold = estimator->second.meanHoldTime();
--- a/Source/Relay/RelayPolicy.h
+++ b/Source/Relay/RelayPolicy.h
@@ -27,6 +27,8 @@
                            Instant now) = Nutmegrill::isServedBefore;
     /// Why a waiting request is refused; empty when it may continue to wait.
     std::string (*reasonToRefuse)(const AdmissionInput &input) = Nutmegrill::reasonToRefuse;
+    /// The slots that become free are shared among the entries by urgency, see SlotBudget.
+    bool sharesSlots = true;
 };
 
 } // namespace Nutmegrill
--- a/Source/Relay/ServiceWaitEstimator.cpp
+++ b/Source/Relay/ServiceWaitEstimator.cpp
@@ -26,6 +26,7 @@
 
 void ServiceWaitEstimator::recordDelay(std::chrono::microseconds time)
 {
+    smooth(this->delayDeviation, std::chrono::abs(time - this->delay));
     smooth(this->delay, time);
 }
 
--- a/Source/Relay/ServiceWaitEstimator.h
+++ b/Source/Relay/ServiceWaitEstimator.h
@@ -30,10 +30,19 @@
 
     std::chrono::microseconds meanHoldTime() const { return this->holdTime; }
     std::chrono::microseconds meanDelay() const { return this->delay; }
+    /// Delay that nine in ten requests stay below.
+    std::chrono::microseconds highDelay() const
+    {
+        return this->delay + this->delayDeviation * DeviationsToHigh;
+    }
 
 private:
+    /// Mean deviations from the mean; the delays have a tail on one side.
+    static constexpr int DeviationsToHigh = 2;
+
     std::chrono::microseconds holdTime;
     std::chrono::microseconds delay;
+    std::chrono::microseconds delayDeviation{0};
 };
 
 } // namespace Nutmegrill
--- a/Source/RelayShell/RelayEntryPeers.cpp
+++ b/Source/RelayShell/RelayEntryPeers.cpp
@@ -159,7 +159,7 @@
 {
     EntryTable &entries = this->node.entries();
     LoadExchange::Messages messages;
-    entries.loads().tick(now, this->node.ownLoad(), entries, messages);
+    entries.loads().tick(now, this->node.ownLoad(now), entries, messages);
     std::shared_ptr<const LoadShare> encoded;
     std::string bytes;
     for (const auto &[address, share] : messages) {
--- a/Tests/Relay/BaselinePolicies.cpp
+++ b/Tests/Relay/BaselinePolicies.cpp
@@ -90,7 +90,7 @@
 
 RelayPolicy previousVersion()
 {
-    return {placeRequest, isServedBeforePreviousVersion, refusePreviousVersion};
+    return {placeRequest, isServedBeforePreviousVersion, refusePreviousVersion, false};
 }
 
 RelayPolicy roundRobin()
@@ -119,6 +119,7 @@
     RelayPolicy policy;
     policy.isServedBefore = arrivedBefore;
     policy.reasonToRefuse = refuseAtDeadline;
+    policy.sharesSlots = false;
     return policy;
 }
 
