--- a/Tests/Platform/Crowd/Crowd.cpp
+++ b/Tests/Platform/Crowd/Crowd.cpp
@@ -5,14 +5,13 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <map>
 #include <system_error>
 
-#include <signal.h>
-
 namespace Nutmegrill {
 
 namespace {
