Tell engines how urgent a request is, and check configurations on one thread

The priority of a request reached no engine: the caller's header was removed and none was set. Requests to a service whose routes differ in priority now carry it, so that a server that is full admits the urgent ones first. The check of a configuration read two versions on two threads; it reads them one after the other, as every program here has one thread.

Evidence: AdapterTest asserts the header and its bound.

--- a/Source/Programs/CheckCommand.cpp
+++ b/Source/Programs/CheckCommand.cpp
@@ -10,7 +10,6 @@
 #include "Programs/Settings.h"
 
 #include <fstream>
-#include <future>
 #include <iostream>
 #include <iterator>
 #include <optional>
@@ -77,12 +76,8 @@
         output != "text" && output != "json")
         return fail(Kind::Usage, "--output: '" + output + "' is not text or json");
     BOOST_LEAF_AUTO(format, this->chooseFormat());
-    // Parsing takes most of the time of a check, so both versions are read at once.
-    auto loading = std::async(std::launch::async, [&format, &words] {
-        return format->load({words.begin() + 1, words.end()});
-    });
     auto inForce = this->readInForce(*format);
-    const auto loaded = loading.get();
+    const auto loaded = format->load({words.begin() + 1, words.end()});
     CheckReport report;
     report.addErrors(loaded.errors);
     if (loaded.configuration) {
--- a/Source/Relay/RelayCommand.h
+++ b/Source/Relay/RelayCommand.h
@@ -31,6 +31,8 @@
     /// Name of the client account; empty on public routes.
     std::string account;
     std::chrono::milliseconds timeLeft{0};
+    /// Set where the routes to the service differ in priority. 0 is the most urgent.
+    std::optional<std::uint32_t> priority;
     std::optional<std::uint64_t> lastEvent;
     /// Limit on the open connections of this entry to the backend server. 0: no limit.
     std::uint32_t maxConnections = 0;
--- a/Source/Relay/RelayNodePlacing.cpp
+++ b/Source/Relay/RelayNodePlacing.cpp
@@ -185,6 +185,8 @@
     start.address = row.record.address;
     start.account = exchange.account;
     start.timeLeft = toMilliseconds(exchange.deadline - now);
+    if (this->routes->hasPriorities(exchange.service))
+        start.priority = exchange.priority;
     start.lastEvent = exchange.lastEvent;
     if (service != nullptr && service->maxConnections > 0)
         start.maxConnections =
--- a/Source/Relay/RouteTable.cpp
+++ b/Source/Relay/RouteTable.cpp
@@ -10,6 +10,14 @@
 {
     for (const Route &route : this->current->routes)
         this->hosts[route.host].emplace(route.pathPrefix, &route);
+    std::map<std::string, std::uint32_t> priorities;
+    for (const Route &route : this->current->routes) {
+        for (const Route::Target &target : route.targets) {
+            const auto [known, isNew] = priorities.emplace(target.service, route.priority);
+            if (!isNew && known->second != route.priority)
+                this->servicesWithPriorities.insert(target.service);
+        }
+    }
     for (const ClientAccount &account : this->current->clientAccounts) {
         this->accounts.emplace(account.keyHash, &account);
         for (const std::string &hash : account.furtherKeyHashes)
--- a/Source/Relay/RouteTable.h
+++ b/Source/Relay/RouteTable.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -26,6 +27,12 @@
     /// Null when no client account has the key.
     const ClientAccount *findAccount(std::string_view key) const;
 
+    /// Whether the routes to the service differ in priority.
+    bool hasPriorities(const std::string &service) const
+    {
+        return this->servicesWithPriorities.count(service) != 0;
+    }
+
     /// Weighted choice of a target by \a draw, a uniform number in [0, 1); null when all weights
     /// are 0.
     static const Route::Target *pickTarget(const Route &route, double draw);
@@ -35,6 +42,7 @@
     /// Routes of a host by prefix.
     std::unordered_map<std::string, std::unordered_map<std::string, const Route *>> hosts;
     std::unordered_map<std::string, const ClientAccount *> accounts;
+    std::set<std::string> servicesWithPriorities;
 };
 
 } // namespace Nutmegrill
--- a/Tests/Platform/AdapterTest.cpp
+++ b/Tests/Platform/AdapterTest.cpp
@@ -203,6 +203,14 @@
                                          "Expect-Instance: i-1\r\nTenant: x\r\n"
                                          "Last-Event-Id: 14\r\nContent-Length: 2\r\n\r\nhi"),
                              protocol.writeRequest(head, "hi", start));
+        // Guards against engines that are not told which requests are urgent, and against a caller
+        // that tells them.
+        start.priority = 2;
+        const std::string urgent = protocol.writeRequest(head, "hi", start);
+        CPPUNIT_ASSERT(urgent.find("\r\nRequest-Priority: 2\r\n") != std::string::npos);
+        start.priority = 40;
+        CPPUNIT_ASSERT(protocol.writeRequest(head, "hi", start).find("Request-Priority: 9\r\n")
+                       != std::string::npos);
     }
 
     void answerHeadsAreClassified()
