--- a/Source/Programs/Settings.cpp
+++ b/Source/Programs/Settings.cpp
@@ -98,6 +98,8 @@
         {isAddress, "of the form IP:port"},
         {isAddress, "of the form IP:port"},
         {isNumber, "a number from 0 to 4294967295"},
+        {[](const std::string &text) { return text.empty() || isNumber(text); },
+         "a number from 0 to 4294967295, or empty"},
         {[](const std::string &text) { return isNumber(text) && std::stoull(text) > 0; },
          "a number from 1 to 4294967295"},
         {[](const std::string &text) { return readDecimal(text).has_value(); },
@@ -184,13 +186,7 @@
             const std::string flag = flagOfVariable(variable);
             return this->parser->formats.count(flag) != 0 ? flag : std::string();
         };
-        // As in the file, an empty value keeps the default.
-        const auto isEmpty = [](const auto &line) {
-            return line.value.empty() || line.value.front().empty();
-        };
-        auto environment = options::parse_environment(this->parser->description, knownFlag);
-        std::erase_if(environment.options, isEmpty);
-        options::store(environment, parsed);
+        options::store(options::parse_environment(this->parser->description, knownFlag), parsed);
         if (parsed.count("settings") != 0 && !parsed["settings"].as<std::string>().empty()) {
             const std::string path = parsed["settings"].as<std::string>();
             this->fileText = readFile(path);
@@ -199,7 +195,9 @@
                 auto lines = options::parse_config_file(stream, this->parser->description, true);
                 // A line without a value keeps the default, so that a template may refer to a field
                 // that a deployment does not have.
-                std::erase_if(lines.options, isEmpty);
+                std::erase_if(lines.options, [](const auto &line) {
+                    return line.value.empty() || line.value.front().empty();
+                });
                 options::store(lines, parsed);
             } else {
                 errors.push_back("--settings: '" + path + "' cannot be read");
--- a/Source/Programs/Settings.h
+++ b/Source/Programs/Settings.h
@@ -22,6 +22,7 @@
         Address,
         AddressList,
         Number,
+        OptionalNumber, ///< empty where a deployment does not have the field of a template
         PositiveNumber,
         Decimal,
         PositiveDecimal,
