--- a/review/7/Case.cpp
+++ b/review/7/Case.cpp
@@ -38,8 +38,7 @@
     {
         Reader reader(fd);
         while (const auto request = reader.next(600000)) {
-            const std::int64_t since =
-                    this->removedAt < 0 ? -1 : now() - this->removedAt.load();
+            const std::int64_t since = this->removedAt < 0 ? -1 : now() - this->removedAt.load();
             ++this->runs;
             if (since > DrainMs) {
                 ++this->late;
@@ -50,8 +49,8 @@
             sleepMs(WorkMs);
             const std::string id = request->header("attempt-id");
             const std::string body = "booked " + id;
-            if (!sendAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Seal: seal-" + id
-                                     + "\r\nContent-Length: " + std::to_string(body.size())
+            if (!sendAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nResponse-Seal: seal-"
+                                     + id + "\r\nContent-Length: " + std::to_string(body.size())
                                      + "\r\n\r\n" + body))
                 return;
         }
@@ -78,8 +77,9 @@
         record.line("store accepts the entry of " + name);
         return workers.back().get();
     };
-    store.put("op/config", configuration(Json::array({routeRow(Service, "non_idempotent", 1, 1500)}),
-                                         Json::array({serviceRow(Service)})));
+    store.put("op/config",
+              configuration(Json::array({routeRow(Service, "non_idempotent", 1, 1500)}),
+                            Json::array({serviceRow(Service)})));
     addWorker();
     addWorker();
     Entry entry("entry-1", store.port(), argv[2]);
@@ -107,8 +107,7 @@
                 served += answer && answer->status() == 200 ? 1 : 0;
                 lost += answer && (answer->status() == 200 || answer->status() == 503) ? 0 : 1;
                 if (!answer || answer->status() != 200)
-                    record.line("client gets " + id + " "
-                                + (answer ? answer->first : reader.why));
+                    record.line("client gets " + id + " " + (answer ? answer->first : reader.why));
                 if (!answer || answer->header("connection") == "close") {
                     close(fd);
                     fd = -1;
@@ -148,7 +147,8 @@
         late += worker->late;
         latest = std::max(latest, worker->latest.load());
     }
-    std::printf("requests %d, served %d, lost %d, later than %d ms at a worker that is gone: %d, the latest "
+    std::printf("requests %d, served %d, lost %d, later than %d ms at a worker that is gone: %d, "
+                "the latest "
                 "after %d ms\n",
                 sent.load(), served.load(), lost.load(), static_cast<int>(DrainMs), late,
                 static_cast<int>(latest));
--- a/review/StandIns2/StandIns.h
+++ b/review/StandIns2/StandIns.h
@@ -7,6 +7,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -100,8 +101,7 @@
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         address.sin_port = htons(static_cast<std::uint16_t>(port));
-        const bool isFree =
-                bind(udp, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+        const bool isFree = bind(udp, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
         close(udp);
         close(fd);
         if (isFree)
@@ -160,10 +160,7 @@
         const auto found = this->headers.find(lower(name));
         return found == this->headers.end() ? std::string() : found->second;
     }
-    int status() const
-    {
-        return this->first.size() > 12 ? std::atoi(this->first.c_str() + 9) : 0;
-    }
+    int status() const { return this->first.size() > 12 ? std::atoi(this->first.c_str() + 9) : 0; }
     std::string method() const { return this->first.substr(0, this->first.find(' ')); }
     std::string target() const
     {
@@ -317,7 +314,8 @@
         unsigned value = 0;
         for (std::size_t byte = 0; byte < 3; ++byte)
             value = value << 8U
-                    | (at + byte < bytes.size() ? static_cast<unsigned char>(bytes[at + byte]) : 0U);
+                    | (at + byte < bytes.size() ? static_cast<unsigned char>(bytes[at + byte])
+                                                : 0U);
         for (int digit = 0; digit < 4; ++digit)
             text += at + static_cast<std::size_t>(digit) > bytes.size()
                             ? '='
@@ -487,10 +485,9 @@
                 const Json call = Json::parse(request->body);
                 for (const Json &expected : call.at("expected")) {
                     const auto found = this->items.find(expected.at("key"));
-                    const std::uint64_t present =
-                            found == this->items.end() || !found->second.value
-                                    ? 0
-                                    : found->second.revision;
+                    const std::uint64_t present = found == this->items.end() || !found->second.value
+                                                          ? 0
+                                                          : found->second.revision;
                     if (present != expected.at("revision").get<std::uint64_t>())
                         status = 412;
                 }
@@ -601,6 +598,8 @@
         this->pid = fork();
         if (this->pid != 0)
             return;
+        // The entry ends with this program, however that ends.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         FILE *const output = std::freopen(log.c_str(), "a", stdout);
         dup2(fileno(output), STDERR_FILENO);
         for (int fd = 3; fd < 4096; ++fd)
@@ -636,7 +635,7 @@
     {
         int status = 0;
         return waitpid(this->pid, &status, WNOHANG) == this->pid ? std::optional(status)
-                                                                  : std::nullopt;
+                                                                 : std::nullopt;
     }
 
     bool isReady() const
@@ -701,18 +700,23 @@
 /// A configuration with one route a service: host "app.example", prefix "/NAME/", no tenants.
 inline Json serviceRow(const std::string &name)
 {
-    return {{"name", name},      {"healthPath", "/health"}, {"maxConnections", 49},
-            {"protocol", "h1"},  {"tls", false},            {"coldStartS", 0.0},
-            {"coldPerS", 0.0}};
+    return {{"name", name}, {"healthPath", "/health"}, {"maxConnections", 49}, {"protocol", "h1"},
+            {"tls", false}, {"coldStartS", 0.0},       {"coldPerS", 0.0}};
 }
 
-inline Json routeRow(const std::string &service, const std::string &kind, int attempts,
-                     int timeout)
+inline Json routeRow(const std::string &service, const std::string &kind, int attempts, int timeout)
 {
-    return {{"name", "r-" + service},  {"hostname", "app.example"}, {"prefix", "/" + service + "/"},
-            {"kind", kind},            {"timeoutMs", timeout},      {"targetLatencyMs", 300},
-            {"priority", 2},           {"service", service},        {"attempts", attempts},
-            {"public", false},         {"sticky", false}};
+    return {{"name", "r-" + service},
+            {"hostname", "app.example"},
+            {"prefix", "/" + service + "/"},
+            {"kind", kind},
+            {"timeoutMs", timeout},
+            {"targetLatencyMs", 300},
+            {"priority", 2},
+            {"service", service},
+            {"attempts", attempts},
+            {"public", false},
+            {"sticky", false}};
 }
 
 inline std::string configuration(const Json &routes, const Json &services)
