--- a/review/7/Case.cpp
+++ b/review/7/Case.cpp
@@ -1,6 +1,6 @@
 // A watch that waits at the store is cut. A worker that reports no draining then leaves: its entry
 // is removed. No request may reach it later than drainMs after that.
-#include "StandIns.h"
+#include "StandIns2.h"
 
 using namespace Review;
 
--- a/review/StandIns2/StandIns.h
+++ b/review/StandIns2.h
@@ -27,6 +27,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <sstream>
 #include <string>
@@ -90,21 +91,27 @@
     return fd;
 }
 
-/// A port that is free for TCP and UDP now.
+inline bool isFree(int type, int port)
+{
+    const int fd = socket(AF_INET, type, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    const bool result = bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
+    close(fd);
+    return result;
+}
+
+/// A port that is free for TCP and UDP now, below those that the system gives to outgoing
+/// connections, and not one that was returned before.
 inline int freePort()
 {
+    static std::set<int> given;
+    static std::mt19937 random{std::random_device{}()};
     for (;;) {
-        int port = 0;
-        const int fd = listenOn(port);
-        const int udp = socket(AF_INET, SOCK_DGRAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        address.sin_port = htons(static_cast<std::uint16_t>(port));
-        const bool isFree = bind(udp, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
-        close(udp);
-        close(fd);
-        if (isFree)
+        const int port = std::uniform_int_distribution<int>(12000, 32000)(random);
+        if (isFree(SOCK_STREAM, port) && isFree(SOCK_DGRAM, port) && given.insert(port).second)
             return port;
     }
 }
