Keep a removed backend server in use only after an outage in which rows expire

Cause: each failed call counted as an outage of the store and the next answer as its end, and an entry told the others of that "return". A row that is removed at the end of an outage may belong to a live backend server, so it stays in use for 2.2 s. The watch after the cut was answered only with the next change, so the removal itself was taken for the return.

Why it works: a row expires after three heartbeats, which no single call can miss. StoreContact keeps when the store last answered any entry, from the ages in the reports, and an outage is a gap of two heartbeats at whose end calls of this entry fail, or of which another entry tells. The first watch after a failed call is answered at once, which ends the gap. Rows that expired while the store was away stay in use as before.

--- a/Source/Relay/BackendRoster.cpp
+++ b/Source/Relay/BackendRoster.cpp
@@ -61,15 +61,25 @@
     return this->update(now, record);
 }
 
-void BackendRoster::remove(Instant now, const std::string &id)
+Instant BackendRoster::remove(Instant now, const std::string &id)
 {
     Row *row = this->find(id);
-    if (row == nullptr || row->removedAt)
+    if (row == nullptr)
+        return now;
+    if (!row->removedAt) {
+        row->removedAt = now;
+        row->usableUntil = std::max(now, this->reregistrationUntil);
+    }
+    return row->usableUntil;
+}
+
+void BackendRoster::removeUnreadable(Instant now, const std::string &id)
+{
+    Row *row = this->find(id);
+    if (row == nullptr)
         return;
-    row->removedAt = now;
-    const bool mayHaveExpired =
-            this->storeReturnedAt && now < *this->storeReturnedAt + ReregistrationTime;
-    row->usableUntil = mayHaveExpired ? *this->storeReturnedAt + ReregistrationTime : now;
+    row->removedAt = row->removedAt.value_or(now);
+    row->usableUntil = std::min(now, row->usableUntil);
 }
 
 void BackendRoster::recordGroup(const std::string &address, const std::string &group,
@@ -97,9 +107,9 @@
     return isNews;
 }
 
-void BackendRoster::storeReturned(Instant now)
+void BackendRoster::storeReturned(Instant at)
 {
-    this->storeReturnedAt = std::max(this->storeReturnedAt.value_or(now), now);
+    this->reregistrationUntil = std::max(this->reregistrationUntil, at + ReregistrationTime);
 }
 
 void BackendRoster::tick(Instant now)
--- a/Source/Relay/BackendRoster.h
+++ b/Source/Relay/BackendRoster.h
@@ -59,12 +59,14 @@
     /// A row of the instance list was removed: the backend server gets no new work. Rows of live
     /// backend servers also expire while the store is unreachable. These are registered again
     /// within about two seconds of its return, so a row removed in this period stays usable until
-    /// the period ends.
-    void remove(Instant now, const std::string &id);
+    /// the period ends. Returns until when it is usable.
+    Instant remove(Instant now, const std::string &id);
 
-    /// The store answers again after an outage. Rows that it reports as removed shortly after \a
-    /// now may have expired during the outage.
-    void storeReturned(Instant now);
+    /// A row cannot be read any more: the backend server gets no new work.
+    void removeUnreadable(Instant now, const std::string &id);
+
+    /// The store answered again at \a at after an outage in which rows may have expired.
+    void storeReturned(Instant at);
 
     void setTakenOutDomains(std::set<std::string> domains)
     {
@@ -102,7 +104,8 @@
     /// Highest incarnation reported for each address.
     std::map<std::string, std::uint64_t> latestIncarnation;
     std::set<std::string> domainsTakenOut;
-    std::optional<Instant> storeReturnedAt;
+    /// Until when removed rows may be registered again because they expired during an outage.
+    Instant reregistrationUntil;
 };
 
 } // namespace Nutmegrill
--- a/Source/Relay/EntryReport.h
+++ b/Source/Relay/EntryReport.h
@@ -34,7 +34,10 @@
     StorePosition known;
     /// The last call to the store succeeded.
     bool reachesStore = true;
-    /// Time since the store answered this entry again after an outage; only shortly afterwards.
+    /// Time since the store last answered this entry.
+    std::optional<std::chrono::milliseconds> sinceStoreAnswer;
+    /// Time since the end of an outage of the store in which rows of backend servers may have
+    /// expired; only shortly afterwards.
     std::optional<std::chrono::milliseconds> sinceStoreReturned;
     /// Time of day on the clock of this entry; only where duties need true time.
     std::optional<std::chrono::system_clock::time_point> clock;
--- a/Source/RelayShell/PeerCodec.cpp
+++ b/Source/RelayShell/PeerCodec.cpp
@@ -87,6 +87,8 @@
                  {"waiting", report.waiting}};
     if (report.known.generation > 0)
         json["generation"] = report.known.generation;
+    if (report.sinceStoreAnswer)
+        json["answered"] = report.sinceStoreAnswer->count();
     if (report.sinceStoreReturned)
         json["returned"] = report.sinceStoreReturned->count();
     if (report.clock)
@@ -123,6 +125,9 @@
         report.known = {json.value("generation", std::uint64_t(0)),
                         json.value("revision", std::uint64_t(0))};
         report.reachesStore = json.value("store", true);
+        if (json.contains("answered"))
+            report.sinceStoreAnswer =
+                    std::chrono::milliseconds(json.at("answered").get<std::uint32_t>());
         if (json.contains("returned"))
             report.sinceStoreReturned =
                     std::chrono::milliseconds(json.at("returned").get<std::uint32_t>());
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -79,15 +79,23 @@
                                                               commands);
                                  });
                 }}),
+      storeContact(options.heartbeatPeriod),
       storeFeed(loop, store,
                 {[this](const StoreMirror::Changes &changes) { this->applyChanges(changes); },
+                 [this] {
+                     this->storeAnsweredAt = this->loop.now();
+                     this->recordStoreAnswer(milliseconds(0));
+                 },
                  [this](const std::string &reason) {
                      this->log(RelayLog::StoreLost, LogRecord::Level::Warning,
                                "reason=\"" + reason + "\" revision="
                                        + std::to_string(
                                                this->storeFeed.mirror().position().revision));
                  },
-                 [this](milliseconds outage) { this->storeReturned(outage); },
+                 [this](milliseconds outage) {
+                     this->log(RelayLog::StoreRegained, LogRecord::Level::Info,
+                               "away_ms=" + std::to_string(outage.count()));
+                 },
                  [this](StorePosition before) { this->storeRestored(before); }},
                 options.incarnation),
       callerListener(
@@ -318,9 +326,13 @@
                                   + " cold_ms=" + std::to_string(record->coldLeft.count())
                                   + " revision=" + std::to_string(change.revision));
         } else if (const auto *removed = std::get_if<StateDecoder::BackendRemoved>(&decoded)) {
-            this->node.roster().remove(now, removed->id);
+            const Instant usableUntil = this->node.roster().remove(now, removed->id);
             this->log(RelayLog::BackendRemoved, LogRecord::Level::Info,
-                      "backend=" + removed->id + " revision=" + std::to_string(change.revision));
+                      "backend=" + removed->id + " revision=" + std::to_string(change.revision)
+                              + " usable_ms="
+                              + std::to_string(std::chrono::duration_cast<milliseconds>(
+                                                       std::max(usableUntil, now) - now)
+                                                       .count()));
         } else if (const auto *domain = std::get_if<StateDecoder::DomainTakeOut>(&decoded)) {
             // The take-out has ended since the copy was made.
             if (change.isDoubtful && domainsOut.count(domain->failureDomain) == 0)
@@ -340,7 +352,7 @@
                 this->node.requestQuarantine().recordStored(now, *report, change.revision);
         } else if (const auto *unreadable = std::get_if<StateDecoder::Unreadable>(&decoded)) {
             if (unreadable->backend)
-                this->node.roster().remove(now, *unreadable->backend);
+                this->node.roster().removeUnreadable(now, *unreadable->backend);
             this->log(unreadable->backend ? RelayLog::BackendUnreadable
                                           : RelayLog::ConfigurationUnreadable,
                       LogRecord::Level::Warning,
@@ -362,21 +374,27 @@
     }
 }
 
-void RelayEntry::storeReturned(milliseconds outage)
+void RelayEntry::recordStoreAnswer(milliseconds age)
 {
-    const Instant now = this->loop.now();
-    // The first answer after the start is no return.
-    if (this->storeFeed.isComplete())
-        this->storeReturnedAt = now;
-    this->node.roster().storeReturned(now);
-    this->log(RelayLog::StoreRegained, LogRecord::Level::Info,
-              "away_ms=" + std::to_string(outage.count()));
+    if (this->storeContact.recordAnswer(this->loop.now(), age, !this->storeFeed.isConnected()))
+        this->storeOutageEnded();
+}
+
+void RelayEntry::storeOutageEnded()
+{
+    const Instant at = *this->storeContact.returnedAt();
+    this->node.roster().storeReturned(at);
+    const auto age = std::chrono::duration_cast<milliseconds>(this->loop.now() - at);
+    this->log(RelayLog::StoreOutageEnded, LogRecord::Level::Info,
+              "outage_ms=" + std::to_string(this->storeContact.gapLength().count())
+                      + " ended_ms_ago=" + std::to_string(age.count()) + " revision="
+                      + std::to_string(this->storeFeed.mirror().position().revision));
 }
 
 void RelayEntry::storeRestored(StorePosition before)
 {
     const Instant now = this->loop.now();
-    this->storeReturnedAt = now;
+    this->storeContact.recordRestore(now);
     this->node.roster().storeReturned(now);
     this->node.requestQuarantine().forgetStored();
     const StorePosition position = this->storeFeed.mirror().position();
@@ -440,6 +458,7 @@
 void RelayEntry::tick()
 {
     const Instant now = this->loop.now();
+    this->storeContact.noteTime(now);
     if (const auto lag = this->loopLag.tick(now, this->metrics))
         this->log(RelayLog::LoopLate, LogRecord::Level::Warning,
                   "lag_ms=" + std::to_string(lag->count()));
--- a/Source/RelayShell/RelayEntry.h
+++ b/Source/RelayShell/RelayEntry.h
@@ -8,6 +8,7 @@
 #include "Relay/ReportSchedule.h"
 #include "Relay/SlowRankTable.h"
 #include "Relay/StopAdmission.h"
+#include "Relay/StoreContact.h"
 #include "RelayShell/BackendAttempts.h"
 #include "RelayShell/DatagramSocket.h"
 #include "RelayShell/LoopLag.h"
@@ -51,6 +52,8 @@
         std::size_t maxConnections = 3000;
         /// Memory of the instance.
         std::size_t memoryBytes = 256U << 20U;
+        /// How often a backend server renews its row in the store.
+        std::chrono::milliseconds heartbeatPeriod{1200};
         std::uint64_t incarnation = 0;
         RelayNode::Settings node;
         UsageDuty::Options usage;
@@ -97,7 +100,9 @@
     void sendMessage(const std::string &address, const std::string &bytes);
     void askForGroups();
     void pullFromPeer();
-    void storeReturned(std::chrono::milliseconds outage);
+    /// The store answered this entry, or another one \a age ago.
+    void recordStoreAnswer(std::chrono::milliseconds age);
+    void storeOutageEnded();
     void storeRestored(StorePosition before);
     bool holdsLease() const;
     void announce();
@@ -132,6 +137,7 @@
     ByteBudget budget;
     RelayNode node;
     BackendAttempts attempts;
+    StoreContact storeContact;
     StoreFeed storeFeed;
     HttpListener callerListener;
     HttpListener readinessListener;
@@ -155,8 +161,8 @@
     Instant renewAt;
     std::uint64_t lease = 0;
     std::uint64_t leaseGeneration = 0;
-    /// When the store last answered again after an outage.
-    std::optional<Instant> storeReturnedAt;
+    /// When the store last answered this entry.
+    std::optional<Instant> storeAnsweredAt;
     bool isAnnouncing = false;
     bool isWatchingStore = true;
     bool wasServing = false;
--- a/Source/RelayShell/RelayEntryPeers.cpp
+++ b/Source/RelayShell/RelayEntryPeers.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds PeerAnswerTimeout{1000};
 /// The whole content of the store with 1,000 instances takes less.
 constexpr std::size_t MaxPeerAnswerBytes = 8U << 20U;
-/// Other entries learn of the return of the store for this long.
+/// Other entries learn of the end of an outage of the store for this long.
 constexpr milliseconds StoreReturnReportTime{3000};
 constexpr std::string_view PeerUpdatePrefix = "/state?after=";
 constexpr std::string_view PeerUpdateGeneration = "&generation=";
@@ -107,8 +107,11 @@
     if (this->usageDuty != nullptr)
         this->usageDuty->observeClock(*report);
     SlowRankTable::record(now, report->slowRanks, this->node.roster());
-    if (report->sinceStoreReturned)
-        this->node.roster().storeReturned(now - *report->sinceStoreReturned);
+    if (report->sinceStoreAnswer)
+        this->recordStoreAnswer(*report->sinceStoreAnswer + this->loopLag.maxEventAge(now));
+    if (report->sinceStoreReturned
+        && this->storeContact.recordPeerOutage(now - *report->sinceStoreReturned))
+        this->storeOutageEnded();
     if (!this->isWatchingStore && this->storeFeed.mirror().position() < report->known)
         this->pullFromPeer();
 }
@@ -127,9 +130,12 @@
     report.known = this->storeFeed.mirror().position();
     report.reachesStore = this->storeFeed.isConnected();
     const Instant now = this->loop.now();
-    if (this->storeReturnedAt && now < *this->storeReturnedAt + StoreReturnReportTime)
-        report.sinceStoreReturned =
-                std::chrono::duration_cast<milliseconds>(now - *this->storeReturnedAt);
+    if (this->storeAnsweredAt)
+        report.sinceStoreAnswer =
+                std::chrono::duration_cast<milliseconds>(now - *this->storeAnsweredAt);
+    const auto returnedAt = this->storeContact.returnedAt();
+    if (returnedAt && now < *returnedAt + StoreReturnReportTime)
+        report.sinceStoreReturned = std::chrono::duration_cast<milliseconds>(now - *returnedAt);
     if (this->usageDuty != nullptr)
         report.clock = std::chrono::system_clock::now();
     EntryTable &entries = this->node.entries();
--- a/Source/RelayShell/StateStore.h
+++ b/Source/RelayShell/StateStore.h
@@ -46,8 +46,8 @@
     /// be seconds old.
     virtual void readBackends(Callback callback) = 0;
     virtual void readConfiguration(Callback callback) = 0;
-    /// Waits up to \a timeout for changes after \a revision. Fails a second later without an
-    /// answer.
+    /// Waits up to \a timeout for changes after \a revision. Without an answer it fails a second
+    /// later, but no sooner than other calls.
     virtual void watch(std::uint64_t revision, std::chrono::milliseconds timeout,
                        Callback callback) = 0;
     /// Writes a key if its revision is \a expected (0: the key must not exist).
--- a/Source/RelayShell/StoreFeed.cpp
+++ b/Source/RelayShell/StoreFeed.cpp
@@ -15,6 +15,9 @@
 /// changes. A configuration has to be in force 3 s after the store is back: by then a lost watch
 /// has failed, a second later, and was sent again.
 constexpr milliseconds WatchTimeout{1500};
+/// The first watch, and that after a failed call, is answered at once: the time since the last
+/// answer then tells an outage from a call that was cut.
+constexpr milliseconds ProbeTimeout{1};
 /// Backoff between calls to a store that does not answer. Starts short, because a new entry cannot
 /// serve without a configuration; one call per second is little compared with the store's normal
 /// load.
@@ -75,8 +78,10 @@
 void StoreFeed::setWatching(bool isWatching)
 {
     this->watching = isWatching;
-    if (isWatching && !this->isActive)
-        this->watch();
+    if (!isWatching || this->isActive)
+        return;
+    this->hasRecentAnswer = false;
+    this->watch();
 }
 
 void StoreFeed::recordCall(const StateStore::Result &result)
@@ -96,7 +101,8 @@
     if (!this->isActive)
         return;
     this->calledAt = this->loop.now();
-    this->store.watch(this->localMirror.position().revision, WatchTimeout,
+    this->store.watch(this->localMirror.position().revision,
+                      this->hasRecentAnswer ? WatchTimeout : ProbeTimeout,
                       [this, watchRound](const StateStore::Result &result) {
                           if (watchRound == this->round)
                               this->handleWatch(result);
@@ -122,6 +128,7 @@
         return;
     }
     case StateStore::Status::HistoryCompacted:
+        this->observer.onAnswered();
         // The first time at once; a store that keeps no history would be read in a loop.
         if (std::exchange(this->isCompacted, true))
             this->scheduleRetry("history compacted", &StoreFeed::readAll);
@@ -139,6 +146,8 @@
 void StoreFeed::recordSuccess()
 {
     this->retryBackoff = MinRetryBackoff;
+    this->hasRecentAnswer = true;
+    this->observer.onAnswered();
     if (this->connected)
         return;
     this->connected = true;
@@ -148,6 +157,7 @@
 
 void StoreFeed::recordFailure(const std::string &reason)
 {
+    this->hasRecentAnswer = false;
     if (!this->connected)
         return;
     this->connected = false;
--- a/Source/RelayShell/StoreFeed.h
+++ b/Source/RelayShell/StoreFeed.h
@@ -23,6 +23,8 @@
     struct Observer
     {
         std::function<void(const StoreMirror::Changes &changes)> onChanges;
+        /// The store has answered a call, before what follows from the answer is reported.
+        std::function<void()> onAnswered;
         std::function<void(const std::string &reason)> onLost;
         std::function<void(std::chrono::milliseconds outage)> onRegained;
         /// The store came back from an older copy, whose content is reported next.
@@ -65,6 +67,8 @@
     bool complete = false;
     bool connected = false;
     bool watching = true;
+    /// No call has failed since the last answer, and the store has been watched since then.
+    bool hasRecentAnswer = false;
     /// A read, a watch or a retry is under way.
     bool isActive = false;
     /// Number of the last one; what belongs to an earlier one is ignored.
--- a/Tests/Platform/RestoredStoreTest.cpp
+++ b/Tests/Platform/RestoredStoreTest.cpp
@@ -152,6 +152,7 @@
                 this->values[change.key] = change.value.value_or("");
             }
         };
+        observer.onAnswered = [] {};
         observer.onLost = [](const std::string &) {};
         observer.onRegained = [](milliseconds) {};
         observer.onRestored = [](StorePosition) {};
--- a/Tests/Platform/StoreFeedTest.cpp
+++ b/Tests/Platform/StoreFeedTest.cpp
@@ -52,6 +52,7 @@
             for (const StoreChange &change : changes)
                 this->value = change.value.value_or("");
         };
+        observer.onAnswered = [] {};
         observer.onLost = [](const std::string &) {};
         observer.onRegained = [](milliseconds) {};
         observer.onRestored = [](StorePosition) {};
@@ -117,7 +118,7 @@
         constexpr milliseconds MinSpread{300};
         FakeStateStore down;
         down.isUnavailable = true;
-        const StoreFeed::Observer observer{[](const StoreMirror::Changes &) {},
+        const StoreFeed::Observer observer{[](const StoreMirror::Changes &) {}, [] {},
                                            [](const std::string &) {}, [](milliseconds) {},
                                            [](StorePosition) {}};
         std::vector<std::unique_ptr<StoreFeed>> feeds;
--- a/Tests/Platform/StoreServer.cpp
+++ b/Tests/Platform/StoreServer.cpp
@@ -72,6 +72,11 @@
     this->validLease = copy.validLease;
     this->nextLease = copy.nextLease;
     ++this->era;
+    this->cutWatches();
+}
+
+void StoreServer::cutWatches()
+{
     for (const auto &[id, after] : std::exchange(this->watches, {})) {
         if (auto *connection = this->listener.find(id))
             connection->abort();
@@ -80,6 +85,8 @@
 
 void StoreServer::notifyWatches()
 {
+    if (this->holdsBackEvents)
+        return;
     for (const auto &[id, after] : std::exchange(this->watches, {}))
         this->answerWatch(id, after);
 }
--- a/Tests/Platform/StoreServer.h
+++ b/Tests/Platform/StoreServer.h
@@ -28,6 +28,8 @@
     void tick(Instant now) { this->listener.tick(now); }
     /// Drops the history: watches from earlier revisions get status 410.
     void compact() { this->oldestRevision = this->revision; }
+    /// Ends the connections of the watches that wait now.
+    void cutWatches();
     std::optional<std::string> valueOf(const std::string &key) const;
     std::uint64_t leaseOf(const std::string &key) const { return this->items.at(key).lease; }
 
@@ -45,6 +47,8 @@
     /// Calls are received but never answered, neither those that come meanwhile nor waiting
     /// watches.
     bool isSilent = false;
+    /// Waiting watches do not hear of changes.
+    bool holdsBackEvents = false;
     /// The body of every answer is truncated to half its length.
     bool isMalformed = false;
     /// Method and target of every call received.
