--- a/Source/RelayShell/StoreFeed.cpp
+++ b/Source/RelayShell/StoreFeed.cpp
@@ -145,7 +145,9 @@
 
 void StoreFeed::recordSuccess()
 {
-    this->retryBackoff = MinRetryBackoff;
+    // A store that cuts all watches still answers the probes between them.
+    if (this->hasRecentAnswer)
+        this->retryBackoff = MinRetryBackoff;
     this->hasRecentAnswer = true;
     this->observer.onAnswered();
     if (this->connected)
--- a/Tests/Platform/StoreFeedTest.cpp
+++ b/Tests/Platform/StoreFeedTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(repeatedWatchIsLostToo);
     CPPUNIT_TEST(answerOfAWatchIsLost);
     CPPUNIT_TEST(silentStoreIsCalledRarely);
+    CPPUNIT_TEST(storeThatCutsAllWatchesIsCalledInALoop);
     CPPUNIT_TEST(entriesRepeatTheirCallsTogether);
     CPPUNIT_TEST_SUITE_END();
 
@@ -111,6 +112,17 @@
         CPPUNIT_ASSERT(this->server->targets.size() - before <= 4);
     }
 
+    // Guards against a rush of calls on a store that answers at once or cuts the watch.
+    void storeThatCutsAllWatchesIsCalledInALoop()
+    {
+        const std::size_t before = this->server->targets.size();
+        const auto cutter =
+                this->loop->every(milliseconds(10), [this] { this->server->cutWatches(); });
+        this->wait(milliseconds(3000));
+        // Two calls after each backoff of 0.1, 0.2, 0.4, 0.8 and 1 s, of which jitter takes half.
+        CPPUNIT_ASSERT(this->server->targets.size() - before <= 16);
+    }
+
     // Guards against a rush at the store when the calls of all entries have failed at once.
     void entriesRepeatTheirCallsTogether()
     {
