Do not take the start of an entry for an outage of the store

Cause: the first answer that a new entry heard of was the last call of an entry that does not watch, seconds before, and its own first answer then ended a gap. A gap now counts only if this entry has run for as long; the end that another entry tells is used instead of a later own one.

--- a/Source/Relay/StoreContact.cpp
+++ b/Source/Relay/StoreContact.cpp
@@ -22,7 +22,9 @@
 
 } // namespace
 
-StoreContact::StoreContact(milliseconds heartbeatPeriod) : heartbeatPeriod(heartbeatPeriod) {}
+StoreContact::StoreContact(milliseconds heartbeatPeriod)
+    : expiryTime(std::max(MinOutage, HeartbeatsUntilRowsExpire * heartbeatPeriod))
+{}
 
 bool StoreContact::recordAnswer(Instant now, milliseconds age, bool ownCallsFail)
 {
@@ -34,23 +36,24 @@
     if (isGap)
         this->lastGap = Gap{*this->lastAnswerAt, at};
     this->lastAnswerAt = at;
-    this->rowsExpireAt =
-            at + std::max(MinOutage, HeartbeatsUntilRowsExpire * this->heartbeatPeriod);
-    return isGap && ownCallsFail && this->confirmOutage();
+    this->rowsExpireAt = at + this->expiryTime;
+    return isGap && ownCallsFail && at >= this->judgesFrom
+           && this->confirmOutage(this->lastGap->endedAt);
 }
 
 bool StoreContact::recordPeerOutage(Instant at)
 {
     return this->lastGap && at > this->lastGap->beganAt
-           && at <= this->lastGap->endedAt + PeerTolerance && this->confirmOutage();
+           && at <= this->lastGap->endedAt + PeerTolerance
+           && this->confirmOutage(std::min(at, this->lastGap->endedAt));
 }
 
-bool StoreContact::confirmOutage()
+bool StoreContact::confirmOutage(Instant endedAt)
 {
     if (this->lastGap->isOutage)
         return false;
     this->lastGap->isOutage = true;
-    this->outageEndedAt = this->lastGap->endedAt;
+    this->outageEndedAt = endedAt;
     return true;
 }
 
@@ -61,8 +64,12 @@
 
 void StoreContact::noteTime(Instant now)
 {
-    if (this->notedAt && now >= *this->notedAt + MinPause)
-        this->rowsExpireAt += now - *this->notedAt;
+    if (!this->notedAt) {
+        this->judgesFrom = now + this->expiryTime;
+    } else if (const auto pause = now - *this->notedAt; pause >= MinPause) {
+        this->rowsExpireAt += pause;
+        this->judgesFrom += pause;
+    }
     this->notedAt = now;
 }
 
--- a/Source/Relay/StoreContact.h
+++ b/Source/Relay/StoreContact.h
@@ -9,8 +9,8 @@
 
 /// When the store last answered this entry or another one, and when the last outage ended that was
 /// long enough for rows of live backend servers to expire. No such outage is a single call that was
-/// cut or slow, a store that only this entry does not reach, or a time in which this entry
-/// heard nothing of the others while none of its own calls failed.
+/// cut or slow, a store that only this entry does not reach, or a time in which this entry had not
+/// started, or heard nothing of the others while none of its own calls failed.
 class StoreContact
 {
 public:
@@ -47,9 +47,12 @@
         bool isOutage = false;
     };
 
-    bool confirmOutage();
+    bool confirmOutage(Instant endedAt);
 
-    std::chrono::milliseconds heartbeatPeriod;
+    /// Least time without a renewal after which rows may have expired.
+    const std::chrono::milliseconds expiryTime;
+    /// Before this time a gap may be older than this entry, which has not heard all answers.
+    Instant judgesFrom;
     std::optional<Instant> lastAnswerAt;
     /// Rows may expire from this time on if no entry gets an answer before.
     Instant rowsExpireAt;
--- a/Tests/Relay/StoreContactTest.cpp
+++ b/Tests/Relay/StoreContactTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(storeThatOnlyThisEntryDoesNotReachCountsAsOutage);
     CPPUNIT_TEST(entryThatHearsNobodyCountsAnOutage);
     CPPUNIT_TEST(outageThatAnotherEntryTellsIsMissed);
+    CPPUNIT_TEST(startCountsAsOutage);
     CPPUNIT_TEST(ownPauseCountsAsOutage);
     CPPUNIT_TEST(restoreIsNoReturn);
     CPPUNIT_TEST_SUITE_END();
@@ -81,10 +82,20 @@
         CPPUNIT_ASSERT(!this->contact.recordPeerOutage(this->start + milliseconds(100)));
         CPPUNIT_ASSERT(!this->answerAt(milliseconds(5000)));
         CPPUNIT_ASSERT(this->contact.recordPeerOutage(this->start + milliseconds(4800)));
-        CPPUNIT_ASSERT(this->contact.returnedAt() == this->start + milliseconds(5000));
+        CPPUNIT_ASSERT(this->contact.returnedAt() == this->start + milliseconds(4800));
         CPPUNIT_ASSERT(!this->contact.recordPeerOutage(this->start + milliseconds(4900)));
     }
 
+    // Guards against a removed backend server that stays in use because an entry, which has not
+    // read the store yet, hears first of those whose last call is long ago.
+    void startCountsAsOutage()
+    {
+        CPPUNIT_ASSERT(!this->answerAfterFailureAt(milliseconds(20), milliseconds(5000)));
+        CPPUNIT_ASSERT(!this->answerAfterFailureAt(milliseconds(900)));
+        CPPUNIT_ASSERT(!this->contact.returnedAt());
+        CPPUNIT_ASSERT(this->answerAfterFailureAt(milliseconds(3400)));
+    }
+
     // Guards against a removed backend server that stays in use because this process heard nobody
     // while it was paused.
     void ownPauseCountsAsOutage()
