Do not take a reset for the end of an answer

Callers saw: a backend server answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got that part as a complete answer. Streams of events and error answers were ended as complete in the same way.

Cause: a socket reports a reset to one system call only. While a request is written, that is often the write, and the next read then finds an end of file. libevent reports both in one event, and ClientConnection looked at the end of file only. Where writing failed before the answer was read, it gave up at once instead, so that a whole answer in the socket was lost.

Change: the end of a connection ends an answer only if nothing but EPIPE was reported, which is how writing fails after an end that the peer sent. After a failure to write, the bytes that arrived before are read first.

Why it works: the kernel reports ECONNRESET (or a timeout) for a connection that failed, and EPIPE only where the peer's end had arrived, and with it every byte of the answer. This holds for every user of ClientConnection: answers of backend servers, the platform's store, other entries, engines and the receiver of usage reports.

--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -62,11 +62,18 @@
                 self->handlers.onConnected();
             return;
         }
-        const bool refused = (what & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+        const int error = (what & BEV_EVENT_ERROR) != 0 ? EVUTIL_SOCKET_ERROR() : 0;
+        // A socket reports a reset once: if writing reports it, reading only finds an end. After an
+        // end, writing fails with EPIPE.
+        if (error != 0 && error != EPIPE)
+            self->wasReset = true;
         const std::weak_ptr<bool> alive = self->alive;
         self->readInput();
-        if (!alive.expired())
-            self->connectionEnded((what & BEV_EVENT_EOF) != 0, refused);
+        // After a failure to write, what the peer sent before is still to be read.
+        const bool isReadable = self->connected && (what & BEV_EVENT_READING) == 0;
+        if (!alive.expired() && !isReadable)
+            self->connectionEnded((what & BEV_EVENT_EOF) != 0 && !self->wasReset,
+                                  error == ECONNREFUSED);
     }
 };
 
--- a/Source/Http/ClientConnection.h
+++ b/Source/Http/ClientConnection.h
@@ -86,6 +86,8 @@
     HttpParser parser;
     Handlers handlers;
     bool connected = false;
+    /// The connection failed otherwise than by an end that the peer sent.
+    bool wasReset = false;
     bool busy = false;
     bool reusable = true;
     bool skipping = false;
