Do not take a line for a status line that is none

Callers saw: a backend server in trouble sent an answer with the status 000, and the caller got it as an answer.

Cause: http-parser takes one to three digits, or more after zeros, for a status, any digit for a version and any byte in a reason phrase. Nothing after it checked them: an entry relays what is no success, and 000 is none.

"HTTP/2.0 200" and "HTTP/1.1 0" without a line end held the caller until its deadline.

Change: HttpParser collects the status line of a response and passes it on to http-parser only if it fits the grammar of RFC 9112: HTTP/1.x, a status from 100 to 599, a reason phrase of printable characters. What is no status line fails at its first wrong byte as a malformed answer.

Why it works: each answer begins with such a line, and HttpParser reads those of the backend servers, the platform's store, other entries, engines and the receiver of usage reports. A request that may run again goes to another backend server, one that may not gets 502, which promises nothing.

--- a/Source/Http/HttpParser.cpp
+++ b/Source/Http/HttpParser.cpp
@@ -1,16 +1,29 @@
 #include "Http/HttpParser.h"
 
+#include "Http/ResponseLine.h"
+
 #include <algorithm>
 #include <cstdint>
 #include <limits>
+#include <string>
 #include <utility>
 
 #include <http_parser.h>
 
 namespace Nutmegrill {
 
+namespace {
+
+/// Longest line of a response. A longer one is beyond the limit of http-parser as well.
+constexpr std::size_t MaxLineBytes = HTTP_MAX_HEADER_SIZE;
+
+} // namespace
+
 struct HttpParser::Parser
 {
+    /// Which bytes of a response come next.
+    enum class Part { StatusLine, Rest };
+
     Parser(Kind kind, Observer &observer) : kind(kind), observer(observer) { this->reset(); }
 
     void reset()
@@ -21,6 +34,8 @@
         this->head = HttpHead();
         this->inValue = false;
         this->state = State::Idle;
+        this->part = this->kind == Kind::Response ? Part::StatusLine : Part::Rest;
+        this->line.clear();
     }
 
     static Parser &fromLibrary(http_parser *library)
@@ -125,6 +140,68 @@
         return settings;
     }
 
+    /// Passes bytes to http-parser and returns how many it consumed.
+    std::size_t execute(std::string_view data)
+    {
+        const std::size_t used =
+                http_parser_execute(&this->library, &callbacks(), data.data(), data.size());
+        if (this->state == State::Complete)
+            return used;
+        if (const auto error = HTTP_PARSER_ERRNO(&this->library); error != HPE_OK) {
+            this->headTooLarge = error == HPE_HEADER_OVERFLOW;
+            this->state = State::Failed;
+        }
+        return used;
+    }
+
+    /// Collects bytes until the end of a line, which http-parser only gets if it is valid.
+    std::size_t feedLine(std::string_view data)
+    {
+        const std::size_t end = data.find('\n');
+        const bool isComplete = end != std::string_view::npos;
+        const std::size_t used = isComplete ? end + 1 : data.size();
+        const bool isBegin = this->line.empty();
+        this->line.append(data.substr(0, used));
+        // Checks an incomplete line once.
+        if (this->line.size() > MaxLineBytes
+            || ((isComplete || isBegin) && !this->isLineValid(isComplete))) {
+            this->state = State::Failed;
+            return used;
+        }
+        if (isComplete) {
+            this->execute(this->line);
+            this->lineEnded();
+        } else if (this->state == State::Idle) {
+            this->state = State::Head;
+        }
+        return used;
+    }
+
+    /// The line without its end. Of an incomplete line, a carriage return may be a part of the end.
+    std::string_view lineText(bool isComplete) const
+    {
+        std::string_view text = this->line;
+        if (isComplete)
+            text.remove_suffix(1);
+        if (!text.empty() && text.back() == '\r')
+            text.remove_suffix(1);
+        return text;
+    }
+
+    bool isLineValid(bool isComplete) const
+    {
+        const std::string_view text = this->lineText(isComplete);
+        // Empty lines before a status line are ignored.
+        return text.empty() || ResponseLine::isStatus(text, isComplete);
+    }
+
+    void lineEnded()
+    {
+        if (!this->lineText(true).empty())
+            this->part = Part::Rest;
+        this->line.clear();
+    }
+
     Kind kind;
     Observer &observer;
     http_parser library{};
@@ -132,6 +209,9 @@
     bool inValue = false;
     bool headTooLarge = false;
     State state = State::Idle;
+    Part part = Part::Rest;
+    /// The present line of a response, as far as it has arrived.
+    std::string line;
 };
 
 HttpParser::HttpParser(Kind kind, Observer &observer)
@@ -143,15 +223,10 @@
 std::size_t HttpParser::feed(std::string_view data)
 {
     Parser &self = *this->parser;
-    if (data.empty() || self.state == State::Complete || self.state == State::Failed)
-        return 0;
-    const std::size_t used =
-            http_parser_execute(&self.library, &Parser::callbacks(), data.data(), data.size());
-    if (self.state == State::Complete)
-        return used;
-    if (const auto error = HTTP_PARSER_ERRNO(&self.library); error != HPE_OK) {
-        self.headTooLarge = error == HPE_HEADER_OVERFLOW;
-        self.state = State::Failed;
+    std::size_t used = 0;
+    while (used < data.size() && self.state != State::Complete && self.state != State::Failed) {
+        const std::string_view rest = data.substr(used);
+        used += self.part == Parser::Part::StatusLine ? self.feedLine(rest) : self.execute(rest);
     }
     return used;
 }
--- /dev/null
+++ b/Source/Http/ResponseLine.cpp
@@ -0,0 +1,46 @@
+#include "Http/ResponseLine.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace Nutmegrill {
+
+namespace {
+
+constexpr unsigned char FirstPrintable = 0x20;
+constexpr unsigned char Delete = 0x7f;
+
+bool isDigit(char letter)
+{
+    return letter >= '0' && letter <= '9';
+}
+
+/// Printable ASCII, blanks, tabs and bytes above ASCII.
+bool isText(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(), [](char letter) {
+        const auto byte = static_cast<unsigned char>(letter);
+        return (byte < FirstPrintable && letter != '\t') || byte == Delete;
+    });
+}
+
+} // namespace
+
+bool ResponseLine::isStatus(std::string_view line, bool isComplete)
+{
+    // 'd' is a digit, 's' the first digit of a status.
+    static constexpr std::string_view Form = "HTTP/1.d sdd";
+    for (std::size_t at = 0; at < std::min(line.size(), Form.size()); ++at) {
+        const char letter = line[at];
+        const bool fits = Form[at] == 'd'   ? isDigit(letter)
+                          : Form[at] == 's' ? letter >= '1' && letter <= '5'
+                                            : letter == Form[at];
+        if (!fits)
+            return false;
+    }
+    if (line.size() <= Form.size())
+        return !isComplete || line.size() == Form.size();
+    return line[Form.size()] == ' ' && isText(line.substr(Form.size()));
+}
+
+} // namespace Nutmegrill
--- /dev/null
+++ b/Source/Http/ResponseLine.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <string_view>
+
+namespace Nutmegrill {
+
+/// The grammar of the lines of an HTTP/1.1 response (RFC 9112), which http-parser reads more
+/// leniently. All functions take a line without its end. Of a line that is not complete they check
+/// what has arrived, so that other protocols are detected without a line end.
+namespace ResponseLine {
+
+/// "HTTP/1.", a digit, a status from 100 to 599 and a reason phrase. The blank before an empty
+/// reason phrase may be missing.
+bool isStatus(std::string_view line, bool isComplete);
+
+} // namespace ResponseLine
+
+} // namespace Nutmegrill
--- a/Tests/Platform/WorkerAnswerFixture.h
+++ b/Tests/Platform/WorkerAnswerFixture.h
@@ -36,9 +36,10 @@
 
     /// Sends a request to a worker that answers with \a bytes, which are no answer.
     void expectNoAnswer(const std::string &name, const std::string &bytes,
-                        const std::string &service = "p", const std::string &target = "/r/1")
+                        const std::string &service = "p", const std::string &target = "/r/1",
+                        RawWorker::End end = RawWorker::End::Close)
     {
-        RawWorker worker(*this->loop, bytes, RawWorker::End::Close);
+        RawWorker worker(*this->loop, bytes, end);
         const std::string key = this->add(worker, service);
         Answer answer;
         this->start(target, "k", {}, answer);
