Do not take a head with invalid fields for an answer

Callers saw: a carriage return at the beginning of a line ended the head of an answer. Callers got the rest of the head as the body, for example 24 bytes where the backend server had sent 4. A rejection was cut in the same way: the request was answered with 503 and "not run" lost its field. A control byte at the beginning of a value was passed on.

Cause: the http-parser of Debian is built without its strict mode, in which a carriage return that is not followed by a line feed is an error. Otherwise it takes any byte after it for the line feed. The first byte of a value is not checked in any mode.

Evidence: new tests with a worker on a plain socket, through an entry. A blank or another control byte in a name was rejected already: HttpParser refuses blanks, http-parser the others.

Change: HttpParser collects every line of the head of a response (ResponseFraming) and checks it as a whole (ResponseLine): a name of the letters of a token, a colon, no control byte but the tab in the value, no carriage return but before the line feed. Blanks at the end of a value are no longer a part of it.

Why it works: http-parser gets only lines that end with their line feed, so it and this check see the same lines.

Measured: InvalidAnswerTest, HttpTest and fuzz-readers pass.

--- a/Source/Http/HttpParser.cpp
+++ b/Source/Http/HttpParser.cpp
@@ -1,29 +1,18 @@
 #include "Http/HttpParser.h"
 
-#include "Http/ResponseLine.h"
+#include "Http/ResponseFraming.h"
 
 #include <algorithm>
 #include <cstdint>
 #include <limits>
-#include <string>
 #include <utility>
 
 #include <http_parser.h>
 
 namespace Nutmegrill {
 
-namespace {
-
-/// Longest line of a response. A longer one is beyond the limit of http-parser as well.
-constexpr std::size_t MaxLineBytes = HTTP_MAX_HEADER_SIZE;
-
-} // namespace
-
 struct HttpParser::Parser
 {
-    /// Which bytes of a response come next.
-    enum class Part { StatusLine, Rest };
-
     Parser(Kind kind, Observer &observer) : kind(kind), observer(observer) { this->reset(); }
 
     void reset()
@@ -34,8 +23,7 @@
         this->head = HttpHead();
         this->inValue = false;
         this->state = State::Idle;
-        this->part = this->kind == Kind::Response ? Part::StatusLine : Part::Rest;
-        this->line.clear();
+        this->framing.reset();
     }
 
     static Parser &fromLibrary(http_parser *library)
@@ -92,6 +80,7 @@
     {
         Parser &self = fromLibrary(library);
         self.state = State::Body;
+        self.framing.headEnded();
         if (self.kind == Kind::Request) {
             self.head.method = http_method_str(static_cast<http_method>(library->method));
         } else {
@@ -154,52 +143,21 @@
         return used;
     }
 
-    /// Collects bytes until the end of a line, which http-parser only gets if it is valid.
-    std::size_t feedLine(std::string_view data)
+    /// Passes on the next piece of a response and returns how many bytes are done with.
+    std::size_t feedResponse(std::string_view data)
     {
-        const std::size_t end = data.find('\n');
-        const bool isComplete = end != std::string_view::npos;
-        const std::size_t used = isComplete ? end + 1 : data.size();
-        const bool isBegin = this->line.empty();
-        this->line.append(data.substr(0, used));
-        // Checks an incomplete line once.
-        if (this->line.size() > MaxLineBytes
-            || ((isComplete || isBegin) && !this->isLineValid(isComplete))) {
+        if (this->framing.isInBody())
+            return this->execute(data);
+        const auto piece = this->framing.take(data);
+        if (!piece) {
             this->state = State::Failed;
-            return used;
+            return 0;
         }
-        if (isComplete) {
-            this->execute(this->line);
-            this->lineEnded();
-        } else if (this->state == State::Idle) {
+        if (!piece->bytes.empty())
+            this->execute(piece->bytes);
+        else if (this->state == State::Idle)
             this->state = State::Head;
-        }
-        return used;
-    }
-
-    /// The line without its end. Of an incomplete line, a carriage return may be a part of the end.
-    std::string_view lineText(bool isComplete) const
-    {
-        std::string_view text = this->line;
-        if (isComplete)
-            text.remove_suffix(1);
-        if (!text.empty() && text.back() == '\r')
-            text.remove_suffix(1);
-        return text;
-    }
-
-    bool isLineValid(bool isComplete) const
-    {
-        const std::string_view text = this->lineText(isComplete);
-        // Empty lines before a status line are ignored.
-        return text.empty() || ResponseLine::isStatus(text, isComplete);
-    }
-
-    void lineEnded()
-    {
-        if (!this->lineText(true).empty())
-            this->part = Part::Rest;
-        this->line.clear();
+        return piece->used;
     }
 
     Kind kind;
@@ -209,9 +167,8 @@
     bool inValue = false;
     bool headTooLarge = false;
     State state = State::Idle;
-    Part part = Part::Rest;
-    /// The present line of a response, as far as it has arrived.
-    std::string line;
+    /// Responses only.
+    ResponseFraming framing;
 };
 
 HttpParser::HttpParser(Kind kind, Observer &observer)
@@ -226,7 +183,7 @@
     std::size_t used = 0;
     while (used < data.size() && self.state != State::Complete && self.state != State::Failed) {
         const std::string_view rest = data.substr(used);
-        used += self.part == Parser::Part::StatusLine ? self.feedLine(rest) : self.execute(rest);
+        used += self.kind == Kind::Response ? self.feedResponse(rest) : self.execute(rest);
     }
     return used;
 }
--- a/Source/Http/ResponseLine.cpp
+++ b/Source/Http/ResponseLine.cpp
@@ -15,6 +15,13 @@
     return letter >= '0' && letter <= '9';
 }
 
+bool isTokenLetter(char letter)
+{
+    static constexpr std::string_view Special = "!#$%&'*+-.^_`|~";
+    return isDigit(letter) || (letter >= 'a' && letter <= 'z') || (letter >= 'A' && letter <= 'Z')
+           || Special.find(letter) != std::string_view::npos;
+}
+
 /// Printable ASCII, blanks, tabs and bytes above ASCII.
 bool isText(std::string_view text)
 {
@@ -43,4 +50,18 @@
     return line[Form.size()] == ' ' && isText(line.substr(Form.size()));
 }
 
+bool ResponseLine::isField(std::string_view line, bool isComplete)
+{
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    if (name.empty() || !std::all_of(name.begin(), name.end(), isTokenLetter))
+        return false;
+    return colon == std::string_view::npos ? !isComplete : isText(line.substr(colon + 1));
+}
+
+bool ResponseLine::isContinuation(std::string_view line)
+{
+    return !line.empty() && (line.front() == ' ' || line.front() == '\t') && isText(line);
+}
+
 } // namespace Nutmegrill
--- a/Source/Http/ResponseLine.h
+++ b/Source/Http/ResponseLine.h
@@ -13,6 +13,12 @@
 /// reason phrase may be missing.
 bool isStatus(std::string_view line, bool isComplete);
 
+/// A name without blanks, a colon and a value without control bytes.
+bool isField(std::string_view line, bool isComplete);
+
+/// Further text of the value of the field before: begins with a blank or a tab.
+bool isContinuation(std::string_view line);
+
 } // namespace ResponseLine
 
 } // namespace Nutmegrill
--- a/Tests/Platform/InvalidAnswerTest.cpp
+++ b/Tests/Platform/InvalidAnswerTest.cpp
@@ -14,6 +14,9 @@
     CPPUNIT_TEST_SUITE(InvalidAnswerTest);
     CPPUNIT_TEST(invalidStatusPassesForAnAnswer);
     CPPUNIT_TEST(otherProtocolIsAwaitedUntilTheDeadline);
+    CPPUNIT_TEST(blankOrControlByteInAFieldNamePasses);
+    CPPUNIT_TEST(controlByteInAFieldValuePasses);
+    CPPUNIT_TEST(foldedFieldLosesItsBlank);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -56,7 +59,106 @@
         this->assertNoProblems();
     }
 
+    // Guards against an answer with a blank or a control byte in the name of a field, which callers
+    // get with that line passed on, or with a body that the worker did not send.
+    void blankOrControlByteInAFieldNamePasses()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        const auto fieldsEnd = plainTail.find("\r\n\r\n");
+        for (const std::string &line : invalidFields()) {
+            this->expectNoAnswer(line + " as first field",
+                                 "HTTP/1.1 200 OK\r\n" + line + plainTail);
+            this->expectNoAnswer(line + " in an interim answer", "HTTP/1.1 103 Early\r\n" + line
+                                                                         + "\r\n\r\nHTTP/1.1 200 OK"
+                                                                         + plainTail);
+            this->expectNoAnswer(line + " in a rejection",
+                                 "HTTP/1.1 503 Busy\r\n" + line
+                                         + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+            this->expectNoAnswer(line + " in a stream", "HTTP/1.1 200 OK\r\n" + line + streamTail,
+                                 "m", "/s/1");
+            this->expectNoSecondAnswer(line, "HTTP/1.1 200 OK\r\n" + line + plainTail);
+            // A line that begins with a blank continues the field before it.
+            if (line.front() == ' ' || line.front() == '\t')
+                continue;
+            this->expectNoAnswer(line + " as last field",
+                                 "HTTP/1.1 200 OK" + plainTail.substr(0, fieldsEnd) + "\r\n" + line
+                                         + plainTail.substr(fieldsEnd));
+            this->expectNoAnswer(line + " in an answer that ends with its connection",
+                                 answerHeadText + line + "\r\n\r\ndone");
+            this->expectNoAnswer(line + " as last field of a stream",
+                                 streamHeadText + line + "\r\n\r\n" + twoEvents, "m", "/s/1");
+        }
+        this->assertNoProblems();
+    }
+
+    // Guards against the rest of a field, or of the whole head, that is read as another field or as
+    // the body: a carriage return alone ends no line.
+    void controlByteInAFieldValuePasses()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        using namespace std::string_literals;
+        for (const std::string &line :
+             {"X: a\x01"s, "X: \x01"s, "X: a\x7f"s, "X: a\0b"s, "X: a\rb"s, "X: \rY: b"s,
+              "X:\rY: b"s, "X: a\r"s, "X: \r"s, "X: a\vb"s, "Content-Length: 4\rX"s,
+              "Connection: close\rX"s}) {
+            this->expectNoAnswer(line, "HTTP/1.1 200 OK\r\n" + line + plainTail);
+            this->expectNoAnswer(line + " at the end", answerHeadText + line + "\r\n\r\ndone");
+        }
+        this->assertNoProblems();
+    }
+
+    // Guards against a value whose lines are joined to one word.
+    void foldedFieldLosesItsBlank()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        RawWorker worker(*this->loop,
+                         answerHeadText
+                                 + "X: a\r\n  b\r\n \r\n\tc \r\nContent-Length: 4\r\n\r\ndone",
+                         RawWorker::End::KeepOpen);
+        this->add(worker, "p");
+        const Answer answer = this->send("/r/1", "k");
+        CPPUNIT_ASSERT_EQUAL(200, answer.status);
+        CPPUNIT_ASSERT(answer.head.find("X") != nullptr);
+        CPPUNIT_ASSERT_EQUAL(std::string("a  b\tc"), *answer.head.find("X"));
+    }
+
 private:
+    /// Lines that are no field.
+    static std::vector<std::string> invalidFields()
+    {
+        using namespace std::string_literals;
+        return {"X Y: 1"s,
+                "X\tY: 1"s,
+                "X : 1"s,
+                "X\t: 1"s,
+                " X: 1"s,
+                "\tX: 1"s,
+                "X\x01Y: 1"s,
+                "\x01X: 1"s,
+                "X\x1fY: 1"s,
+                "X\x7fY: 1"s,
+                "X\0Y: 1"s,
+                "\0: 1"s,
+                "X\vY: 1"s,
+                "\rX: 1"s,
+                "X\rY: 1"s,
+                "X\r: 1"s,
+                "\r: 1"s,
+                "\r\r"s,
+                "\rContent-Length: 2"s,
+                "Content-Length : 2"s,
+                "Content Length: 2"s,
+                "Content-Length\x01: 2"s,
+                "Transfer-Encoding : chunked"s,
+                ": 1"s,
+                "X"s,
+                "X=1"s,
+                "(X): 1"s,
+                "X/Y: 1"s,
+                "\"X\": 1"s,
+                "X\xc3\xa4: 1"s};
+    }
+
     /// Sends two requests on one connection to a worker whose second answer is none.
     void expectNoSecondAnswer(const std::string &name, const std::string &bytes)
     {
