Do not take chunks that do not fit their sizes for a body

Callers saw: an answer in chunks whose sizes and line ends do not fit, or whose trailers are no fields, reached them as a whole one, with a body that the backend server had not sent.

Cause: without its strict mode, http-parser takes any two bytes after the data of a chunk for its line end, any byte after a carriage return for a line feed, and anything behind a blank after a size for an extension. HttpParser did not look at the names of trailers, because they are dropped.

Evidence: new tests with a worker on a plain socket, through an entry.

Change: ResponseFraming follows the chunks. It checks each size, the line end of each chunk and each line of the trailers, and http-parser gets the data of a chunk apart from them.

Why it works: a body in chunks is complete only if every size, every line end and the last line were read and fit.

--- a/Source/Http/HttpParser.cpp
+++ b/Source/Http/HttpParser.cpp
@@ -80,7 +80,7 @@
     {
         Parser &self = fromLibrary(library);
         self.state = State::Body;
-        self.framing.headEnded();
+        self.framing.headEnded((library->flags & F_CHUNKED) != 0);
         if (self.kind == Kind::Request) {
             self.head.method = http_method_str(static_cast<http_method>(library->method));
         } else {
@@ -104,6 +104,12 @@
         return 0;
     }
 
+    static int onChunk(http_parser *library)
+    {
+        fromLibrary(library).framing.chunkBegan(library->content_length);
+        return 0;
+    }
+
     static int onComplete(http_parser *library)
     {
         fromLibrary(library).state = State::Complete;
@@ -123,6 +129,7 @@
             result.on_header_value = &Parser::onValue;
             result.on_headers_complete = &Parser::onHeadersComplete;
             result.on_body = &Parser::onBody;
+            result.on_chunk_header = &Parser::onChunk;
             result.on_message_complete = &Parser::onComplete;
             return result;
         }();
@@ -146,7 +153,7 @@
     /// Passes on the next piece of a response and returns how many bytes are done with.
     std::size_t feedResponse(std::string_view data)
     {
-        if (this->framing.isInBody())
+        if (this->framing.isInPlainBody())
             return this->execute(data);
         const auto piece = this->framing.take(data);
         if (!piece) {
--- a/Source/Http/ResponseFraming.cpp
+++ b/Source/Http/ResponseFraming.cpp
@@ -2,6 +2,7 @@
 
 #include "Http/ResponseLine.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <http_parser.h>
@@ -12,10 +13,48 @@
 
 /// Longest line. A longer one is beyond the limit of http-parser for a whole head as well.
 constexpr std::size_t MaxLineBytes = HTTP_MAX_HEADER_SIZE;
+/// End of the data of a chunk.
+constexpr std::string_view ChunkEndText = "\r\n";
 
 } // namespace
 
 std::optional<ResponseFraming::Piece> ResponseFraming::take(std::string_view data)
+{
+    switch (this->part) {
+    case Part::ChunkData:
+        return this->takeChunkData(data);
+    case Part::ChunkEnd:
+        return this->takeChunkEnd(data);
+    default:
+        return this->takeLine(data);
+    }
+}
+
+std::optional<ResponseFraming::Piece> ResponseFraming::takeChunkData(std::string_view data)
+{
+    const std::string_view bytes = data.substr(0, static_cast<std::size_t>(std::min<std::uint64_t>(
+                                                          this->chunkBytesLeft, data.size())));
+    this->chunkBytesLeft -= bytes.size();
+    if (this->chunkBytesLeft == 0)
+        this->part = Part::ChunkEnd;
+    return Piece{bytes.size(), bytes};
+}
+
+std::optional<ResponseFraming::Piece> ResponseFraming::takeChunkEnd(std::string_view data)
+{
+    const std::string_view expected = ChunkEndText.substr(this->line.size());
+    const std::string_view found = data.substr(0, expected.size());
+    if (found != expected.substr(0, found.size()))
+        return std::nullopt;
+    this->line.append(found);
+    if (this->line.size() < ChunkEndText.size())
+        return Piece{found.size(), {}};
+    this->line.clear();
+    this->part = Part::ChunkSize;
+    return Piece{found.size(), ChunkEndText};
+}
+
+std::optional<ResponseFraming::Piece> ResponseFraming::takeLine(std::string_view data)
 {
     const std::size_t end = data.find('\n');
     const bool isComplete = end != std::string_view::npos;
@@ -32,6 +71,9 @@
     if (this->line.size() > MaxLineBytes
         || ((isComplete || isBegin) && !this->isLineValid(text, isComplete)))
         return std::nullopt;
+    // http-parser finds the end of this line by its carriage return.
+    if (this->part == Part::ChunkSize && isComplete && this->line.size() == text.size() + 1)
+        return std::nullopt;
     if (!isComplete)
         return Piece{used, {}};
     this->lineEnded(text.size());
@@ -40,6 +82,8 @@
 
 bool ResponseFraming::isLineValid(std::string_view text, bool isComplete) const
 {
+    if (this->part == Part::ChunkSize)
+        return ResponseLine::isChunkSize(text, isComplete);
     // An empty line ends the fields. Those before a status line are ignored.
     if (text.empty())
         return true;
@@ -52,7 +96,7 @@
 void ResponseFraming::lineEnded(std::size_t textLength)
 {
     this->completeLine = std::exchange(this->line, {});
-    if (textLength == 0)
+    if (textLength == 0 || this->part == Part::ChunkSize)
         return;
     if (this->part == Part::StatusLine) {
         this->part = Part::Fields;
@@ -68,6 +112,18 @@
         this->completeLine.erase(last + 1, textLength - last - 1);
 }
 
+void ResponseFraming::headEnded(bool isChunked)
+{
+    this->part = isChunked ? Part::ChunkSize : Part::PlainBody;
+}
+
+void ResponseFraming::chunkBegan(std::uint64_t size)
+{
+    this->part = size > 0 ? Part::ChunkData : Part::Trailers;
+    this->chunkBytesLeft = size;
+    this->hasField = false;
+}
+
 void ResponseFraming::reset()
 {
     this->part = Part::StatusLine;
--- a/Source/Http/ResponseFraming.h
+++ b/Source/Http/ResponseFraming.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -8,8 +9,8 @@
 namespace Nutmegrill {
 
 /// Divides the bytes of a response into the pieces that http-parser gets, and checks those that
-/// http-parser reads more leniently than the grammar of HTTP/1.1. The status line and the fields
-/// are passed on one whole line at a time.
+/// http-parser reads more leniently than the grammar of HTTP/1.1. The status line, the fields and
+/// the sizes of chunks are passed on one whole line at a time.
 class ResponseFraming
 {
 public:
@@ -17,26 +18,32 @@
     {
         /// Bytes of the input that are done with.
         std::size_t used = 0;
-        /// What http-parser gets: the line that has become complete, or nothing. Valid until the
-        /// next call.
+        /// What http-parser gets: the line that has become complete, data of a chunk, or nothing.
+        /// Valid until the next call.
         std::string_view bytes;
     };
 
-    /// Takes the next piece from \a data; nullopt if it breaks the grammar. Not for bodies.
+    /// Takes the next piece from \a data; nullopt if it breaks the grammar. Not for bodies without
+    /// chunks.
     std::optional<Piece> take(std::string_view data);
 
-    /// Whether body bytes come next, which need no check.
-    bool isInBody() const { return this->part == Part::Body; }
+    /// Whether the rest of the response is a body without chunks, which needs no check.
+    bool isInPlainBody() const { return this->part == Part::PlainBody; }
 
     /// The head has ended.
-    void headEnded() { this->part = Part::Body; }
+    void headEnded(bool isChunked);
+    /// The size of a chunk was read; 0 announces the trailers.
+    void chunkBegan(std::uint64_t size);
 
     /// Prepares for the next response.
     void reset();
 
 private:
-    enum class Part { StatusLine, Fields, Body };
+    enum class Part { StatusLine, Fields, PlainBody, ChunkSize, ChunkData, ChunkEnd, Trailers };
 
+    std::optional<Piece> takeLine(std::string_view data);
+    std::optional<Piece> takeChunkData(std::string_view data);
+    std::optional<Piece> takeChunkEnd(std::string_view data);
     bool isLineValid(std::string_view text, bool isComplete) const;
     /// Removes what http-parser would take for a part of a value, and notes which line comes next.
     void lineEnded(std::size_t textLength);
@@ -46,8 +53,10 @@
     std::string line;
     /// The last piece that was a line.
     std::string completeLine;
-    /// The present head has a field, which the next line may continue.
+    /// The present head or trailer has a field, which the next line may continue.
     bool hasField = false;
+    /// Bytes of the present chunk that have not arrived.
+    std::uint64_t chunkBytesLeft = 0;
 };
 
 } // namespace Nutmegrill
--- a/Source/Http/ResponseLine.cpp
+++ b/Source/Http/ResponseLine.cpp
@@ -15,6 +15,11 @@
     return letter >= '0' && letter <= '9';
 }
 
+bool isHexDigit(char letter)
+{
+    return isDigit(letter) || (letter >= 'a' && letter <= 'f') || (letter >= 'A' && letter <= 'F');
+}
+
 bool isTokenLetter(char letter)
 {
     static constexpr std::string_view Special = "!#$%&'*+-.^_`|~";
@@ -64,4 +69,14 @@
     return !line.empty() && (line.front() == ' ' || line.front() == '\t') && isText(line);
 }
 
+bool ResponseLine::isChunkSize(std::string_view line, bool isComplete)
+{
+    const auto *const end = std::find_if_not(line.begin(), line.end(), isHexDigit);
+    const auto digits = static_cast<std::size_t>(end - line.begin());
+    if (digits == 0)
+        return line.empty() && !isComplete;
+    const std::size_t next = line.find_first_not_of(" \t", digits);
+    return next == std::string_view::npos || (line[next] == ';' && isText(line.substr(next)));
+}
+
 } // namespace Nutmegrill
--- a/Source/Http/ResponseLine.h
+++ b/Source/Http/ResponseLine.h
@@ -19,6 +19,9 @@
 /// Further text of the value of the field before: begins with a blank or a tab.
 bool isContinuation(std::string_view line);
 
+/// A hexadecimal number and extensions behind a semicolon. Blanks may follow the number.
+bool isChunkSize(std::string_view line, bool isComplete);
+
 } // namespace ResponseLine
 
 } // namespace Nutmegrill
--- a/Tests/Platform/InvalidAnswerTest.cpp
+++ b/Tests/Platform/InvalidAnswerTest.cpp
@@ -15,7 +15,9 @@
     CPPUNIT_TEST(invalidStatusPassesForAnAnswer);
     CPPUNIT_TEST(otherProtocolIsAwaitedUntilTheDeadline);
     CPPUNIT_TEST(blankOrControlByteInAFieldNamePasses);
+    CPPUNIT_TEST(blankOrControlByteInATrailerPasses);
     CPPUNIT_TEST(controlByteInAFieldValuePasses);
+    CPPUNIT_TEST(brokenChunkPassesForABody);
     CPPUNIT_TEST(foldedFieldLosesItsBlank);
     CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +93,18 @@
         this->assertNoProblems();
     }
 
+    // The same for the fields behind a chunked body.
+    void blankOrControlByteInATrailerPasses()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        for (const std::string &line : invalidFields())
+            this->expectNoAnswer(line, answerHeadText
+                                               + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0"
+                                                 "\r\n"
+                                               + line + "\r\n\r\n");
+        this->assertNoProblems();
+    }
+
     // Guards against the rest of a field, or of the whole head, that is read as another field or as
     // the body: a carriage return alone ends no line.
     void controlByteInAFieldValuePasses()
@@ -107,6 +121,45 @@
         this->assertNoProblems();
     }
 
+    // Guards against chunks whose sizes and data do not fit and that pass for a body.
+    void brokenChunkPassesForABody()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        using namespace std::string_literals;
+        for (const std::string &body : {"3\r\ndone\r\n0\r\n\r\n"s,
+                                        "4\r\ndoneXX0\r\n\r\n"s,
+                                        "4\r\ndone\r0\r\n\r\n"s,
+                                        "4\r\ndone\n0\r\n\r\n"s,
+                                        "4\r\ndone\n\n0\r\n\r\n"s,
+                                        "4\r\ndone0\r\n\r\n"s,
+                                        "4\rXdone\r\n0\r\n\r\n"s,
+                                        "4\ndone\r\n0\r\n\r\n"s,
+                                        "4;x\ndone\r\n0\r\n\r\n"s,
+                                        "4;x\rydone\r\n0\r\n\r\n"s,
+                                        "4 5\r\ndone\r\n0\r\n\r\n"s,
+                                        "4 x\r\ndone\r\n0\r\n\r\n"s,
+                                        "4;\x01\r\ndone\r\n0\r\n\r\n"s,
+                                        "0x4\r\ndone\r\n0\r\n\r\n"s,
+                                        "+4\r\ndone\r\n0\r\n\r\n"s,
+                                        "-4\r\ndone\r\n0\r\n\r\n"s,
+                                        " 4\r\ndone\r\n0\r\n\r\n"s,
+                                        "\r\n4\r\ndone\r\n0\r\n\r\n"s,
+                                        "4\r\ndone\r\n\r\n0\r\n\r\n"s,
+                                        "4\r\ndone\r\n0\rX\r\n"s,
+                                        "4\r\ndone\r\n0\r\n\rX"s,
+                                        "10000000000000004\r\ndone\r\n0\r\n\r\n"s,
+                                        "4\r\ndone\r\n"s,
+                                        "4\r\ndone\r\n0\r\n"s,
+                                        "4\r\ndone\r\n0"s,
+                                        "4\r\ndone\r\n0\r\nX: 1\r\n"s,
+                                        "g\r\n"s,
+                                        "done"s}) {
+            const std::string head = "Transfer-Encoding: chunked\r\n\r\n";
+            this->expectNoAnswer(body, answerHeadText + head + body);
+        }
+        this->assertNoProblems();
+    }
+
     // Guards against a value whose lines are joined to one word.
     void foldedFieldLosesItsBlank()
     {
