Do not pass on a body in an unknown transfer coding

Callers saw: the body of an answer with "Transfer-Encoding: gzip, chunked" reached them as a whole one, still compressed and without the field that says so; with "chunked, chunked" it reached them with the sizes of the chunks in it.

Cause: Transfer-Encoding concerns one connection, so an entry does not forward it. http-parser removes the chunks, and no other coding; after any other coding it reads to the end of the connection.

Evidence: a new test with a worker on a plain socket, through an entry. Invalid and differing lengths were rejected already.

Change: HttpParser takes a response with a body only if its transfer coding is absent or "chunked" alone. Entries request no other (RFC 9110, 10.1.4), so no lawful answer is lost.

Why it works: a body that is passed on has no coding left that its fields do not name.

--- a/Source/Http/HttpParser.cpp
+++ b/Source/Http/HttpParser.cpp
@@ -11,6 +11,13 @@
 
 namespace Nutmegrill {
 
+namespace {
+
+/// Result of a callback that lets http-parser fail.
+constexpr int InvalidHead = -1;
+
+} // namespace
+
 struct HttpParser::Parser
 {
     Parser(Kind kind, Observer &observer) : kind(kind), observer(observer) { this->reset(); }
@@ -80,24 +87,47 @@
     {
         Parser &self = fromLibrary(library);
         self.state = State::Body;
-        self.framing.headEnded((library->flags & F_CHUNKED) != 0);
-        if (self.kind == Kind::Request) {
+        if (self.kind == Kind::Request)
             self.head.method = http_method_str(static_cast<http_method>(library->method));
-        } else {
-            self.head.status = static_cast<int>(library->status_code);
-            // Without a length and without chunks, the body lasts until the connection ends.
-            self.head.isFramed =
-                    (library->flags & F_CHUNKED) != 0
-                    || library->content_length != std::numeric_limits<std::uint64_t>::max()
-                    || library->status_code / 100 == 1 || library->status_code == 204
-                    || library->status_code == 304;
-        }
+        else if (!self.readResponseHead())
+            return InvalidHead;
         self.head.keepAlive = http_should_keep_alive(library) != 0;
         self.observer.headParsed(std::move(self.head));
         self.head = HttpHead();
         return 0;
     }
 
+    /// Returns false if the body would not be the one that the sender means.
+    bool readResponseHead()
+    {
+        const int status = static_cast<int>(this->library.status_code);
+        const bool isChunked = (this->library.flags & F_CHUNKED) != 0;
+        const bool hasLength =
+                this->library.content_length != std::numeric_limits<std::uint64_t>::max();
+        const bool isBodiless = status / 100 == 1 || status == 204 || status == 304;
+        if (!isBodiless && !this->isCodingRemoved(isChunked))
+            return false;
+        this->head.status = status;
+        // Without a length and without chunks, the body lasts until the connection ends.
+        this->head.isFramed = isChunked || hasLength || isBodiless;
+        this->framing.headEnded(isChunked);
+        return true;
+    }
+
+    /// Whether the only transfer coding, if any, is the one that http-parser removes.
+    bool isCodingRemoved(bool isChunked) const
+    {
+        int codings = 0;
+        for (const auto &[name, value] : this->head.headers) {
+            if (!equalsIgnoringCase(name, "transfer-encoding"))
+                continue;
+            ++codings;
+            if (!isChunked || !equalsIgnoringCase(value, "chunked"))
+                return false;
+        }
+        return codings <= 1;
+    }
+
     static int onBody(http_parser *library, const char *at, std::size_t length)
     {
         fromLibrary(library).observer.bodyParsed({at, length});
--- a/Tests/Platform/InvalidAnswerTest.cpp
+++ b/Tests/Platform/InvalidAnswerTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(blankOrControlByteInATrailerPasses);
     CPPUNIT_TEST(controlByteInAFieldValuePasses);
     CPPUNIT_TEST(brokenChunkPassesForABody);
+    CPPUNIT_TEST(ambiguousLengthPassesForALength);
     CPPUNIT_TEST(foldedFieldLosesItsBlank);
     CPPUNIT_TEST_SUITE_END();
 
@@ -160,6 +161,38 @@
         this->assertNoProblems();
     }
 
+    // Guards against a body that is not the worker's because its length or its coding has two
+    // meanings, or one that no caller was told of.
+    void ambiguousLengthPassesForALength()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        const std::string chunks = "4\r\ndone\r\n0\r\n\r\n";
+        for (const auto &[fields, body] : std::vector<std::pair<std::string, std::string>>{
+                     {"Content-Length: 4\r\nContent-Length: 2", "done"},
+                     {"Content-Length: 4, 2", "done"},
+                     {"Content-Length: 4x", "done"},
+                     {"Content-Length: +4", "done"},
+                     {"Content-Length: -4", "done"},
+                     {"Content-Length: 0x4", "done"},
+                     {"Content-Length: ", "done"},
+                     {"Content-Length: 4 4", "done"},
+                     {"Content-Length: 18446744073709551620", "done"},
+                     {"Content-Length: 4\r\nTransfer-Encoding: chunked", chunks},
+                     {"Transfer-Encoding: chunked\r\nContent-Length: 4", chunks},
+                     {"Transfer-Encoding: gzip, chunked", chunks},
+                     {"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", chunks},
+                     {"Transfer-Encoding: chunked, gzip", chunks},
+                     {"Transfer-Encoding: chunked, chunked", chunks},
+                     {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", chunks},
+                     {"Transfer-Encoding: gzip", "done"},
+                     {"Transfer-Encoding: identity", "done"},
+                     {"Transfer-Encoding: xchunked", "done"},
+                     {"Transfer-Encoding: chunkedx", "done"},
+                     {"Transfer-Encoding: ", "done"}})
+            this->expectNoAnswer(fields, answerHeadText + fields + "\r\n\r\n" + body);
+        this->assertNoProblems();
+    }
+
     // Guards against a value whose lines are joined to one word.
     void foldedFieldLosesItsBlank()
     {
