Do not take an answer behind a switch of protocols

Callers saw: after "101 Switching Protocols", which no request asked for, they got the next bytes as the answer.

Cause: ClientConnection skips every interim answer, and 101 counted as one. What follows it is in another protocol.

Evidence: a new test with a worker on a plain socket, through an entry.

Change: HttpParser fails at a status 101. Entries never send Upgrade, so no backend server may send it.

Why it works: nothing behind the head of the 101 is read.

--- a/Source/Http/HttpParser.cpp
+++ b/Source/Http/HttpParser.cpp
@@ -16,6 +16,8 @@
 /// Result of a callback that lets http-parser fail.
 constexpr int InvalidHead = -1;
 
+constexpr int SwitchingProtocols = 101;
+
 } // namespace
 
 struct HttpParser::Parser
@@ -105,6 +107,9 @@
         const bool hasLength =
                 this->library.content_length != std::numeric_limits<std::uint64_t>::max();
         const bool isBodiless = status / 100 == 1 || status == 204 || status == 304;
+        // What follows is in a protocol that no request asks for.
+        if (status == SwitchingProtocols)
+            return false;
         if (!isBodiless && !this->isCodingRemoved(isChunked))
             return false;
         this->head.status = status;
--- a/Tests/Platform/InvalidAnswerTest.cpp
+++ b/Tests/Platform/InvalidAnswerTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(controlByteInAFieldValuePasses);
     CPPUNIT_TEST(brokenChunkPassesForABody);
     CPPUNIT_TEST(ambiguousLengthPassesForALength);
+    CPPUNIT_TEST(unaskedProtocolSwitchPassesForAnAnswer);
     CPPUNIT_TEST(foldedFieldLosesItsBlank);
     CPPUNIT_TEST_SUITE_END();
 
@@ -193,6 +194,18 @@
         this->assertNoProblems();
     }
 
+    // Guards against bytes in another protocol that pass for an answer.
+    void unaskedProtocolSwitchPassesForAnAnswer()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        for (const char *fields :
+             {"", "Upgrade: x\r\nConnection: Upgrade\r\n", "Content-Length: 0\r\n"}) {
+            this->expectNoAnswer(fields, std::string("HTTP/1.1 101 Switching\r\nAttempt-Id: a1\r\n")
+                                                 + fields + "\r\nHTTP/1.1 200 OK" + plainTail);
+        }
+        this->assertNoProblems();
+    }
+
     // Guards against a value whose lines are joined to one word.
     void foldedFieldLosesItsBlank()
     {
