Do not wait for the body of an answer that has none

Callers saw: 504 for a 304 or 204 whose head names a length or chunks, and for every answer to a HEAD request; 502 for an answer behind an interim one that names a length, whose first bytes were read as the body of the interim one.

Cause: http-parser reads a body wherever the fields announce one, unless it is told that there is none.

Evidence: a new test with a worker on a plain socket, through an entry.

Change: HttpParser expects no body of responses with the status 1xx, 204 or 304, nor of responses to HEAD requests, of which ClientConnection tells it.

Why it works: by RFC 9112, 6.3, the first empty line ends these responses, whatever their fields say.

--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -26,6 +26,8 @@
 /// request. A faulty peer may send them without end.
 constexpr std::size_t MaxDiscardedBytes = 256U << 10U;
 
+constexpr std::string_view HeadMethod = "HEAD ";
+
 std::chrono::milliseconds idleTimeoutOf(const HttpHead &head)
 {
     const std::string *value = head.find("keep-alive");
@@ -109,6 +111,7 @@
     this->handlers = std::move(newHandlers);
     this->busy = true;
     this->discardedBytes = 0;
+    this->parser.setAnswersHead(request.substr(0, HeadMethod.size()) == HeadMethod);
     if (this->connection == nullptr) {
         const std::weak_ptr<bool> guard = this->alive;
         this->loop.after(std::chrono::milliseconds(0), [this, guard] {
--- a/Source/Http/HttpParser.cpp
+++ b/Source/Http/HttpParser.cpp
@@ -15,6 +15,8 @@
 
 /// Result of a callback that lets http-parser fail.
 constexpr int InvalidHead = -1;
+/// Result of the callback for a head that lets http-parser expect no body.
+constexpr int SkipBody = 1;
 
 constexpr int SwitchingProtocols = 101;
 
@@ -94,9 +96,10 @@
         else if (!self.readResponseHead())
             return InvalidHead;
         self.head.keepAlive = http_should_keep_alive(library) != 0;
+        const bool isBodiless = self.kind == Kind::Response && self.isBodiless();
         self.observer.headParsed(std::move(self.head));
         self.head = HttpHead();
-        return 0;
+        return isBodiless ? SkipBody : 0;
     }
 
     /// Returns false if the body would not be the one that the sender means.
@@ -106,7 +109,7 @@
         const bool isChunked = (this->library.flags & F_CHUNKED) != 0;
         const bool hasLength =
                 this->library.content_length != std::numeric_limits<std::uint64_t>::max();
-        const bool isBodiless = status / 100 == 1 || status == 204 || status == 304;
+        const bool isBodiless = this->isBodiless();
         // What follows is in a protocol that no request asks for.
         if (status == SwitchingProtocols)
             return false;
@@ -119,6 +122,13 @@
         return true;
     }
 
+    /// Whether the response has no body, whatever length its fields name.
+    bool isBodiless() const
+    {
+        const auto status = this->library.status_code;
+        return this->answersHead || status / 100 == 1 || status == 204 || status == 304;
+    }
+
     /// Whether the only transfer coding, if any, is the one that http-parser removes.
     bool isCodingRemoved(bool isChunked) const
     {
@@ -211,6 +221,7 @@
     State state = State::Idle;
     /// Responses only.
     ResponseFraming framing;
+    bool answersHead = false;
 };
 
 HttpParser::HttpParser(Kind kind, Observer &observer)
@@ -243,6 +254,11 @@
     this->parser->reset();
 }
 
+void HttpParser::setAnswersHead(bool answersHead)
+{
+    this->parser->answersHead = answersHead;
+}
+
 HttpParser::State HttpParser::state() const
 {
     return this->parser->state;
--- a/Source/Http/HttpParser.h
+++ b/Source/Http/HttpParser.h
@@ -45,6 +45,9 @@
     /// Resets the parser for the next message.
     void next();
 
+    /// Whether the responses from now on answer a HEAD request, so that they have no body.
+    void setAnswersHead(bool answersHead);
+
     State state() const;
     /// Whether parsing failed because the head exceeds the limit set by setHeaderLimit().
     bool isHeadTooLarge() const;
--- a/Tests/Platform/InvalidAnswerTest.cpp
+++ b/Tests/Platform/InvalidAnswerTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(brokenChunkPassesForABody);
     CPPUNIT_TEST(ambiguousLengthPassesForALength);
     CPPUNIT_TEST(unaskedProtocolSwitchPassesForAnAnswer);
+    CPPUNIT_TEST(bodyOfAnAnswerWithoutOneIsAwaited);
     CPPUNIT_TEST(foldedFieldLosesItsBlank);
     CPPUNIT_TEST_SUITE_END();
 
@@ -206,6 +207,41 @@
         this->assertNoProblems();
     }
 
+    // Guards against a whole answer that is lost, and against bytes of the next one that are read
+    // as its body: these statuses have no body, whatever length their head names.
+    void bodyOfAnAnswerWithoutOneIsAwaited()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        for (const char *status : {"204 No Content", "304 Not Modified"}) {
+            for (const char *fields : {"", "Content-Length: 0\r\n", "Content-Length: 4\r\n",
+                                       "Transfer-Encoding: chunked\r\n"}) {
+                const std::string head = std::string("HTTP/1.1 ") + status
+                                         + "\r\nAttempt-Id: a1\r\nResponse-Seal: seal-raw\r\n"
+                                         + fields + "\r\n";
+                this->expectAnswer(head, head, std::stoi(status), {}, RawWorker::End::KeepOpen);
+            }
+        }
+        for (const char *fields : {"", "Content-Length: 0\r\n", "Content-Length: 4\r\n",
+                                   "Transfer-Encoding: chunked\r\n"})
+            this->expectAnswer(std::string("interim ") + fields,
+                               std::string("HTTP/1.1 103 Early\r\n") + fields
+                                       + "\r\nHTTP/1.1 200 OK" + plainTail,
+                               200, "done", RawWorker::End::KeepOpen);
+        for (const std::string end : {"Content-Length: 4\r\n\r\n", "\r\n"}) {
+            RawWorker worker(*this->loop, answerHeadText + end, RawWorker::End::KeepOpen);
+            const std::string key = this->add(worker, "p");
+            Answer answer;
+            this->request(this->options.callerAddress,
+                          "HEAD /r/1 HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\nDeadline-Ms: "
+                          "5000\r\nCredential: k\r\n\r\n",
+                          answer);
+            this->loop->runUntil([&] { return answer.isOver; }, TestTimeout);
+            this->expect(answer.isWhole && answer.status == 200, "HEAD " + end, answer);
+            this->remove(key, worker.record("p"));
+        }
+        this->assertNoProblems();
+    }
+
     // Guards against a value whose lines are joined to one word.
     void foldedFieldLosesItsBlank()
     {
