Do not apply the callers' limit of a head to answers

Callers saw: 502 for an answer whose head was longer than the operator's maxHeaderBytes, which bounds what callers may send (16 KB by default).

Cause: http-parser keeps its limit in a global variable, so the limit of requests held for all answers as well: those of backend servers, of the platform's store and of other entries.

Evidence: a new test with a worker on a plain socket, through an entry.

Change: HttpParser sets the limit before each use. Responses have a limit of their own, 64 KB.

Why it works: the limit of the one kind of message is never in force while the other is parsed. A head of 70,000 bytes still fails, with and without a line end.

--- a/Source/Http/HttpParser.cpp
+++ b/Source/Http/HttpParser.cpp
@@ -20,6 +20,9 @@
 
 constexpr int SwitchingProtocols = 101;
 
+/// Limit of the head of a request.
+std::uint32_t requestHeadBytes = HTTP_MAX_HEADER_SIZE;
+
 } // namespace
 
 struct HttpParser::Parser
@@ -184,6 +187,9 @@
     /// Passes bytes to http-parser and returns how many it consumed.
     std::size_t execute(std::string_view data)
     {
+        // http-parser keeps the limit of a head in a global variable.
+        http_parser_set_max_header_size(
+                this->kind == Kind::Request ? requestHeadBytes : ResponseFraming::MaxHeadBytes);
         const std::size_t used =
                 http_parser_execute(&this->library, &callbacks(), data.data(), data.size());
         if (this->state == State::Complete)
@@ -269,9 +275,9 @@
     return this->parser->headTooLarge;
 }
 
-void HttpParser::setHeaderLimit(std::size_t bytes)
+void HttpParser::setRequestHeadLimit(std::size_t bytes)
 {
-    http_parser_set_max_header_size(static_cast<std::uint32_t>(bytes));
+    requestHeadBytes = static_cast<std::uint32_t>(bytes);
 }
 
 } // namespace Nutmegrill
--- a/Source/Http/HttpParser.h
+++ b/Source/Http/HttpParser.h
@@ -49,12 +49,12 @@
     void setAnswersHead(bool answersHead);
 
     State state() const;
-    /// Whether parsing failed because the head exceeds the limit set by setHeaderLimit().
+    /// Whether parsing failed because the head exceeds its limit.
     bool isHeadTooLarge() const;
 
-    /// Sets the maximum size of a head. http-parser keeps it in a global variable, so it applies to
-    /// the whole process.
-    static void setHeaderLimit(std::size_t bytes);
+    /// Sets the maximum size of the head of a request, for the whole process. That of a response
+    /// has a limit of its own.
+    static void setRequestHeadLimit(std::size_t bytes);
 
 private:
     struct Parser;
--- a/Source/Http/ResponseFraming.cpp
+++ b/Source/Http/ResponseFraming.cpp
@@ -5,14 +5,10 @@
 #include <algorithm>
 #include <utility>
 
-#include <http_parser.h>
-
 namespace Nutmegrill {
 
 namespace {
 
-/// Longest line. A longer one is beyond the limit of http-parser for a whole head as well.
-constexpr std::size_t MaxLineBytes = HTTP_MAX_HEADER_SIZE;
 /// End of the data of a chunk.
 constexpr std::string_view ChunkEndText = "\r\n";
 
@@ -68,7 +64,7 @@
     if (!text.empty() && text.back() == '\r')
         text.remove_suffix(1);
     // An incomplete line is checked once, so that other protocols fail without a line end.
-    if (this->line.size() > MaxLineBytes
+    if (this->line.size() > MaxHeadBytes
         || ((isComplete || isBegin) && !this->isLineValid(text, isComplete)))
         return std::nullopt;
     // http-parser finds the end of this line by its carriage return.
--- a/Source/Http/ResponseFraming.h
+++ b/Source/Http/ResponseFraming.h
@@ -14,6 +14,10 @@
 class ResponseFraming
 {
 public:
+    /// Longest head. Answers of the known services have a few fields; a faulty server may send a
+    /// head without end.
+    static constexpr std::uint32_t MaxHeadBytes = 64U << 10U;
+
     struct Piece
     {
         /// Bytes of the input that are done with.
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -313,7 +313,7 @@
         if (const auto *configuration = std::get_if<ConfigurationPtr>(&decoded)) {
             const CallerLimits &limits = (*configuration)->callerLimits;
             this->callerListener.setLimits({limits.bodyBytes, limits.headerTime, limits.idleTime});
-            HttpParser::setHeaderLimit(limits.headerBytes);
+            HttpParser::setRequestHeadLimit(limits.headerBytes);
             this->node.configure(*configuration, commands);
         } else if (const auto *record = std::get_if<BackendRecord>(&decoded)) {
             BackendRoster &roster = this->node.roster();
--- a/Tests/Http/ConnectionTest.cpp
+++ b/Tests/Http/ConnectionTest.cpp
@@ -257,7 +257,7 @@
                               + std::string(101, 'x'),
                       body);
         CPPUNIT_ASSERT_EQUAL(413, body.status);
-        HttpParser::setHeaderLimit(4096);
+        HttpParser::setRequestHeadLimit(4096);
         Outcome head;
         this->request("GET / HTTP/1.1\r\nHost: x\r\nLong: " + std::string(8000, 'x') + "\r\n\r\n",
                       head);
@@ -311,7 +311,7 @@
     // Guards against a response head without end, which is read until the deadline.
     void endlessHeadIsRejected()
     {
-        HttpParser::setHeaderLimit(4096);
+        HttpParser::setRequestHeadLimit(4096);
         this->respondWithoutEnd("HTTP/1.1 200 OK\r\n", "X-More: xxxxxxxxxxxxxxxx\r\n");
         this->respondWithoutEnd("HTTP/1.1 200 OK\r\nX-Long: ", "xxxxxxxxxxxxxxxxxxxxxxxx");
     }
--- a/Tests/Platform/InvalidAnswerTest.cpp
+++ b/Tests/Platform/InvalidAnswerTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(ambiguousLengthPassesForALength);
     CPPUNIT_TEST(unaskedProtocolSwitchPassesForAnAnswer);
     CPPUNIT_TEST(bodyOfAnAnswerWithoutOneIsAwaited);
+    CPPUNIT_TEST(headBeyondTheLimitOfCallersIsLost);
     CPPUNIT_TEST(foldedFieldLosesItsBlank);
     CPPUNIT_TEST_SUITE_END();
 
@@ -242,6 +243,25 @@
         this->assertNoProblems();
     }
 
+    // Guards against a limit for callers that also holds for backend servers, whose answers with a
+    // longer head are lost.
+    void headBeyondTheLimitOfCallersIsLost()
+    {
+        std::string limited = configuration(1, "k");
+        limited.insert(1, R"("limits":{"maxHeaderBytes":200},)");
+        this->store->put("op/config", limited);
+        for (const std::size_t size : {std::size_t(300), std::size_t(30000), std::size_t(60000)})
+            this->expectAnswer(std::to_string(size),
+                               "HTTP/1.1 200 OK\r\nX: " + std::string(size, 'x') + plainTail, 200,
+                               "done", RawWorker::End::KeepOpen);
+        // The head of an answer has a limit as well.
+        this->expectNoAnswer("70000",
+                             "HTTP/1.1 200 OK\r\nX: " + std::string(70000, 'x') + plainTail);
+        this->expectNoAnswer("70000 without a line end",
+                             "HTTP/1.1 200 OK\r\nX: " + std::string(70000, 'x'));
+        this->assertNoProblems();
+    }
+
     // Guards against a value whose lines are joined to one word.
     void foldedFieldLosesItsBlank()
     {
