--- a/Tests/Platform/InvalidAnswerTest.cpp
+++ b/Tests/Platform/InvalidAnswerTest.cpp
@@ -21,8 +21,10 @@
     CPPUNIT_TEST(ambiguousLengthPassesForALength);
     CPPUNIT_TEST(unaskedProtocolSwitchPassesForAnAnswer);
     CPPUNIT_TEST(bodyOfAnAnswerWithoutOneIsAwaited);
+    CPPUNIT_TEST(unusualAnswerIsLost);
     CPPUNIT_TEST(headBeyondTheLimitOfCallersIsLost);
     CPPUNIT_TEST(foldedFieldLosesItsBlank);
+    CPPUNIT_TEST(brokenAnswerIsNotReplacedByAnotherServers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -243,6 +245,69 @@
         this->assertNoProblems();
     }
 
+    // Guards against a check that takes a whole answer for a broken one.
+    void unusualAnswerIsLost()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        using End = RawWorker::End;
+        for (const int status : {200, 201, 206, 299, 300, 404, 418, 451, 499, 500, 502, 599})
+            this->expectAnswer(std::to_string(status),
+                               "HTTP/1.1 " + std::to_string(status) + " Text" + plainTail, status,
+                               "done", End::KeepOpen);
+        for (const char *start :
+             {"HTTP/1.1 200 ", "HTTP/1.1 200", "HTTP/1.1 200 A\tlong (reason): /",
+              "HTTP/1.1 200 \xc3\xa4\xff", "HTTP/1.0 200 OK", "HTTP/1.2 200 OK"})
+            this->expectAnswer(start, start + plainTail, 200, "done", End::KeepOpen);
+        for (const char *line :
+             {"!#$%&'*+-.^_`|~09azAZ: 1", "X:", "X: ", "X:1", "X:\t1\t", "X: a\tb  c ",
+              "X: \xc3\xa4\x80\xff", "X: \"(:;,)\" {}[]", "x: 1\r\nX: 2", "Keep-Alive: timeout=5",
+              "Connection: close, X", "Connection:", "Content-Length:   4  ", "CONTENT-LENGTH: 4",
+              "Date: Mon, 07 Dec 2026 04:34:11 GMT", "X: a\r\n b", "X:\r\n\tb"})
+            this->expectAnswer(
+                    line,
+                    std::string(answerHeadText) + line + "\r\n"
+                            + (std::string_view(line).find("4 ") != std::string_view::npos
+                                               || std::string_view(line).find("CON") == 0
+                                       ? ""
+                                       : "Content-Length: 4\r\n")
+                            + "\r\ndone",
+                    200, "done", End::KeepOpen);
+        // Lines may end with a line feed alone.
+        this->expectAnswer("line feeds",
+                           "HTTP/1.1 200 OK\nAttempt-Id: a1\nResponse-Seal: s\nContent-Length: "
+                           "4\n\ndone",
+                           200, "done", End::KeepOpen);
+        for (const char *body :
+             {"4\r\ndone\r\n0\r\n\r\n", "0004\r\ndone\r\n000\r\n\r\n",
+              "4;a=b;c=\"d e\"\r\ndone\r\n0;e\r\n\r\n", "4 ; a\r\ndone\r\n0\r\n\r\n",
+              "4  \r\ndone\r\n0\r\n\r\n", "1\r\nd\r\n3\r\none\r\n0\r\nX: 1\r\nY:\r\n\r\n",
+              "4\r\ndone\r\n0\r\nX: a\r\n b\r\n\r\n"}) {
+            for (const char *coding : {"chunked", "Chunked", " chunked ", "CHUNKED\t"})
+                this->expectAnswer(std::string(coding) + body,
+                                   answerHeadText + "Transfer-Encoding:" + coding + "\r\n\r\n"
+                                           + body,
+                                   200, "done", End::KeepOpen);
+        }
+        const std::string lines(26, '\r');
+        this->expectAnswer("chunk of line ends",
+                           answerHeadText + "Transfer-Encoding: chunked\r\n\r\n1A\r\n" + lines
+                                   + "\r\n0\r\n\r\n",
+                           200, lines, End::KeepOpen);
+        this->expectAnswer("body of line ends",
+                           answerHeadText + "Content-Length: 26\r\n\r\n" + lines, 200, lines,
+                           End::KeepOpen);
+        for (const std::string &interim :
+             {std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+              std::string("HTTP/1.1 102 \r\n\r\nHTTP/1.1 103 Early\r\nLink: </a>\r\n\r\n"),
+              std::string("HTTP/1.1 199 X\r\n\r\n")})
+            this->expectAnswer(interim, interim + "HTTP/1.1 200 OK" + plainTail, 200, "done",
+                               End::KeepOpen);
+        for (const char *body : {"", "d", "done"})
+            this->expectAnswer(std::string("ends with the connection: ") + body,
+                               answerHeadText + "\r\n" + body, 200, body, End::Close);
+        this->assertNoProblems();
+    }
+
     // Guards against a limit for callers that also holds for backend servers, whose answers with a
     // longer head are lost.
     void headBeyondTheLimitOfCallersIsLost()
@@ -277,6 +342,39 @@
         CPPUNIT_ASSERT_EQUAL(std::string("a  b\tc"), *answer.head.find("X"));
     }
 
+    // Guards against a request that may run again and gets 502 although another backend server
+    // would answer it.
+    void brokenAnswerIsNotReplacedByAnotherServers()
+    {
+        std::string repeatable = configuration(1, "k");
+        const std::string kind = R"("non_idempotent","timeoutMs":800,)";
+        repeatable.replace(repeatable.find(kind), kind.size(), R"("idempotent","timeoutMs":800,)");
+        const std::string attempts = R"("attempts":1)";
+        repeatable.replace(repeatable.find(attempts), attempts.size(), R"("attempts":2)");
+        this->store->put("op/config", repeatable);
+        for (const std::string &bytes :
+             {"HTTP/1.1 000 X" + plainTail, answerHeadText + "X Y: 1\r\n\r\ndone",
+              answerHeadText + "\rX: 1\r\n\r\ndone",
+              answerHeadText + "Transfer-Encoding: chunked\r\n\r\n4\r\ndoneXX0\r\n\r\n"}) {
+            int brokenAnswers = 0;
+            // Whichever of the two servers is asked first sends no answer.
+            const RawWorker::AnswerOf answerOf = [&](int) {
+                return ++brokenAnswers == 1 ? bytes : "HTTP/1.1 200 OK" + plainTail;
+            };
+            RawWorker first(*this->loop, answerOf, RawWorker::End::Close);
+            RawWorker second(*this->loop, answerOf, RawWorker::End::Close);
+            const std::string firstKey = this->add(first, "p");
+            const std::string secondKey = this->add(second, "p");
+            const Answer answer = this->send("/r/1", "k");
+            this->expect(answer.status == 200 && answer.body == "done" && first.requests == 1
+                                 && second.requests == 1,
+                         bytes, answer);
+            this->remove(firstKey, first.record("p"));
+            this->remove(secondKey, second.record("p"));
+        }
+        this->assertNoProblems();
+    }
+
 private:
     /// Lines that are no field.
     static std::vector<std::string> invalidFields()
