Do not take a rejection that broke off for "not run"

Callers saw: a backend server began a rejection (503 with "not run") and reset the connection before its end. The entry sent the request, which may run once at most, to the server again, or answered 503, which promises that it has not run.

Cause: RelayNode noted the rejection at its head and handled a failure of the attempt like its end.

Evidence: new tests, with a worker on a plain socket through an entry, and in the decision logic.

Change: a failed attempt is a failure, whatever its head said. A request that may run again goes to another backend server, one that may not gets 502.

Why it works: the head of an answer that broke off is not acted on; "not run" is only taken from a whole answer.

--- a/Source/Relay/RelayNodeAttempts.cpp
+++ b/Source/Relay/RelayNodeAttempts.cpp
@@ -78,7 +78,7 @@
         this->recordNotices(now, running, head, commands);
     }
     if (head.notRun || head.isMisdirected) {
-        // Handled at the end of the answer, so that the connection can be reused.
+        // Counts at the end of the answer only, where it is whole and the connection can be reused.
         running.refusal = head;
         return;
     }
@@ -221,11 +221,7 @@
     if (exchange == nullptr)
         return;
     const std::string backend = exchange->attempt->backend;
-    if (const auto refusal = exchange->attempt->refusal) {
-        this->handleRejection(now, *exchange, *refusal, commands);
-        this->placeWaiting(now, commands);
-        return;
-    }
+    // A rejection that broke off states nothing: the request may have run.
     const bool wasSent = failure != AttemptFailure::NotSent && failure != AttemptFailure::Refused;
     if (BackendRoster::Row *row = this->backends.find(backend))
         wasSent ? row->health.recordFailure(now) : row->health.recordUnreachable(now);
--- a/Tests/Platform/BrokenAnswerTest.cpp
+++ b/Tests/Platform/BrokenAnswerTest.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST_SUITE(BrokenAnswerTest);
     CPPUNIT_TEST(resetAnswerPassesForComplete);
     CPPUNIT_TEST(resetStreamPassesForComplete);
+    CPPUNIT_TEST(resetRejectionPassesForComplete);
     CPPUNIT_TEST(earlyAnswerToALongUploadIsLost);
     CPPUNIT_TEST_SUITE_END();
 
@@ -70,6 +71,26 @@
         this->assertNoProblems();
     }
 
+    // Guards against a rejection that broke off and is taken for the statement that the request was
+    // not run, so that it is sent again or answered with 503.
+    void resetRejectionPassesForComplete()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        const std::string head = "HTTP/1.1 503 Busy\r\nAttempt-Id: a1\r\nNot-Executed: 1\r\n";
+        for (const std::string &rest : {std::string("\r\n"), std::string("\r\nbus"),
+                                        std::string("Content-Length: 4\r\n\r\nbus"),
+                                        std::string("Transfer-Encoding: chunked\r\n\r\n4\r\nbu")}) {
+            this->forEachBreak([&](const Break &broken) {
+                bool isSentAgain = false;
+                const Answer answer =
+                        this->breakOff("p", "/r/1", broken, head + rest, &isSentAgain);
+                this->expect(answer.isOver && answer.status == 502 && !isSentAgain,
+                             broken.text() + rest + (isSentAgain ? " sent again" : ""), answer);
+            });
+        }
+        this->assertNoProblems();
+    }
+
     // Guards against a whole answer that is lost because it came before the request was written:
     // one with a length whose connection is then reset, and one that ends with its connection.
     void earlyAnswerToALongUploadIsLost()
@@ -147,7 +168,7 @@
 
     /// Sends one request to a worker whose answer breaks off after \a bytes.
     Answer breakOff(const std::string &service, const std::string &target, const Break &broken,
-                    const std::string &bytes, int *connections = nullptr)
+                    const std::string &bytes, bool *isSentAgain = nullptr)
     {
         SteppedWorker worker;
         const std::string key = this->add(worker, service);
@@ -187,10 +208,15 @@
         if (broken.isReadFirst)
             this->settle();
         worker.end(SteppedWorker::End::Reset);
-        this->loop->runUntil([&] { return worker.accept() || answer.isOver; }, TestTimeout);
-        this->loop->runUntil([&] { return answer.isOver; }, TestTimeout);
-        if (connections != nullptr)
-            *connections = worker.connections;
+        this->loop->runUntil(
+                [&] {
+                    // A connection without a request only checks whether the worker listens.
+                    worker.accept();
+                    if (isSentAgain != nullptr && worker.hasRequest())
+                        *isSentAgain = true;
+                    return answer.isOver;
+                },
+                TestTimeout);
         if (service != "m")
             this->remove(key, worker.record(service));
         return answer;
--- a/Tests/Relay/RelayNodeFailureTest.cpp
+++ b/Tests/Relay/RelayNodeFailureTest.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST_SUITE(RelayNodeFailureTest);
     CPPUNIT_TEST(nonIdempotentRequestIsNotRepeatedAfterABrokenConnection);
     CPPUNIT_TEST(nonIdempotentRequestThatWasNotRunIsRepeated);
+    CPPUNIT_TEST(rejectionThatBreaksOffIsTakenForNotRun);
     CPPUNIT_TEST(unsentRequestIsRefusedAsNotRun);
     CPPUNIT_TEST(unknownOutcomeIsNotReportedAsNotRun);
     CPPUNIT_TEST(brokenStreamIsResumedElsewhere);
@@ -59,6 +60,30 @@
         CPPUNIT_ASSERT_EQUAL(502, scene.refusalOf(caller)->status);
     }
 
+    // Guards against a request that runs twice, or is answered as not run, because the rejection of
+    // a backend server counts although it broke off.
+    void rejectionThatBreaksOffIsTakenForNotRun()
+    {
+        RelayNodeHarness scene;
+        const auto record = scene.arrive("/record/");
+        scene.head(record, 503, true);
+        scene.fail(record, AttemptFailure::Broken);
+        scene.advance(seconds(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), scene.attemptsOf(record));
+        CPPUNIT_ASSERT_EQUAL(502, scene.refusalOf(record)->status);
+        // A request that may run again does, and the answer does not promise that it has not run.
+        const auto lookup = scene.arrive("/lookup/");
+        for (int run = 0; run < 2; ++run) {
+            CPPUNIT_ASSERT_EQUAL(std::size_t(run) + 1, scene.attemptsOf(lookup));
+            scene.head(lookup, 503, true);
+            scene.fail(lookup, AttemptFailure::Broken);
+        }
+        scene.advance(seconds(2));
+        CPPUNIT_ASSERT(scene.refusalOf(lookup) != nullptr);
+        CPPUNIT_ASSERT(scene.refusalOf(lookup)->status == 502
+                       || scene.refusalOf(lookup)->status == 504);
+    }
+
     void unsentRequestIsRefusedAsNotRun()
     {
         RelayNodeHarness scene(0, 0);
