Read answers of HttpClient as strictly as those of entries

Callers of the product's own entries saw: an agent passed on answers that are none, such as the status 99 or -1, heads with a blank in the name of a field, "102 Processing" as the answer, and bodies with a length that the backend server had not named. An early answer to a long upload was lost. Store, instance list, engines' ranks, weights and the operator's commands read their answers with the same client.

Cause: HttpClient was built on evhttp, which reads a status with atoi, takes any text for a name, every second length for none, any bytes between chunks for their ends and every interim head but 100 for the answer (and reports that of 100 as well), and gives up when writing fails, before it reads what has arrived.

A path with an encoded line end added a header to the request, which a test of HttpClient shows as well.

Change: HttpClient calls through ClientConnection, so that all answers are read by one parser. Control bytes and blanks in a path are sent encoded. Idle deadlines, pausing and what is kept of a call (64 KB of a head, nothing of a body) are its own. ClientConnection reads the socket 4 KB at a time where evhttp passed on whole chunks, so BackendCaller collects the parts of a plain body for 1 ms.

Why it works: HttpParser checks every line, length and chunk, whoever calls.

--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -58,7 +58,8 @@
         auto *self = static_cast<ClientConnection *>(context);
         if ((what & BEV_EVENT_CONNECTED) != 0) {
             self->connected = true;
-            setSocketOptions(connection);
+            if (self->silentPeer == SilentPeer::Abort)
+                setSocketOptions(connection);
             bufferevent_set_timeouts(connection, nullptr, nullptr);
             if (self->busy && self->handlers.onConnected)
                 self->handlers.onConnected();
@@ -80,9 +81,9 @@
 };
 
 ClientConnection::ClientConnection(EventLoop &loop, const std::string &address,
-                                   std::chrono::milliseconds connectTimeout)
-    : loop(loop), parser(HttpParser::Kind::Response, *this), peerIdleTimeout(DefaultIdleTimeout),
-      closeAt(loop.now() + DefaultIdleTimeout)
+                                   std::chrono::milliseconds connectTimeout, SilentPeer silentPeer)
+    : loop(loop), parser(HttpParser::Kind::Response, *this), silentPeer(silentPeer),
+      peerIdleTimeout(DefaultIdleTimeout), closeAt(loop.now() + DefaultIdleTimeout)
 {
     sockaddr_in peer{};
     if (!parseSocketAddress(address, peer))
--- a/Source/Http/ClientConnection.h
+++ b/Source/Http/ClientConnection.h
@@ -41,9 +41,16 @@
         std::function<void(Failure failure)> onFailure;
     };
 
+    /// What happens when the peer acknowledges nothing for some seconds.
+    enum class SilentPeer {
+        Abort, ///< the request fails
+        Wait   ///< the owner limits the time
+    };
+
     /// Starts connecting to \a address ("IP:port").
     ClientConnection(EventLoop &loop, const std::string &address,
-                     std::chrono::milliseconds connectTimeout);
+                     std::chrono::milliseconds connectTimeout,
+                     SilentPeer silentPeer = SilentPeer::Abort);
     ~ClientConnection() override;
     ClientConnection(const ClientConnection &) = delete;
     ClientConnection &operator=(const ClientConnection &) = delete;
@@ -85,6 +92,7 @@
     bufferevent *connection = nullptr;
     HttpParser parser;
     Handlers handlers;
+    SilentPeer silentPeer;
     bool connected = false;
     /// The connection failed otherwise than by an end that the peer sent.
     bool wasReset = false;
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Net/EventLoop.h"
+
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -11,15 +13,10 @@
 #include <utility>
 #include <vector>
 
-struct evhttp_connection;
-struct evhttp_request;
-
 namespace Nutmegrill {
 
-class EventLoop;
-
-/// HTTP/1.1 client based on evhttp. Each call uses its own connection. A server that sends bytes
-/// without end, in a head or anywhere else, fails its call: what is kept of one call is bounded.
+/// HTTP/1.1 client for calls that use a connection each. A server that sends bytes without end, in
+/// a head or anywhere else, fails its call: what is kept of one call is bounded.
 class HttpClient
 {
 public:
@@ -40,7 +37,7 @@
 
     enum class Failure {
         NotConnected, ///< no byte of the request was sent
-        Broken        ///< the connection failed after part of the request was sent
+        Broken        ///< the call failed after part of the request may have been sent
     };
 
     struct Handlers
@@ -57,8 +54,8 @@
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
 
-    /// Sends a request to \a address ("IP:port"). Unless the call is cancelled, exactly one of
-    /// onEnd and onFailure is called from the event loop.
+    /// Sends a request to \a address ("IP:port"). Unless the call is cancelled,
+    /// exactly one of onEnd and onFailure is called from the event loop.
     CallId call(const std::string &address, const Request &request, Handlers handlers);
 
     /// Sends a request and passes the complete response to \a done; status 0 means that there is
@@ -74,15 +71,18 @@
 private:
     struct Call;
 
+    std::shared_ptr<Call> find(CallId call) const;
+    /// Ends a call and reports the failure to its handler.
+    void fail(CallId call, Failure failure);
+    /// Closes the connection and forgets the call.
     void remove(CallId call);
-    /// Ends the call that holds most if all together hold too much.
-    void limitHeldBytes();
-    /// Ends a call whose answer exceeds a limit.
-    void failOversized(CallId call);
+    void failIdleCalls();
 
     EventLoop &loop;
-    std::map<CallId, std::unique_ptr<Call>> calls;
+    std::map<CallId, std::shared_ptr<Call>> calls;
     CallId nextId = 1;
+    /// Runs from the first call on.
+    std::unique_ptr<EventLoop::Timer> idleTimer;
 };
 
 } // namespace Nutmegrill
--- a/Source/Programs/BackendCaller.cpp
+++ b/Source/Programs/BackendCaller.cpp
@@ -16,6 +16,9 @@
 // budgets. The entry copies it into a buffer of libevent, whose sizes are powers of two with a
 // header of their own.
 constexpr std::size_t MaxPartBytes = (16U << 10U) - 128;
+/// Time in which bytes are collected for a part. The socket is read 4 KB at a time, and small parts
+/// would take twice their size in the entry.
+constexpr std::chrono::milliseconds PartTime(1);
 /// Longest event of a stream; an event holds a few tokens.
 constexpr std::size_t MaxEventBytes = 256U << 10U;
 constexpr std::string_view EventEnd = "\n\n";
@@ -44,7 +47,7 @@
 } // namespace
 
 BackendCaller::BackendCaller(EventLoop &loop, std::string address, EventHandler handler)
-    : address(std::move(address)), onEvent(std::move(handler)), http(loop)
+    : loop(loop), address(std::move(address)), onEvent(std::move(handler)), http(loop)
 {}
 
 void BackendCaller::call(const WorkMessage::Request &request)
@@ -77,15 +80,16 @@
     };
     handlers.onData = [this, id](std::string_view data) { this->receive(id, data); };
     handlers.onEnd = [this, id] {
-        if (const auto found = this->calls.find(id);
-            found != this->calls.end() && !found->second.buffer.empty())
-            this->onEvent(AgentEvent::BackendData{id, std::exchange(found->second.buffer, {}), 0});
+        this->flush(id);
         this->finish(id, AgentEvent::BackendEnd{id});
     };
     handlers.onFailure = [this, id](HttpClient::Failure failure) {
         const auto kind = failure == HttpClient::Failure::NotConnected
                                   ? AgentEvent::BackendFailed::Kind::NotSent
                                   : AgentEvent::BackendFailed::Kind::Broken;
+        if (const auto found = this->calls.find(id);
+            found != this->calls.end() && !found->second.isEventStream)
+            this->flush(id);
         this->finish(id, AgentEvent::BackendFailed{id, kind});
     };
     this->calls[id] = Call{};
@@ -99,30 +103,66 @@
         return;
     // The event handler may cancel the call, which destroys the caller's copy of the id.
     const std::string id = found->first;
-    if (!found->second.isEventStream) {
-        for (std::size_t offset = 0; offset < data.size(); offset += MaxPartBytes)
-            this->onEvent(
-                    AgentEvent::BackendData{id, std::string(data.substr(offset, MaxPartBytes)), 0});
-        return;
-    }
     found->second.buffer.append(data);
+    if (found->second.isEventStream)
+        this->receiveEvents(id);
+    else
+        this->receiveParts(id);
+}
+
+void BackendCaller::receiveEvents(const std::string &requestId)
+{
     for (;;) {
-        const auto current = this->calls.find(id);
+        const auto current = this->calls.find(requestId);
         if (current == this->calls.end())
             return;
         std::string &buffer = current->second.buffer;
         const std::size_t end = buffer.find(EventEnd);
         if (end == std::string::npos) {
             if (buffer.size() > MaxEventBytes)
-                this->failOversized(id);
+                this->failOversized(requestId);
             return;
         }
         std::string event = buffer.substr(0, end + EventEnd.size());
         buffer.erase(0, event.size());
-        this->onEvent(AgentEvent::BackendData{id, std::move(event), 1});
+        this->onEvent(AgentEvent::BackendData{requestId, std::move(event), 1});
+    }
+}
+
+void BackendCaller::receiveParts(const std::string &requestId)
+{
+    for (;;) {
+        const auto current = this->calls.find(requestId);
+        if (current == this->calls.end())
+            return;
+        Call &call = current->second;
+        if (call.buffer.size() < MaxPartBytes) {
+            if (call.buffer.empty() || std::exchange(call.isFlushPending, true))
+                return;
+            const std::weak_ptr<bool> guard = this->alive;
+            this->loop.after(PartTime, [this, guard, requestId] {
+                if (!guard.expired())
+                    this->flush(requestId);
+            });
+            return;
+        }
+        std::string part = call.buffer.substr(0, MaxPartBytes);
+        call.buffer.erase(0, part.size());
+        this->onEvent(AgentEvent::BackendData{requestId, std::move(part), 0});
     }
 }
 
+void BackendCaller::flush(const std::string &requestId)
+{
+    const auto found = this->calls.find(requestId);
+    if (found == this->calls.end())
+        return;
+    found->second.isFlushPending = false;
+    if (!found->second.buffer.empty())
+        this->onEvent(
+                AgentEvent::BackendData{requestId, std::exchange(found->second.buffer, {}), 0});
+}
+
 void BackendCaller::finish(const std::string &requestId, const AgentEvent::Any &event)
 {
     if (this->calls.erase(requestId) > 0)
--- a/Source/Programs/BackendCaller.h
+++ b/Source/Programs/BackendCaller.h
@@ -35,19 +35,29 @@
     {
         HttpClient::CallId id = 0;
         bool isEventStream = false;
+        /// What has arrived of the next event or part.
         std::string buffer;
+        /// The buffer is passed on soon, as a part.
+        bool isFlushPending = false;
     };
 
     void receive(const std::string &requestId, std::string_view data);
+    void receiveEvents(const std::string &requestId);
+    void receiveParts(const std::string &requestId);
+    /// Passes on what the buffer holds.
+    void flush(const std::string &requestId);
     void finish(const std::string &requestId, const AgentEvent::Any &event);
     /// Ends the call of a backend server that sends an event without end.
     void failOversized(const std::string &requestId);
 
+    EventLoop &loop;
     std::string address;
     EventHandler onEvent;
     HttpClient http;
     std::map<std::string, Call> calls;
     bool isProbing = false;
+    /// Expires with this object; pending timers check it.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace Nutmegrill
--- a/Tests/Net/HttpTest.cpp
+++ b/Tests/Net/HttpTest.cpp
@@ -39,6 +39,9 @@
     CPPUNIT_TEST(oversizedBodyIsRejected);
     CPPUNIT_TEST(rejectionOfAnOversizedBodyIsLost);
     CPPUNIT_TEST(answerWithoutEndFillsTheMemory);
+    CPPUNIT_TEST(idleCallIsReportedAsBroken);
+    CPPUNIT_TEST(pausedCallIsIdle);
+    CPPUNIT_TEST(pathOrValueAddsAHeader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +237,64 @@
         }
     }
 
+    // Guards against a call that waits without end for a server that has stopped to answer.
+    void idleCallIsReportedAsBroken()
+    {
+        std::string body;
+        bool ended = false;
+        HttpClient::Request request;
+        request.idleTimeout = 1s;
+        this->client->call(Address, request, this->handlers(body, ended));
+        this->waitFor([&] { return !this->requests.empty(); });
+        this->server->startReply(this->requests[0].id, 200, {});
+        // Progress extends the time.
+        for (int part = 0; part < 3; ++part) {
+            this->loop->runUntil([] { return false; }, 600ms);
+            CPPUNIT_ASSERT(this->failures.empty());
+            this->server->sendChunk(this->requests[0].id, "x");
+        }
+        this->waitFor([&] { return !this->failures.empty(); });
+        CPPUNIT_ASSERT(!ended);
+        CPPUNIT_ASSERT(this->failures[0] == HttpClient::Failure::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::string("xxx"), body);
+    }
+
+    // Guards against a call that fails because its own reader has paused it.
+    void pausedCallIsIdle()
+    {
+        std::string body;
+        bool ended = false;
+        HttpClient::Request request;
+        request.idleTimeout = 1s;
+        const auto call = this->client->call(Address, request, this->handlers(body, ended));
+        this->waitFor([&] { return !this->requests.empty(); });
+        this->server->startReply(this->requests[0].id, 200, {});
+        this->client->pause(call, true);
+        this->loop->runUntil([] { return false; }, 1500ms);
+        this->client->pause(call, false);
+        this->server->sendChunk(this->requests[0].id, "x");
+        this->server->endReply(this->requests[0].id);
+        this->waitFor([&] { return ended; });
+        CPPUNIT_ASSERT(this->failures.empty());
+    }
+
+    // Guards against a caller that adds a header to the request of an agent by an encoded line end.
+    void pathOrValueAddsAHeader()
+    {
+        HttpClient::Request request;
+        request.path = "/a b HTTP/1.1\r\nX-Added: 1\r\n";
+        request.headers = {{"X-Value", "1\r\nX-Added: 2"}};
+        int status = -1;
+        this->client->fetch(Address, request,
+                            [&](int code, const std::string &) { status = code; });
+        this->waitFor([&] { return !this->requests.empty() || status != -1; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->requests.size());
+        CPPUNIT_ASSERT_EQUAL(request.path, this->requests[0].path);
+        CPPUNIT_ASSERT(this->requests[0].header("x-added").empty());
+        this->server->reply(this->requests[0].id, 200, {}, {});
+        this->waitFor([&] { return status != -1; });
+    }
+
 private:
     /// Starts a call; the server sends "one ", the first chunk of a streamed response.
     HttpClient::CallId beginStream(std::string &body, bool &ended)
