Do not end a stream that stops inside an event

Callers of the product's own entries saw: a stream whose engine stopped inside an event, by the end of its connection or of its length, ended as a complete one, with the part of the event as its last bytes.

Cause: BackendCaller passed on what was left of the buffer as a part and reported the end of the answer.

Evidence: a new test with a server on a plain socket, through BackendCaller.

Change: a stream whose last bytes are no whole event has failed as a broken connection does. Line ends alone, and events whose lines end with a carriage return and a line feed, are passed on as before.

Why it works: an entry ends a caller's stream only after the end of the answer, and continues a failed one elsewhere. Entries of the users' platform did this already (`BackendAttempts`).

--- a/Source/Programs/BackendCaller.cpp
+++ b/Source/Programs/BackendCaller.cpp
@@ -24,6 +24,17 @@
 constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view EventStreamType = "text/event-stream";
 
+/// Whether the rest of a stream, behind its last event, is a part of an event.
+bool endsInsideEvent(std::string_view rest)
+{
+    static constexpr std::string_view EventEndWithReturns = "\r\n\r\n";
+    const auto endsWith = [rest](std::string_view end) {
+        return rest.size() >= end.size() && rest.substr(rest.size() - end.size()) == end;
+    };
+    return rest.find_first_not_of("\r\n") != std::string_view::npos && !endsWith(EventEnd)
+           && !endsWith(EventEndWithReturns);
+}
+
 AgentEvent::BackendReport readReport(int status, const std::string &body)
 {
     AgentEvent::BackendReport report;
@@ -80,6 +91,13 @@
     };
     handlers.onData = [this, id](std::string_view data) { this->receive(id, data); };
     handlers.onEnd = [this, id] {
+        if (const auto found = this->calls.find(id); found != this->calls.end()
+                                                     && found->second.isEventStream
+                                                     && endsInsideEvent(found->second.buffer)) {
+            this->finish(id,
+                         AgentEvent::BackendFailed{id, AgentEvent::BackendFailed::Kind::Broken});
+            return;
+        }
         this->flush(id);
         this->finish(id, AgentEvent::BackendEnd{id});
     };
--- a/Tests/Programs/BackendAnswerTest.cpp
+++ b/Tests/Programs/BackendAnswerTest.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST(invalidAnswerPasses);
     CPPUNIT_TEST(interimAnswerPassesForTheAnswer);
     CPPUNIT_TEST(resetAnswerPassesForComplete);
+    CPPUNIT_TEST(streamThatEndsInsideAnEventPassesForComplete);
     CPPUNIT_TEST(unusualAnswerIsLost);
     CPPUNIT_TEST(earlyAnswerToALongUploadIsLost);
     CPPUNIT_TEST_SUITE_END();
@@ -120,6 +121,25 @@
         this->assertNoProblems();
     }
 
+    // Guards against a stream whose backend server stopped inside an event and that an agent passes
+    // on as a complete one.
+    void streamThatEndsInsideAnEventPassesForComplete()
+    {
+        const std::string events = "data: x\n\ndata: y\n\n";
+        for (const std::string part : {"d", "data: z", "data: z\n", "id: 3\n", "data: z\r\n"}) {
+            this->expectFailure(part, streamHead + "\r\n" + events + part);
+            const std::string body = events + part;
+            this->expectFailure(part + " with a length",
+                                streamHead + "Content-Length: " + std::to_string(body.size())
+                                        + "\r\n\r\n" + body);
+        }
+        for (const std::string &whole :
+             {events, std::string(), events + "\n", std::string("data: x\r\n\r\ndata: y\r\n\r\n"),
+              std::string(": comment\n\n")})
+            this->expectAnswer(whole, streamHead + "\r\n" + whole, 200, whole);
+        this->assertNoProblems();
+    }
+
     // Guards against a check that takes a whole answer for a broken one.
     void unusualAnswerIsLost()
     {
