Do not cut a stream for an empty line after its last event

Callers saw: a stream of events was broken off although the backend server had sent all of it, if an empty line followed its last event.

Cause: EventStreamReader took any byte behind the last event for the beginning of another one.

Evidence: a new test with a worker on a plain socket, through an entry.

Change: line ends alone are no part of an event.

Why it works: an event has a field or a comment; an empty line without one ends nothing (WHATWG HTML, 9.2.6).

--- a/Source/RelayShell/EventStreamReader.h
+++ b/Source/RelayShell/EventStreamReader.h
@@ -18,8 +18,11 @@
     /// The next complete event; nullopt if there is none yet.
     std::optional<StreamEvent> next();
 
-    /// True if bytes of an incomplete event are buffered.
-    bool hasPartialEvent() const { return !this->buffer.empty(); }
+    /// True if bytes of an incomplete event are buffered. Line ends alone belong to none.
+    bool hasPartialEvent() const
+    {
+        return this->buffer.find_first_not_of("\r\n") != std::string::npos;
+    }
     std::size_t bufferedBytes() const { return this->buffer.size(); }
 
 private:
--- a/Tests/Platform/InvalidAnswerTest.cpp
+++ b/Tests/Platform/InvalidAnswerTest.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(bodyOfAnAnswerWithoutOneIsAwaited);
     CPPUNIT_TEST(unusualAnswerIsLost);
     CPPUNIT_TEST(headBeyondTheLimitOfCallersIsLost);
+    CPPUNIT_TEST(blankLineAfterTheLastEventBreaksTheStream);
     CPPUNIT_TEST(foldedFieldLosesItsBlank);
     CPPUNIT_TEST(brokenAnswerIsNotReplacedByAnotherServers);
     CPPUNIT_TEST_SUITE_END();
@@ -327,6 +328,24 @@
         this->assertNoProblems();
     }
 
+    // Guards against a whole stream that is cut because an empty line follows its last event.
+    void blankLineAfterTheLastEventBreaksTheStream()
+    {
+        this->store->put("op/config", configuration(1, "k"));
+        for (const char *rest : {"", "\n", "\r\n", "\n\n", "\r\n\r\n", ": comment\n\n"}) {
+            RawWorker worker(*this->loop, streamHeadText + "\r\n" + fourEvents + rest,
+                             RawWorker::End::Close);
+            const std::string key = this->add(worker, "m");
+            Answer answer;
+            this->start("/s/1", "k", {}, answer);
+            this->loop->runUntil([&] { return worker.requests > 0; }, TestTimeout);
+            this->remove(key, worker.record("m"));
+            this->loop->runUntil([&] { return answer.isOver; }, TestTimeout);
+            this->expect(answer.isWhole && answer.body.find(fourEvents) == 0, rest, answer);
+        }
+        this->assertNoProblems();
+    }
+
     // Guards against a value whose lines are joined to one word.
     void foldedFieldLosesItsBlank()
     {
