Do not use the head of an answer that broke off

Operators would see: an entry that takes no answer of the store any more. If the store's answer breaks off and its head names a later copy of the store than the one in use, every answer after it counts as one of an older copy.

Cause: HttpCall reported a failed call with the status 0, but with the head and the part of the body that had arrived. PlatformStore reads the number of the copy from the head of every answer, whatever its status.

Evidence: a new test with a store on a plain socket. On the code before, the broken answer raised the number to 9, and it would hold for all later answers.

Change: a failed call has no head and no body.

Why it works: nothing of an answer that broke off reaches the users of HttpCall. The others were looked at as well: the pulls from other entries, the calls to engines and the usage reports act on the status alone, which is 0.

--- a/Source/Http/HttpCall.cpp
+++ b/Source/Http/HttpCall.cpp
@@ -21,10 +21,10 @@
         if (!this->callback)
             return;
         const HttpCall::Callback done = std::exchange(this->callback, nullptr);
-        if (!isComplete)
+        if (!isComplete) {
             this->connection->close();
-        if (!isComplete)
-            this->response.status = 0;
+            this->response = {};
+        }
         done(this->response);
     }
 };
--- a/Source/Http/HttpCall.h
+++ b/Source/Http/HttpCall.h
@@ -27,7 +27,7 @@
 
     struct Response
     {
-        /// 0 without a complete response within the limits.
+        /// 0, with an empty head and body, without a complete response within the limits.
         int status = 0;
         HttpHead head;
         std::string body;
--- a/Tests/Platform/PlatformStoreTest.cpp
+++ b/Tests/Platform/PlatformStoreTest.cpp
@@ -1,6 +1,7 @@
 #include "platform/PlatformStore.h"
 #include "FreeAddress.h"
 #include "Net/EventLoop.h"
+#include "RawWorker.h"
 #include "StoreServer.h"
 
 #include <chrono>
@@ -34,6 +35,8 @@
     CPPUNIT_TEST(failuresAreReported);
     CPPUNIT_TEST(silentStoreTimesOut);
     CPPUNIT_TEST(watchFailsAtOnceWhenTheAddressChanges);
+    CPPUNIT_TEST(invalidAnswerRenewsALease);
+    CPPUNIT_TEST(headOfABrokenAnswerCounts);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +158,52 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), all.changes.size());
     }
 
+    // Guards against a lease that counts as renewed although the store did not say so.
+    void invalidAnswerRenewsALease()
+    {
+        for (const std::string &bytes :
+             {std::string("HTTP/1.1 0200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+              std::string("HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+              std::string("HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\n{}"),
+              std::string("HTTP/1.1 200 OK\r\n\rX: 1\r\n\r\n{}"),
+              std::string(
+                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}XX0\r\n\r\n"),
+              std::string("HTTP/1.1 101 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"),
+              std::string("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}")}) {
+            RawWorker raw(*this->loop, bytes, RawWorker::End::Close);
+            PlatformStore client(*this->loop, raw.address);
+            const auto result =
+                    this->awaitResult([&](auto callback) { client.renewLease(7, callback); });
+            CPPUNIT_ASSERT_MESSAGE(bytes, result.status == Status::Failed);
+            CPPUNIT_ASSERT_EQUAL(1, raw.requests);
+        }
+    }
+
+    // Guards against answers of a sound store that are dropped for ever because the head of an
+    // answer that broke off named a later copy of it.
+    void headOfABrokenAnswerCounts()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nStore-Era: ";
+        int answers = 0;
+        RawWorker raw(
+                *this->loop,
+                [&](int) {
+                    return ++answers == 1 ? head + "9\r\nContent-Length: 90\r\n\r\n{\"items\":["
+                                          : head
+                                                    + "1\r\nContent-Length: 30\r\n\r\n"
+                                                      R"({"items":[],"storeRevision":7})";
+                },
+                RawWorker::End::Close);
+        PlatformStore client(*this->loop, raw.address);
+        const auto read = [&] {
+            return this->awaitResult([&](auto callback) { client.readBackends(callback); });
+        };
+        const auto broken = read();
+        CPPUNIT_ASSERT(broken.status == Status::Failed);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), broken.generation);
+        CPPUNIT_ASSERT(read().status == Status::Ok);
+    }
+
 private:
     template <typename Call>
     StateStore::Result awaitResult(const Call &call)
