Log what was wrong with an answer (5055)

Operators saw: 5011 says "malformed answer" or "connection broke", and 5012 says "answer" for a part of one.

Change: HttpParser and ClientConnection keep the part of the answer that broke the grammar, or how the connection ended, and the entry logs it with the request, the backend server, the kind of connection and the status (5055).

--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -117,7 +117,7 @@
         const std::weak_ptr<bool> guard = this->alive;
         this->loop.after(std::chrono::milliseconds(0), [this, guard] {
             if (!guard.expired() && this->busy)
-                this->fail(Failure::NotConnected);
+                this->fail(Failure::NotConnected, "not connected");
         });
         return;
     }
@@ -151,7 +151,7 @@
 void ClientConnection::abort()
 {
     if (this->busy)
-        this->fail(Failure::Broken);
+        this->fail(Failure::Broken, "aborted");
     else
         this->close();
 }
@@ -207,11 +207,11 @@
         if (this->interim || this->skipping)
             this->discardedBytes += used;
         if (this->discardedBytes > MaxDiscardedBytes) {
-            this->fail(Failure::Malformed);
+            this->fail(Failure::Malformed, "skipped bytes");
             return;
         }
         if (this->parser.state() == HttpParser::State::Failed) {
-            this->fail(Failure::Malformed);
+            this->fail(Failure::Malformed, this->parser.fault());
             return;
         }
         if (this->parser.state() == HttpParser::State::Complete) {
@@ -236,9 +236,9 @@
             return;
     }
     if (this->connected)
-        this->fail(Failure::Broken);
+        this->fail(Failure::Broken, this->wasReset ? "reset" : "early end");
     else
-        this->fail(refused ? Failure::Refused : Failure::NotConnected);
+        this->fail(refused ? Failure::Refused : Failure::NotConnected, "not connected");
 }
 
 void ClientConnection::responseEnded()
@@ -263,8 +263,9 @@
     done();
 }
 
-void ClientConnection::fail(Failure failure)
+void ClientConnection::fail(Failure failure, std::string_view failureCause)
 {
+    this->cause = failureCause;
     const auto done = std::move(this->handlers.onFailure);
     this->handlers = {};
     this->close();
--- a/Source/Http/ClientConnection.h
+++ b/Source/Http/ClientConnection.h
@@ -75,6 +75,10 @@
     /// The connection is idle and the peer keeps it open.
     bool isReusable() const { return this->isOpen() && !this->busy && this->reusable; }
 
+    /// Why the last request failed, for the log: the part of the answer that could not be read, or
+    /// how the connection ended.
+    std::string_view failureCause() const { return this->cause; }
+
     /// Time at which an idle connection has to be closed, before the peer closes it.
     Instant idleDeadline() const { return this->closeAt; }
 
@@ -86,7 +90,7 @@
     void readInput();
     void connectionEnded(bool clean, bool refused);
     void responseEnded();
-    void fail(Failure failure);
+    void fail(Failure failure, std::string_view cause);
 
     EventLoop &loop;
     bufferevent *connection = nullptr;
@@ -96,6 +100,7 @@
     bool connected = false;
     /// The connection failed otherwise than by an end that the peer sent.
     bool wasReset = false;
+    std::string_view cause;
     bool busy = false;
     bool reusable = true;
     bool skipping = false;
--- a/Source/Http/HttpParser.cpp
+++ b/Source/Http/HttpParser.cpp
@@ -38,6 +38,7 @@
         this->inValue = false;
         this->state = State::Idle;
         this->framing.reset();
+        this->fault = {};
     }
 
     static Parser &fromLibrary(http_parser *library)
@@ -115,8 +116,10 @@
         const bool isBodiless = this->isBodiless();
         // What follows is in a protocol that no request asks for.
         if (status == SwitchingProtocols)
-            return false;
-        if (!isBodiless && !this->isCodingRemoved(isChunked))
+            this->fault = "switch of protocols";
+        else if (!isBodiless && !this->isCodingRemoved(isChunked))
+            this->fault = "transfer coding";
+        if (!this->fault.empty())
             return false;
         this->head.status = status;
         // Without a length and without chunks, the body lasts until the connection ends.
@@ -197,6 +200,8 @@
         if (const auto error = HTTP_PARSER_ERRNO(&this->library); error != HPE_OK) {
             this->headTooLarge = error == HPE_HEADER_OVERFLOW;
             this->state = State::Failed;
+            if (this->fault.empty())
+                this->fault = http_errno_name(error);
         }
         return used;
     }
@@ -209,6 +214,7 @@
         const auto piece = this->framing.take(data);
         if (!piece) {
             this->state = State::Failed;
+            this->fault = this->framing.fault();
             return 0;
         }
         if (!piece->bytes.empty())
@@ -228,6 +234,7 @@
     /// Responses only.
     ResponseFraming framing;
     bool answersHead = false;
+    std::string_view fault;
 };
 
 HttpParser::HttpParser(Kind kind, Observer &observer)
@@ -265,6 +272,11 @@
     this->parser->answersHead = answersHead;
 }
 
+std::string_view HttpParser::fault() const
+{
+    return this->parser->fault;
+}
+
 HttpParser::State HttpParser::state() const
 {
     return this->parser->state;
--- a/Source/Http/HttpParser.h
+++ b/Source/Http/HttpParser.h
@@ -49,6 +49,8 @@
     void setAnswersHead(bool answersHead);
 
     State state() const;
+    /// Which part of a response could not be read, for the log; empty unless the state is Failed.
+    std::string_view fault() const;
     /// Whether parsing failed because the head exceeds its limit.
     bool isHeadTooLarge() const;
 
--- a/Source/Http/ResponseFraming.h
+++ b/Source/Http/ResponseFraming.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -42,8 +43,13 @@
     /// Prepares for the next response.
     void reset();
 
+    /// What take() found to break the grammar, for the log.
+    std::string_view fault() const { return PartNames[static_cast<std::size_t>(this->part)]; }
+
 private:
     enum class Part { StatusLine, Fields, PlainBody, ChunkSize, ChunkData, ChunkEnd, Trailers };
+    static constexpr std::array<std::string_view, 7> PartNames = {
+            "status line", "field", "body", "chunk size", "chunk", "end of a chunk", "trailer"};
 
     std::optional<Piece> takeLine(std::string_view data);
     std::optional<Piece> takeChunkData(std::string_view data);
--- a/Source/Relay/RelayLog.h
+++ b/Source/Relay/RelayLog.h
@@ -56,6 +56,7 @@
 inline constexpr std::uint32_t UsageReported = 5052;
 inline constexpr std::uint32_t RankPaceChanged = 5053;
 inline constexpr std::uint32_t StoreOutageEnded = 5054;
+inline constexpr std::uint32_t AnswerInvalid = 5055;
 inline constexpr std::uint32_t SecondAttempt = 5060;
 
 } // namespace RelayLog
--- a/Source/RelayShell/BackendAttempts.cpp
+++ b/Source/RelayShell/BackendAttempts.cpp
@@ -17,6 +17,8 @@
 constexpr std::size_t MaxEventBytes = 256U << 10U;
 /// Backend servers are in the same region and accept within milliseconds.
 constexpr std::chrono::milliseconds CheckTimeout{500};
+/// Cause in the log: a success without a signature, or an encoded body.
+constexpr std::string_view UnusableHead = "head";
 
 } // namespace
 
@@ -36,6 +38,8 @@
     bool isPaused = false;
     /// Reading waits until there is memory for the answer.
     bool isHeldBack = false;
+    /// Why the attempt failed after something may have been sent.
+    std::string_view failureCause;
 };
 
 BackendAttempts::BackendAttempts(EventLoop &loop, const RelayProtocol &protocol, ByteBudget &budget,
@@ -89,7 +93,7 @@
             *this->openAttempts.insert_or_assign(attempt, std::move(openAttempt)).first->second;
     if (stored.connection == nullptr) {
         this->loop.after(std::chrono::milliseconds(0),
-                         [this, attempt] { this->fail(attempt, AttemptFailure::NotSent); });
+                         [this, attempt] { this->fail(attempt, AttemptFailure::NotSent, {}); });
         return;
     }
     ClientConnection::Handlers handlers;
@@ -100,18 +104,22 @@
     handlers.onData = [this, attempt](std::string_view data) { this->handleData(attempt, data); };
     handlers.onEnd = [this, attempt] { this->handleEnd(attempt); };
     handlers.onFailure = [this, attempt](ClientConnection::Failure failure) {
+        const auto found = this->openAttempts.find(attempt);
+        const std::string_view cause = found == this->openAttempts.end()
+                                               ? std::string_view()
+                                               : found->second->connection->failureCause();
         switch (failure) {
         case ClientConnection::Failure::NotConnected:
-            this->fail(attempt, AttemptFailure::NotSent);
+            this->fail(attempt, AttemptFailure::NotSent, {});
             return;
         case ClientConnection::Failure::Refused:
-            this->fail(attempt, AttemptFailure::Refused);
+            this->fail(attempt, AttemptFailure::Refused, {});
             return;
         case ClientConnection::Failure::Broken:
-            this->fail(attempt, AttemptFailure::Broken);
+            this->fail(attempt, AttemptFailure::Broken, cause);
             return;
         case ClientConnection::Failure::Malformed:
-            this->fail(attempt, AttemptFailure::Malformed);
+            this->fail(attempt, AttemptFailure::Malformed, cause);
             return;
         }
     };
@@ -142,9 +150,13 @@
     if (found == this->openAttempts.end() || found->second->isOver)
         return;
     OpenAttempt &openAttempt = *found->second;
-    if (!openAttempt.head.isUsable || openAttempt.answer.body.size() + data.size() > MaxAnswerBytes
+    if (!openAttempt.head.isUsable) {
+        this->fail(attempt, AttemptFailure::Malformed, UnusableHead);
+        return;
+    }
+    if (openAttempt.answer.body.size() + data.size() > MaxAnswerBytes
         || openAttempt.events.bufferedBytes() > MaxEventBytes) {
-        this->fail(attempt, AttemptFailure::Malformed);
+        this->fail(attempt, AttemptFailure::Malformed, "size");
         return;
     }
     if (!openAttempt.head.isStream) {
@@ -160,7 +172,7 @@
     while (auto event = openAttempt.events.next()) {
         openAttempt.unnumberedBytes += event->id ? 0 : event->bytes.size();
         if (openAttempt.unnumberedBytes > MaxEventBytes) {
-            this->fail(attempt, AttemptFailure::Malformed);
+            this->fail(attempt, AttemptFailure::Malformed, "events without numbers");
             return;
         }
         openAttempt.hasEvents = true;
@@ -177,7 +189,7 @@
         return;
     OpenAttempt &openAttempt = *found->second;
     if (!openAttempt.head.isUsable) {
-        this->fail(attempt, AttemptFailure::Malformed);
+        this->fail(attempt, AttemptFailure::Malformed, UnusableHead);
         return;
     }
     // The end of the connection is the only end of an unframed answer, also when the backend server
@@ -185,7 +197,7 @@
     const bool isEmpty =
             openAttempt.head.isStream && !openAttempt.hasEvents && !openAttempt.head.isFramed;
     if (openAttempt.events.hasPartialEvent() || isEmpty) {
-        this->fail(attempt, AttemptFailure::Broken);
+        this->fail(attempt, AttemptFailure::Broken, isEmpty ? "no event" : "part of an event");
         return;
     }
     openAttempt.isOver = true;
@@ -202,12 +214,13 @@
         this->openAttempts.erase(attempt);
 }
 
-void BackendAttempts::fail(AttemptId attempt, AttemptFailure failure)
+void BackendAttempts::fail(AttemptId attempt, AttemptFailure failure, std::string_view cause)
 {
     const auto found = this->openAttempts.find(attempt);
     if (found == this->openAttempts.end() || found->second->isOver)
         return;
     found->second->isOver = true;
+    found->second->failureCause = cause;
     if (found->second->connection != nullptr && found->second->connection->isBusy())
         found->second->connection->close();
     this->observer.onFailure(attempt, failure);
@@ -287,4 +300,16 @@
            + " unsent_bytes=" + std::to_string(unsent);
 }
 
+std::string BackendAttempts::describeFailed(AttemptId attempt) const
+{
+    const auto found = this->openAttempts.find(attempt);
+    if (found == this->openAttempts.end() || found->second->failureCause.empty())
+        return {};
+    const OpenAttempt &row = *found->second;
+    return "request=" + row.requestId + " backend=" + row.backend
+           + " connection=" + (row.isReused ? "reused" : "new")
+           + " status=" + std::to_string(row.answer.head == nullptr ? 0 : row.answer.head->status)
+           + " cause=\"" + std::string(row.failureCause) + "\"";
+}
+
 } // namespace Nutmegrill
--- a/Source/RelayShell/BackendAttempts.h
+++ b/Source/RelayShell/BackendAttempts.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace Nutmegrill {
 
@@ -56,6 +57,9 @@
     /// Backend server, connection and progress of an attempt for the log; empty if the attempt has
     /// ended, so that cancel() resets no connection.
     std::string describeOpen(AttemptId attempt) const;
+    /// Backend server, connection and cause of a failed attempt for the log; empty if nothing was
+    /// sent.
+    std::string describeFailed(AttemptId attempt) const;
     /// Finds out whether anything listens at the address, by a connection without a request.
     void check(const std::string &address, std::function<void(BackendCheck)> onResult);
     void tick(Instant now);
@@ -74,7 +78,7 @@
     bool handleHead(AttemptId attempt, const HttpHead &head);
     void handleData(AttemptId attempt, std::string_view data);
     void handleEnd(AttemptId attempt);
-    void fail(AttemptId attempt, AttemptFailure failure);
+    void fail(AttemptId attempt, AttemptFailure failure, std::string_view cause);
 
     EventLoop &loop;
     const RelayProtocol &protocol;
--- a/Source/RelayShell/RelayEntry.cpp
+++ b/Source/RelayShell/RelayEntry.cpp
@@ -73,6 +73,9 @@
                                  });
                 },
                 [this](auto attempt, AttemptFailure failure) {
+                    if (const std::string cause = this->attempts.describeFailed(attempt);
+                        !cause.empty())
+                        this->log(RelayLog::AnswerInvalid, LogRecord::Level::Warning, cause);
                     this->decide("attempt=" + std::to_string(attempt),
                                  [&](RelayNode::Commands &commands) {
                                      this->node.attemptFailed(this->loop.now(), attempt, failure,
--- a/Tests/Http/ConnectionTest.cpp
+++ b/Tests/Http/ConnectionTest.cpp
@@ -11,9 +11,11 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
+#include <vector>
 
 #include <event2/event.h>
 
@@ -119,6 +121,7 @@
     CPPUNIT_TEST(truncatedResponseIsAFailure);
     CPPUNIT_TEST(responseWithoutLengthEndsWithTheConnection);
     CPPUNIT_TEST(malformedResponseIsAFailure);
+    CPPUNIT_TEST(causeOfAFailureIsUnknown);
     CPPUNIT_TEST(refusedConnectionIsReportedAsRefused);
     CPPUNIT_TEST(responseIsCompleteBeforeConnectionCloses);
     CPPUNIT_TEST(abortedStreamIsReportedAsBroken);
@@ -189,6 +192,28 @@
         Outcome outcome;
         this->exchange("\x01\x02 no answer at all\r\n\r\n", outcome);
         CPPUNIT_ASSERT(outcome.failure == ClientConnection::Failure::Malformed);
+        CPPUNIT_ASSERT_EQUAL(std::string_view("status line"), this->client->failureCause());
+    }
+
+    // Guards against log lines that do not tell what was wrong with an answer.
+    void causeOfAFailureIsUnknown()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\n";
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n4\r\ndone";
+        for (const auto &[bytes, cause] : std::vector<std::pair<std::string, std::string>>{
+                     {"HTTP/1.1 000 X\r\n", "status line"},
+                     {head + "X Y: 1\r\n", "field"},
+                     {head + "Content-Length: x\r\n\r\n", "HPE_INVALID_CONTENT_LENGTH"},
+                     {head + "Transfer-Encoding: gzip\r\n\r\n", "transfer coding"},
+                     {"HTTP/1.1 101 X\r\n\r\n", "switch of protocols"},
+                     {chunked + "0", "end of a chunk"},
+                     {chunked + "\r\nx", "chunk size"},
+                     {chunked + "\r\n0\r\nX Y: 1\r\n", "trailer"},
+                     {head + "Content-Length: 9\r\n\r\nok", "early end"}}) {
+            Outcome outcome;
+            this->exchange(bytes, outcome, {}, true);
+            CPPUNIT_ASSERT_EQUAL(cause, std::string(this->client->failureCause()));
+        }
     }
 
     void refusedConnectionIsReportedAsRefused()
