Free the connection of a call that failed

Operators would see: an entry whose memory grows with each call to the store, an engine or another entry that times out or is too long, by its connection and what had arrived of the answer.

Cause: a pending HttpCall owns its connection, and the connection's handlers own the call. A connection that is closed, as a failed call does, keeps its handlers.

Evidence: found by the address sanitizer, which reports the cycle.

Change: a failed call gives up its connection, from the event loop.

Why it works: nothing owns the connection then but its user, so its handlers go with it.

--- a/Source/Http/HttpCall.cpp
+++ b/Source/Http/HttpCall.cpp
@@ -11,6 +11,7 @@
 
 struct PendingCall
 {
+    EventLoop &loop;
     std::shared_ptr<ClientConnection> connection;
     HttpCall::Callback callback;
     HttpCall::Response response;
@@ -23,6 +24,10 @@
         const HttpCall::Callback done = std::exchange(this->callback, nullptr);
         if (!isComplete) {
             this->connection->close();
+            // The handlers of the connection own this call, so it must not own the connection any
+            // more. Freed from the event loop, because the connection may be inside a handler.
+            this->loop.after(std::chrono::milliseconds(0),
+                             [closed = std::exchange(this->connection, nullptr)] {});
             this->response = {};
         }
         done(this->response);
@@ -34,9 +39,8 @@
 void HttpCall::send(EventLoop &loop, const std::shared_ptr<ClientConnection> &connection,
                     std::string_view request, const Limits &limits, Callback callback)
 {
-    const auto pending = std::make_shared<PendingCall>();
-    pending->connection = connection;
-    pending->callback = std::move(callback);
+    const auto pending =
+            std::make_shared<PendingCall>(PendingCall{loop, connection, std::move(callback), {}});
     ClientConnection::Handlers handlers;
     handlers.onHead = [pending](const HttpHead &head) {
         pending->response.status = head.status;
--- a/Tests/Http/ConnectionTest.cpp
+++ b/Tests/Http/ConnectionTest.cpp
@@ -134,6 +134,7 @@
     CPPUNIT_TEST(endlessInterimResponsesAreRejected);
     CPPUNIT_TEST(endlessSkippedBodyIsRejected);
     CPPUNIT_TEST(endlessBodyFailsTheCall);
+    CPPUNIT_TEST(failedCallKeepsItsConnectionForEver);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -368,6 +369,22 @@
         CPPUNIT_ASSERT(!connection->isOpen());
     }
 
+    // Guards against memory that each call without an answer takes until the process ends.
+    void failedCallKeepsItsConnectionForEver()
+    {
+        RawServer server;
+        std::optional<int> status;
+        auto connection = std::make_shared<ClientConnection>(this->loop, server.address(), Timeout);
+        const std::weak_ptr<ClientConnection> kept = connection;
+        HttpCall::send(this->loop, connection, "GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+                       {milliseconds(50), 100},
+                       [&status](const HttpCall::Response &response) { status = response.status; });
+        connection.reset();
+        this->loop.runUntil([&status] { return status.has_value(); }, Timeout);
+        CPPUNIT_ASSERT_EQUAL(0, status.value_or(-1));
+        CPPUNIT_ASSERT(this->loop.runUntil([&kept] { return kept.expired(); }, Timeout));
+    }
+
 private:
     /// Sends \a begin and then \a more again and again until \a done.
     void sendWithoutEnd(RawServer &server, const std::string &begin, const std::string &more,
