Check the beginning of a line whenever more of it arrives

Callers would see: a backend server that speaks another protocol and sends its first bytes one by one holds their requests until the deadline, where http-parser alone failed at the first wrong byte.

--- a/Source/Http/ResponseFraming.cpp
+++ b/Source/Http/ResponseFraming.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// Bytes of a line that are checked each time that more of them arrive.
+constexpr std::size_t MaxBeginBytes = 256;
 /// End of the data of a chunk.
 constexpr std::string_view ChunkEndText = "\r\n";
 
@@ -55,7 +57,6 @@
     const std::size_t end = data.find('\n');
     const bool isComplete = end != std::string_view::npos;
     const std::size_t used = isComplete ? end + 1 : data.size();
-    const bool isBegin = this->line.empty();
     this->line.append(data.substr(0, used));
     // Of an incomplete line, a carriage return at its end may be a part of the line end.
     std::string_view text = this->line;
@@ -63,9 +64,10 @@
         text.remove_suffix(1);
     if (!text.empty() && text.back() == '\r')
         text.remove_suffix(1);
-    // An incomplete line is checked once, so that other protocols fail without a line end.
+    // The beginning of a line is checked before its end, so that other protocols fail without one.
     if (this->line.size() > MaxHeadBytes
-        || ((isComplete || isBegin) && !this->isLineValid(text, isComplete)))
+        || ((isComplete || this->line.size() <= MaxBeginBytes)
+            && !this->isLineValid(text, isComplete)))
         return std::nullopt;
     // http-parser finds the end of this line by its carriage return.
     if (this->part == Part::ChunkSize && isComplete && this->line.size() == text.size() + 1)
@@ -91,7 +93,8 @@
 
 void ResponseFraming::lineEnded(std::size_t textLength)
 {
-    this->completeLine = std::exchange(this->line, {});
+    std::swap(this->completeLine, this->line);
+    this->line.clear();
     if (textLength == 0 || this->part == Part::ChunkSize)
         return;
     if (this->part == Part::StatusLine) {
--- a/Tests/Http/ConnectionTest.cpp
+++ b/Tests/Http/ConnectionTest.cpp
@@ -121,6 +121,7 @@
     CPPUNIT_TEST(truncatedResponseIsAFailure);
     CPPUNIT_TEST(responseWithoutLengthEndsWithTheConnection);
     CPPUNIT_TEST(malformedResponseIsAFailure);
+    CPPUNIT_TEST(otherProtocolInPiecesIsAwaited);
     CPPUNIT_TEST(causeOfAFailureIsUnknown);
     CPPUNIT_TEST(refusedConnectionIsReportedAsRefused);
     CPPUNIT_TEST(responseIsCompleteBeforeConnectionCloses);
@@ -196,6 +197,28 @@
         CPPUNIT_ASSERT_EQUAL(std::string_view("status line"), this->client->failureCause());
     }
 
+    // Guards against a caller that waits for the end of a line that cannot become valid.
+    void otherProtocolInPiecesIsAwaited()
+    {
+        for (const std::string &bytes :
+             {std::string("SSH-2.0"), std::string("HTTP/2"), std::string("HTTP/1.1 6"),
+              std::string("HTTP/1.1 200 OK\r\nX Y")}) {
+            Outcome outcome;
+            RawServer server;
+            this->client =
+                    std::make_unique<ClientConnection>(this->loop, server.address(), Timeout);
+            this->client->send("GET / HTTP/1.1\r\nHost: x\r\n\r\n", outcome.handlers());
+            this->loop.runUntil([] { return false; }, milliseconds(10));
+            server.accept();
+            for (const char letter : bytes) {
+                server.send(std::string(1, letter));
+                this->loop.runUntil([&] { return outcome.isFinished(); }, milliseconds(5));
+            }
+            this->loop.runUntil([&] { return outcome.isFinished(); }, milliseconds(200));
+            CPPUNIT_ASSERT_MESSAGE(bytes, outcome.failure == ClientConnection::Failure::Malformed);
+        }
+    }
+
     // Guards against log lines that do not tell what was wrong with an answer.
     void causeOfAFailureIsUnknown()
     {
