--- a/review/12/Case.cpp
+++ b/review/12/Case.cpp
@@ -1,78 +1,87 @@
-// One of three entries stands still while large configurations come in quick succession.
+// A worker that sends additional bytes after a complete response; they arrive while the next request waits.
 #include "Rig3.h"
 
 using namespace Rig;
 
 namespace {
 
-constexpr int Entries = 3;
-constexpr int Routes = 3700;
-constexpr std::size_t ValueBytes = 1048576;
-constexpr int Versions = 12;
-constexpr long long GapMs = 330;
-constexpr long long FreezeMs = 3500;
-constexpr long long StableWindowMs = 3000;
-constexpr long long ConfigApplyMs = 2000;
-constexpr long long MaxSkewMs = 5000;
-constexpr const char *DroppedPrefix = "/dropped/";
+constexpr int Requests = 20;
+constexpr int FaultyAnswers = 1;
+constexpr long long DeadlineMs = 1500;
+/// A response that names no request: it has neither Attempt-Id nor Response-Seal.
+constexpr const char *AdditionalBytes = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
-/// A configuration with many routes. Each version changes a timeout; the last one drops a route.
-std::string configuration(int version, bool hasDroppedRoute)
+std::atomic<int> runs{0};
+std::atomic<int> additional{0};
+std::mutex recordedMutex;
+/// How often each delivery was recorded.
+std::map<std::string, int> recorded;
+
+std::string configuration()
 {
-    Json routes = Json::array();
-    const auto add = [&](const std::string &name, const std::string &prefix) {
-        routes.push_back({{"name", name},
-                          {"hostname", "ledger.example"},
-                          {"prefix", prefix},
-                          {"service", "route-ledger"},
-                          {"kind", "non_idempotent"},
-                          {"timeoutMs", 1500},
-                          {"targetLatencyMs", 300},
-                          {"attempts", 1},
-                          {"priority", 2},
-                          {"public", false},
-                          {"sticky", false},
-                          {"canResume", false}});
-    };
-    add("records", "/records/");
-    if (hasDroppedRoute)
-        add("dropped", DroppedPrefix);
-    for (int number = 0; number < Routes; ++number)
-        add("r-" + std::to_string(1000000 + number), "/idle" + std::to_string(1000000 + number) + "/");
-    routes[5]["timeoutMs"] = 1500 + version;
-    return Json{{"version", version},
-                {"routes", routes},
+    return Json{{"version", 7},
+                {"routes", Json::array({{{"name", "refill-record"},
+                                         {"hostname", "ledger.example"},
+                                         {"prefix", "/records/"},
+                                         {"service", "route-ledger"},
+                                         {"kind", "non_idempotent"},
+                                         {"timeoutMs", 1500},
+                                         {"targetLatencyMs", 300},
+                                         {"attempts", 1},
+                                         {"priority", 2}}})},
                 {"services", Json::array({{{"name", "route-ledger"}, {"maxConnections", 96}}})},
                 {"limits",
                  {{"maxHeaderBytes", 16384},
                   {"maxBodyBytes", 4194304},
-                  {"headerTimeoutMs", 3000},
-                  {"idleTimeoutMs", 15000}}}}
+                  {"headerTimeoutMs", 5000},
+                  {"idleTimeoutMs", 10000}}}}
             .dump();
 }
 
-std::atomic<int> runsOnDropped{0};
-
+/// Runs a delivery record in 60 ms. Additional bytes after the answer to the request before, if there are any, arrive
+/// here.
 void runRecord(Worker &worker, int socket, const Message &request)
 {
-    runsOnDropped += request.target().rfind(DroppedPrefix, 0) == 0 ? 1 : 0;
-    sleepMs(20);
+    const int run = ++runs;
+    if (hasTrouble() && run > Requests / 2 && additional < FaultyAnswers) {
+        ++additional;
+        note("worker " + worker.name() + ": additional bytes after its answer before arrive late: " + AdditionalBytes);
+        sendAll(socket, AdditionalBytes);
+    }
+    sleepMs(60);
     const std::string id = request.field("Attempt-Id");
+    {
+        const std::lock_guard lock(recordedMutex);
+        ++recorded[request.body.substr(request.body.find(' ') + 1)];
+    }
     reply(socket, 200, "{\"recorded\":\"" + id + "\"}",
           "Attempt-Id: " + id + "\r\nResponse-Seal: " + worker.seal() + "\r\n");
+    note("worker " + worker.name() + " has run " + id + " and answered 200");
 }
 
-int call(const Entry &entry, const std::string &id, const std::string &path)
+bool isPromise(int status)
+{
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+/// Sends one attempt and returns the status of its answer; counts answers that promised falsely.
+int callOnce(const Entry &entry, const std::string &delivery, const std::string &id, int &broken)
 {
     const int socket = connectTo(entry.ip, entry.front);
-    sendAll(socket, "POST " + path + " HTTP/1.1\r\nHost: ledger.example\r\nAttempt-Id: " + id
-                            + "\r\nDeadline-Ms: 1500\r\nContent-Length: 6\r\n\r\nrecord");
+    const std::string body = "delivery " + delivery;
+    sendAll(socket, "POST /records/add HTTP/1.1\r\nHost: ledger.example\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: "
+                            + std::to_string(DeadlineMs) + "\r\nContent-Length: " + std::to_string(body.size())
+                            + "\r\n\r\n" + body);
+    const int before = runs;
     Reader reader(socket);
     Message answer;
-    reader.read(answer, Clock::now() + std::chrono::milliseconds(2000));
+    reader.read(answer, Clock::now() + std::chrono::milliseconds(DeadlineMs + 500));
     ::close(socket);
-    note("caller: " + id + " " + path + " at " + entry.name + " got "
-         + (answer.start.empty() ? "no answer" : answer.start));
+    sleepMs(150);
+    const bool hasRun = runs > before;
+    note("caller: " + id + " got " + (answer.start.empty() ? "no answer" : answer.start) + ", seal \""
+         + answer.field("Response-Seal") + "\", run " + (hasRun ? "yes" : "no"));
+    broken += isPromise(answer.status()) && hasRun ? 1 : 0;
     return answer.status();
 }
 
@@ -82,87 +91,33 @@
     const std::string ip = "127.0.0.1";
     // The threads of the stand-ins use these until the process ends.
     Store &store = *new Store(ip);
-    int version = 10;
-    const std::string first = configuration(version, true);
-    note("a configuration has " + std::to_string(first.size()) + " bytes");
-    if (first.size() > ValueBytes)
+    store.put("op/config", configuration());
+    new Worker(store, ip, "i-1", "route-ledger", "north", 6, runRecord);
+    const Entry entry(ip, "front-north-1");
+    writeFile(folder.path() + "/settings", entry.settings("north", store.address()));
+    Program program({entryProgram(), "--settings=" + folder.path() + "/settings"}, folder.path() + "/log");
+    if (!entry.waitUntilReady(10000)) {
+        note("the entry did not become ready");
         return 2;
-    store.put("op/config", first);
-    for (int number = 1; number <= 3; ++number)
-        new Worker(store, ip, "i-" + std::to_string(number), "route-ledger", "zone-" + std::to_string(number), 6,
-                   runRecord);
-    std::vector<Entry> entries;
-    std::vector<std::unique_ptr<Program>> programs;
-    for (int number = 1; number <= Entries; ++number) {
-        entries.emplace_back(ip, "front-zone-" + std::to_string(number));
-        const std::string file = folder.path() + "/settings" + std::to_string(number);
-        writeFile(file, entries.back().settings("zone-" + std::to_string(number), store.address()));
-        programs.push_back(std::make_unique<Program>(std::vector<std::string>{entryProgram(), "--settings=" + file},
-                                                     folder.path() + "/log" + std::to_string(number)));
-    }
-    for (const Entry &entry : entries) {
-        if (!entry.waitUntilReady(15000)) {
-            note("an entry did not become ready");
-            return 2;
-        }
-    }
-    sleepMs(4000);
-    for (const Entry &entry : entries) {
-        if (call(entry, "before-" + entry.name, DroppedPrefix + std::string("1")) != 200)
-            return 2;
     }
+    sleepMs(3500);
 
-    const long long stormAt = elapsedMs();
-    bool isFrozen = false;
-    long long wokenAt = stormAt;
-    long long droppedAt = 0;
-    for (int number = 1; number <= Versions; ++number) {
-        store.put("op/config", configuration(++version, number < Versions));
-        droppedAt = elapsedMs();
-        note("operator: version " + std::to_string(version) + " acknowledged"
-             + (number == Versions ? ", which drops the route " + std::string(DroppedPrefix) : ""));
-        if (hasTrouble() && number == 1) {
-            sleepMs(100);
-            programs[0]->signal(SIGSTOP);
-            isFrozen = true;
-            note(entries[0].name + " stands still for " + std::to_string(FreezeMs) + " ms");
-        }
-        const long long nextAt = stormAt + number * GapMs;
-        while (elapsedMs() < nextAt) {
-            if (isFrozen && elapsedMs() >= stormAt + 100 + FreezeMs) {
-                programs[0]->signal(SIGCONT);
-                isFrozen = false;
-                wokenAt = elapsedMs();
-                note(entries[0].name + " goes on");
-            }
-            sleepMs(5);
-        }
-    }
-    if (isFrozen) {
-        sleepMs(std::max(0LL, stormAt + 100 + FreezeMs - elapsedMs()));
-        programs[0]->signal(SIGCONT);
-        wokenAt = elapsedMs();
-        note(entries[0].name + " goes on");
-    }
-    // In touch again, and the time to apply is over, with the longest extension that the rules know.
-    const long long judgedAt = std::max(wokenAt + StableWindowMs, droppedAt + ConfigApplyMs) + MaxSkewMs;
-    sleepMs(judgedAt - elapsedMs());
-    note("the time to apply the last version is over at all machines");
-    const int before = runsOnDropped;
-    for (int number = 1; number <= 5; ++number) {
-        for (const Entry &entry : entries)
-            call(entry, "after-" + std::to_string(number) + "-" + entry.name, DroppedPrefix + std::to_string(number));
-        sleepMs(400);
+    int broken = 0;
+    for (int number = 1; number <= Requests; ++number) {
+        const std::string delivery = std::to_string(number);
+        if (!isPromise(callOnce(entry, delivery, "r" + delivery, broken)))
+            continue;
+        // The caller may repeat it after this promise, once, as a new attempt on a new connection.
+        callOnce(entry, delivery, "again-r" + delivery, broken);
     }
-    const int broken = runsOnDropped - before;
-    note("requests run on the dropped route: " + std::to_string(broken));
-    for (int number = 1; number <= Entries; ++number) {
-        std::ifstream log(folder.path() + "/log" + std::to_string(number));
-        for (std::string line; std::getline(log, line);) {
-            if (line.find(" E5010 ") == std::string::npos && line.find(" E5012 ") == std::string::npos)
-                note("entry: " + line);
-        }
+    note("requests that were answered as not run and have run: " + std::to_string(broken));
+    for (const auto &[delivery, times] : recorded) {
+        if (times > 1)
+            note("delivery " + delivery + " was recorded " + std::to_string(times) + " times");
     }
+    std::ifstream log(folder.path() + "/log");
+    for (std::string line; std::getline(log, line);)
+        note("entry: " + line);
     return broken > 0 ? 1 : 0;
 }
 
