--- a/review/12/Case.cpp
+++ b/review/12/Case.cpp
@@ -1,88 +1,91 @@
-// A worker that sends additional bytes after a complete response; they arrive while the next request waits.
+// A stream is preempted by its worker for 1.5 s while the entry that serves it has SIGTERM and all other slots are taken.
 #include "Rig3.h"
 
 using namespace Rig;
 
 namespace {
 
-constexpr int Requests = 20;
-constexpr int FaultyAnswers = 1;
-constexpr long long DeadlineMs = 1500;
-/// A response that names no request: it has neither Attempt-Id nor Response-Seal.
-constexpr const char *AdditionalBytes = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-
-std::atomic<int> runs{0};
-std::atomic<int> additional{0};
-std::mutex recordedMutex;
-/// How often each delivery was recorded.
-std::map<std::string, int> recorded;
+constexpr std::uint32_t Slots = 4;
+constexpr int Streams = 8;
+constexpr int Events = 40;
+constexpr long long EventMs = 60;
+constexpr long long PreemptedMs = 1500;
+constexpr long long DeadlineMs = 8000;
+constexpr const char *PreemptedStream = "s1";
+constexpr int PreemptedAfter = 15;
 
 std::string configuration()
 {
     return Json{{"version", 7},
-                {"routes", Json::array({{{"name", "refill-record"},
-                                         {"hostname", "ledger.example"},
-                                         {"prefix", "/records/"},
-                                         {"service", "route-ledger"},
-                                         {"kind", "non_idempotent"},
-                                         {"timeoutMs", 1500},
-                                         {"targetLatencyMs", 300},
-                                         {"attempts", 1},
-                                         {"priority", 2}}})},
-                {"services", Json::array({{{"name", "route-ledger"}, {"maxConnections", 96}}})},
+                {"routes", Json::array({{{"name", "route-brief"},
+                                         {"hostname", "brief.example"},
+                                         {"prefix", "/brief/"},
+                                         {"service", "brief-writer"},
+                                         {"kind", "streaming"},
+                                         {"timeoutMs", 8000},
+                                         {"targetLatencyMs", 400},
+                                         {"targetItlMs", 120},
+                                         {"attempts", 2},
+                                         {"priority", 1},
+                                         {"canResume", true}}})},
+                {"services", Json::array({{{"name", "brief-writer"}, {"maxConnections", 278}}})},
                 {"limits",
                  {{"maxHeaderBytes", 16384},
                   {"maxBodyBytes", 4194304},
-                  {"headerTimeoutMs", 5000},
-                  {"idleTimeoutMs", 10000}}}}
+                  {"headerTimeoutMs", 3000},
+                  {"idleTimeoutMs", 15000}}}}
             .dump();
 }
 
-/// Runs a delivery record in 60 ms. Additional bytes after the answer to the request before, if there are any, arrive
-/// here.
-void runRecord(Worker &worker, int socket, const Message &request)
+/// Writes an event each 60 ms, from the one after Last-Event-Id. The first run of one stream pauses once in the middle.
+void runStream(Worker &worker, int socket, const Message &request)
 {
-    const int run = ++runs;
-    if (hasTrouble() && run > Requests / 2 && additional < FaultyAnswers) {
-        ++additional;
-        note("worker " + worker.name() + ": additional bytes after its answer before arrive late: " + AdditionalBytes);
-        sendAll(socket, AdditionalBytes);
-    }
-    sleepMs(60);
     const std::string id = request.field("Attempt-Id");
-    {
-        const std::lock_guard lock(recordedMutex);
-        ++recorded[request.body.substr(request.body.find(' ') + 1)];
+    const std::string last = request.field("Last-Event-Id");
+    sendAll(socket, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: " + id
+                            + "\r\nResponse-Seal: " + worker.seal() + "\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int event = last.empty() ? 1 : std::atoi(last.c_str()) + 1; event <= Events; ++event) {
+        if (hasTrouble() && id == PreemptedStream && last.empty() && event == PreemptedAfter + 1) {
+            note("worker " + worker.name() + " preempts " + id + " after event " + std::to_string(PreemptedAfter)
+                 + " and goes on after " + std::to_string(PreemptedMs) + " ms");
+            sleepMs(PreemptedMs);
+        }
+        std::string text = "id: " + std::to_string(event) + "\ndata: ";
+        text.resize(68, 'x');
+        text += "\n\n";
+        if (!sendAll(socket, "46\r\n" + text + "\r\n")) {
+            note("worker " + worker.name() + ": the connection of " + id + " ended before event "
+                 + std::to_string(event));
+            return;
+        }
+        sleepMs(EventMs);
     }
-    reply(socket, 200, "{\"recorded\":\"" + id + "\"}",
-          "Attempt-Id: " + id + "\r\nResponse-Seal: " + worker.seal() + "\r\n");
-    note("worker " + worker.name() + " has run " + id + " and answered 200");
+    sendAll(socket, "0\r\n\r\n");
+    note("worker " + worker.name() + " has sent the whole answer of " + id);
 }
 
-bool isPromise(int status)
-{
-    return status == 429 || status == 503 || status == 408 || status == 421;
-}
+std::atomic<int> incomplete{0};
+std::atomic<int> finished{0};
 
-/// Sends one attempt and returns the status of its answer; counts answers that promised falsely.
-int callOnce(const Entry &entry, const std::string &delivery, const std::string &id, int &broken)
+void callStream(const std::string &ip, std::uint16_t port, const std::string &id)
 {
-    const int socket = connectTo(entry.ip, entry.front);
-    const std::string body = "delivery " + delivery;
-    sendAll(socket, "POST /records/add HTTP/1.1\r\nHost: ledger.example\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: "
-                            + std::to_string(DeadlineMs) + "\r\nContent-Length: " + std::to_string(body.size())
-                            + "\r\n\r\n" + body);
-    const int before = runs;
+    const long long sentAt = elapsedMs();
+    const int socket = connectTo(ip, port);
+    sendAll(socket, "POST /brief/2f HTTP/1.1\r\nHost: brief.example\r\nAttempt-Id: " + id + "\r\nDeadline-Ms: "
+                            + std::to_string(DeadlineMs) + "\r\nContent-Length: 4\r\n\r\ntext");
     Reader reader(socket);
     Message answer;
-    reader.read(answer, Clock::now() + std::chrono::milliseconds(DeadlineMs + 500));
+    const bool hasHead = reader.read(answer, Clock::now() + std::chrono::milliseconds(DeadlineMs));
+    int events = 0;
+    for (auto at = answer.body.find("id: "); at != std::string::npos; at = answer.body.find("id: ", at + 1))
+        ++events;
+    const bool isComplete = answer.isComplete && (answer.status() != 200 || events == Events);
+    incomplete += isComplete ? 0 : 1;
+    note("caller " + id + ": " + (hasHead ? answer.start : "no head") + ", events " + std::to_string(events) + " of "
+         + std::to_string(Events) + ", complete " + (answer.isComplete ? "yes" : "no") + ", after "
+         + std::to_string(elapsedMs() - sentAt) + " ms");
     ::close(socket);
-    sleepMs(150);
-    const bool hasRun = runs > before;
-    note("caller: " + id + " got " + (answer.start.empty() ? "no answer" : answer.start) + ", seal \""
-         + answer.field("Response-Seal") + "\", run " + (hasRun ? "yes" : "no"));
-    broken += isPromise(answer.status()) && hasRun ? 1 : 0;
-    return answer.status();
+    ++finished;
 }
 
 int run()
@@ -92,7 +95,8 @@
     // The threads of the stand-ins use these until the process ends.
     Store &store = *new Store(ip);
     store.put("op/config", configuration());
-    new Worker(store, ip, "i-1", "route-ledger", "north", 6, runRecord);
+    new Worker(store, ip, "i-1", "brief-writer", "north", Slots, runStream);
+    new Worker(store, ip, "i-2", "brief-writer", "north", Slots, runStream);
     const Entry entry(ip, "front-north-1");
     writeFile(folder.path() + "/settings", entry.settings("north", store.address()));
     Program program({entryProgram(), "--settings=" + folder.path() + "/settings"}, folder.path() + "/log");
@@ -102,23 +106,22 @@
     }
     sleepMs(3500);
 
-    int broken = 0;
-    for (int number = 1; number <= Requests; ++number) {
-        const std::string delivery = std::to_string(number);
-        if (!isPromise(callOnce(entry, delivery, "r" + delivery, broken)))
-            continue;
-        // The caller may repeat it after this promise, once, as a new attempt on a new connection.
-        callOnce(entry, delivery, "again-r" + delivery, broken);
-    }
-    note("requests that were answered as not run and have run: " + std::to_string(broken));
-    for (const auto &[delivery, times] : recorded) {
-        if (times > 1)
-            note("delivery " + delivery + " was recorded " + std::to_string(times) + " times");
+    for (int number = 1; number <= Streams; ++number) {
+        const std::string id = "s" + std::to_string(number);
+        std::thread([ip, port = entry.front, id] { callStream(ip, port, id); }).detach();
+        sleepMs(20);
     }
+    sleepMs(200);
+    program.signal(SIGTERM);
+    note("SIGTERM to the entry, which has 8 s; " + std::to_string(Streams) + " streams run in " + std::to_string(2 * Slots)
+         + " slots");
+    while (finished < Streams)
+        sleepMs(20);
     std::ifstream log(folder.path() + "/log");
     for (std::string line; std::getline(log, line);)
         note("entry: " + line);
-    return broken > 0 ? 1 : 0;
+    note("streams that ended without a complete answer: " + std::to_string(incomplete));
+    return incomplete > 0 ? 1 : 0;
 }
 
 } // namespace
--- a/review/Rig3.h
+++ b/review/Rig3.h
@@ -19,6 +19,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -367,10 +368,12 @@
                             + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
 }
 
-/// The platform's key-value store.
+/// The platform's key-value store. Keeps the history of `historyRetentionS`.
 class Store
 {
 public:
+    static constexpr std::chrono::seconds HistoryTime{20};
+
     explicit Store(const std::string &ip) : server(ip, [this](int socket) { this->serve(socket); }) {}
     std::string address() const { return this->server.address(); }
 
@@ -393,6 +396,11 @@
         std::uint64_t created = 0;
         std::uint64_t lease = 0;
     };
+    struct Change
+    {
+        Clock::time_point at;
+        Json row;
+    };
     struct Lease
     {
         std::chrono::milliseconds time{};
@@ -411,15 +419,23 @@
         item.revision = ++this->revision;
         item.created = item.created == 0 ? item.revision : item.created;
         item.lease = lease;
-        this->history.push_back(rowOf(key, item));
-        this->changed.notify_all();
+        this->addChange(rowOf(key, item));
         return item.revision;
     }
     void erase(const std::string &key)
     {
         if (this->items.erase(key) == 0)
             return;
-        this->history.push_back({{"key", key}, {"revision", ++this->revision}, {"deleted", true}});
+        this->addChange({{"key", key}, {"revision", ++this->revision}, {"deleted", true}});
+    }
+    void addChange(Json row)
+    {
+        const Clock::time_point now = Clock::now();
+        this->history.push_back({now, std::move(row)});
+        while (this->history.front().at + HistoryTime < now) {
+            this->discardedUpTo = this->history.front().row.at("revision").get<std::uint64_t>();
+            this->history.pop_front();
+        }
         this->changed.notify_all();
     }
     void endLease(std::uint64_t lease)
@@ -477,10 +493,14 @@
             const auto until = Clock::now() + std::chrono::milliseconds(std::stoll(queryOf(target, "waitMs")));
             for (;;) {
                 out["events"] = Json::array();
-                for (const Json &row : this->history) {
-                    if (row.at("revision").get<std::uint64_t>() > after
-                        && row.at("key").get<std::string>().compare(0, prefix.size(), prefix) == 0)
-                        out["events"].push_back(row);
+                if (after < this->discardedUpTo) {
+                    status = 410;
+                    break;
+                }
+                for (const Change &change : this->history) {
+                    if (change.row.at("revision").get<std::uint64_t>() > after
+                        && change.row.at("key").get<std::string>().compare(0, prefix.size(), prefix) == 0)
+                        out["events"].push_back(change.row);
                 }
                 if (!out["events"].empty() || Clock::now() >= until)
                     break;
@@ -539,14 +559,17 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::map<std::string, Item> items;
-    std::vector<Json> history;
+    std::deque<Change> history;
+    /// Revision up to which the history is no longer available.
+    std::uint64_t discardedUpTo = 0;
     std::map<std::uint64_t, Lease> leases;
     std::uint64_t revision = 100;
     std::uint64_t lastLease = 70;
     Server server;
 };
 
-/// A worker of a plain service or of streams. Writes its row to the store every heartbeat.
+/// A worker of a plain service or of streams. Its row in the store changes only when more than `seq` changes, so it is
+/// written once.
 class Worker
 {
 public:
@@ -561,13 +584,7 @@
                        .count()),
           server(ip, [this](int socket) { this->serve(socket); })
     {
-        this->beat();
-        std::thread([this] {
-            for (;;) {
-                sleepMs(1200);
-                this->beat();
-            }
-        }).detach();
+        this->enroll();
     }
 
     const std::string &name() const { return this->id; }
@@ -575,7 +592,7 @@
     std::string seal() { return this->id + "." + std::to_string(++this->seals); }
 
 private:
-    void beat()
+    void enroll()
     {
         this->store.put("servers/" + this->id, Json{{"service", this->service},
                                                     {"address", this->server.address()},
@@ -585,7 +602,7 @@
                                                     {"state", "ready"},
                                                     {"coldLeftMs", 0},
                                                     {"born", this->born},
-                                                    {"seq", ++this->sequence}}
+                                                    {"seq", 1}}
                                                        .dump());
     }
 
@@ -613,7 +630,6 @@
     std::uint32_t slots;
     Run run;
     long long born;
-    std::atomic<std::uint64_t> sequence{0};
     std::atomic<std::uint64_t> seals{0};
     Server server;
 };
@@ -655,8 +671,16 @@
             this->pid = -1;
         return this->pid < 0;
     }
-    /// Exit status as given by waitpid().
-    int exitStatus() const { return this->status; }
+    /// Resident memory in KiB; 0 if the process has ended.
+    long residentKib() const
+    {
+        std::ifstream file("/proc/" + std::to_string(this->pid) + "/status");
+        for (std::string line; std::getline(file, line);) {
+            if (line.rfind("VmRSS:", 0) == 0)
+                return std::atol(line.c_str() + 6);
+        }
+        return 0;
+    }
     void end()
     {
         if (this->hasEnded())
