--- a/review/Rig3.h
+++ b/review/Rig3.h
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -26,6 +27,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -111,14 +113,17 @@
     return socket;
 }
 
-/// A port that is free for TCP and UDP on an address now.
+/// A port that is free for TCP and UDP on an address now, below the range of outgoing connections.
 inline std::uint16_t freePort(const std::string &ip)
 {
+    static constexpr unsigned First = 18000;
+    static constexpr unsigned Count = 14000;
+    static std::random_device random;
     for (;;) {
-        const int stream = listenOn(ip);
+        const auto port = static_cast<std::uint16_t>(First + random() % Count);
+        const int stream = listenOn(ip, port);
         if (stream < 0)
-            return 0;
-        const std::uint16_t port = portOf(stream);
+            continue;
         const int datagram = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
         sockaddr_in address = addressOf(ip, port);
         const bool isFree = bind(datagram, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
@@ -644,6 +649,8 @@
         this->pid = fork();
         if (this->pid != 0)
             return;
+        // Ends with the script, also if that is killed.
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int log = ::open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(log, 1);
         dup2(log, 2);
